--- /dev/null
+++ b/gaprock/agent_main.py
@@ -0,0 +1,178 @@
+"""``gaprock-agent``: the last gate before the endpoints of one VM.
+
+It takes requests from entries, admits or refuses them, relays the answers and
+carries out fenced orders.  A planned stop says *leaving* to every entry at once,
+refuses new work, lets what runs end and be taken, parts with unwritten bills,
+and exits.
+"""
+
+import signal
+import sys
+import threading
+import types
+import typing
+
+from gaprock import (
+    agent_gate,
+    agent_hub,
+    agent_orders,
+    bills,
+    clock,
+    config,
+    config_store,
+    errors,
+    eventlog,
+    evidence,
+    ids,
+    metrics,
+    options,
+    options_flags,
+    periodic,
+    platform_api,
+    platform_http,
+    wire,
+)
+
+DESCRIPTION: typing.Final = (
+    "Stands before the endpoints of one VM: checks and admits requests from "
+    "entries, relays answers, and carries out fenced orders."
+)
+# Agents read the table this many times less often than entries: entries tell them.
+POLL_FACTOR: typing.Final = 5
+TAKEN_POLL_S: typing.Final = 0.05
+BILL_STOP_S: typing.Final = 3.0
+
+
+class Agent:
+    """One agent process: its parts and its background tasks."""
+
+    def __init__(
+        self,
+        cfg: options.Options,
+        platform: platform_http.Platform,
+        clock_: clock.Clock | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self.clock = clock_ or clock.Clock()
+        incarnation = ids.new_token()
+        self.config = config.Config()
+        self.evidence = evidence.EvidenceBook(f"{cfg.vm}/{incarnation}")
+        self.bills = bills.BillBook(
+            platform.table, bills.AGENT, cfg.max_bills, self.clock
+        )
+        self.store = config_store.ConfigStore(platform.table)
+        self.hub = agent_hub.Hub(
+            cfg, self.clock, self.config, self.evidence, self.bills, incarnation
+        )
+        self.bills.written = self.hub.bills_written
+        self.gate = agent_gate.Gate(
+            cfg,
+            self.clock,
+            self.config,
+            self.bills,
+            metrics.Metrics(cfg.statsd_host, cfg.statsd_port, "gaprock"),
+            self.hub.post,
+        )
+        self.hub.gate = self.gate
+        self.hub.orders = agent_orders.Orders(platform.table, self.gate)
+        self._auth = wire.start_auth(self.hub.context, cfg)
+        poll_s = cfg.config_poll_s * POLL_FACTOR
+        self._tasks = [
+            periodic.Periodic("config", poll_s, self._refresh_config),
+            periodic.Periodic("bills", cfg.bill_write_s, self._write_bills),
+            periodic.Periodic("loads", cfg.beat_s, self._refresh_loads),
+        ]
+
+    def start(self) -> None:
+        """Start serving."""
+        self._refresh_loads()
+        self.hub.start()
+        for task in self._tasks:
+            task.start()
+
+    def stop(self) -> None:
+        """Carry out a planned stop; no request in flight is cut."""
+        self.gate.leaving = True
+        self.hub.report_now()
+        eventlog.info("leaving", running=self.hub.open_runs)
+        deadline = self.clock.now() + self.cfg.drain_s
+        drained = self.gate.drain(deadline) and self._wait_taken(deadline)
+        eventlog.info("drained", whole=drained)
+        for task in self._tasks:
+            task.stop()
+        self._part_with_bills()
+        self.hub.stop()
+        if self._auth is not None:
+            self._auth.stop()
+
+    def _refresh_config(self) -> None:
+        delta = self.store.read_since(self.config.revision, self.config.ready)
+        if delta is not None and self.config.apply(delta):
+            eventlog.info("config-in-force", revision=self.config.revision)
+            self.hub.report_now()
+
+    def _write_bills(self) -> None:
+        while self.bills.write_due():
+            continue
+
+    def _refresh_loads(self) -> None:
+        for slot in self.gate.slots.values():
+            slot.refresh()
+
+    def _wait_taken(self, deadline: float) -> bool:
+        """Wait until live entries have taken the ends of all answers."""
+        while self.hub.open_runs:
+            if self.clock.now() >= deadline:
+                return False
+            threading.Event().wait(TAKEN_POLL_S)
+        return True
+
+    def _part_with_bills(self) -> None:
+        """Write the last bills, or hand them to an entry while the table is down."""
+        for owner in self.bills.owners():
+            self.bills.release_owner(owner, self.clock.now())
+        deadline = self.clock.now() + BILL_STOP_S
+        while len(self.bills) and self.clock.now() < deadline:
+            try:
+                self.bills.write_due()
+            except platform_api.PlatformError:
+                threading.Event().wait(TAKEN_POLL_S)
+        held = self.bills.take_all()
+        handed_over = bool(held) and self.hub.hand_over(held)
+        eventlog.info("bills-left", count=len(held), handed_over=handed_over)
+
+
+def run(cfg: options.Options) -> None:
+    """Run an agent until it is told to stop."""
+    eventlog.start(cfg.vm, cfg.verbose)
+    agent = Agent(cfg, platform_http.connect(cfg))
+    stopped = threading.Event()
+
+    def on_signal(number: int, frame: types.FrameType | None) -> None:
+        stopped.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    agent.start()
+    eventlog.info("started", hall=cfg.hall, port=agent.hub.port)
+    stopped.wait()
+    agent.stop()
+    eventlog.info("stopped")
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program.
+
+    :returns: the exit code: 0, or 2 when the settings are wrong.
+    """
+    try:
+        cfg = options_flags.parse(options_flags.AGENT, DESCRIPTION, argv)
+    except errors.GaprockError as exc:
+        print(f"gaprock-agent: {exc}", file=sys.stderr)
+        return 2
+    run(cfg)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gaprock/ctl_client.py
@@ -0,0 +1,73 @@
+"""The command line's side of the operators' API, through ``urllib3``."""
+
+import typing
+import urllib.parse
+
+import msgspec
+import urllib3
+
+from gaprock import answers, errorcodes, errors, options
+
+WAIT_S: typing.Final = 10.0
+
+
+class Client:
+    """Speaks to one entry; any entry will do."""
+
+    __slots__ = ("_base", "_pool", "_headers")
+
+    def __init__(self, cfg: options.Options) -> None:
+        self._base = cfg.entry.rstrip("/") + "/operator/"
+        self._pool = urllib3.PoolManager(retries=False, timeout=WAIT_S)
+        self._headers = {
+            "Authorization": f"Bearer {cfg.operator_key}",
+            "Content-Type": "application/json",
+        }
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        revision: int | None = None,
+    ) -> typing.Any:
+        """Make one call and decode its answer.
+
+        :param revision: the revision that a change builds on.
+        :raises errors.GaprockError: the entry's error, ``ENTRY_UNREACHABLE``, or
+            ``CHANGE_UNKNOWN`` when the answer to a change did not come.
+        """
+        headers = dict(self._headers)
+        if revision is not None:
+            headers["If-Match"] = str(revision)
+        url = self._base + urllib.parse.quote(path, safe="/@")
+        try:
+            resp = self._pool.request(method, url, body=body, headers=headers)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise errors.GaprockError(errorcodes.ENTRY_UNREACHABLE, self._base) from exc
+        except urllib3.exceptions.HTTPError as exc:
+            code = errorcodes.CHANGE_UNKNOWN
+            if method == "GET":
+                code = errorcodes.ENTRY_UNREACHABLE
+            raise errors.GaprockError(code, str(exc)) from exc
+        if resp.status >= 400:
+            raise _error(resp)
+        return msgspec.json.decode(resp.data)
+
+
+def _error(resp: urllib3.BaseHTTPResponse) -> errors.GaprockError:
+    """Give the error that an answer stands for."""
+    try:
+        info = msgspec.json.decode(resp.data, type=answers.ErrorBody).error
+    except msgspec.DecodeError:
+        return errors.GaprockError(
+            errorcodes.ENTRY_UNREACHABLE, f"status {resp.status}"
+        )
+    code = errorcodes.get(info.number)
+    # The message opens with the code's own text and ends with its number.
+    detail = info.message.removeprefix(code.description).removeprefix(": ")
+    detail = detail.rpartition(" (code ")[0]
+    return errors.GaprockError(code, detail, info.retry_at or 0.0)
--- /dev/null
+++ b/gaprock/entry_call.py
@@ -0,0 +1,257 @@
+"""A caller's request, checked: nothing has run before this is done."""
+
+import typing
+
+import msgspec
+
+from gaprock import (
+    bills,
+    clock,
+    config,
+    documents,
+    errorcodes,
+    errors,
+    ids,
+    options,
+    sessions,
+)
+
+CHAT_PATH: typing.Final = "/v1/chat/completions"
+# Characters of the prompt that are taken as its prefix.
+PREFIX_CHARS: typing.Final = 512
+MAX_TOKENS: typing.Final = 1_000_000
+
+Headers = typing.Mapping[str, str]
+JsonObject = dict[str, typing.Any]
+
+
+class ChatFields(msgspec.Struct):
+    """The fields of a chat request that are checked; others pass through."""
+
+    model: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+    messages: typing.Annotated[list[JsonObject], msgspec.Meta(min_length=1)]
+    stream: bool = False
+    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None = None
+    max_completion_tokens: (
+        typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None
+    ) = None
+    temperature: typing.Annotated[float, msgspec.Meta(ge=0, le=2)] | None = None
+    top_p: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
+    n: typing.Annotated[int, msgspec.Meta(ge=1, le=1)] | None = None
+
+
+class SessionFields(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of ``POST /v1/sessions``."""
+
+    template: str
+
+
+class Call:
+    """A checked request."""
+
+    __slots__ = (
+        "request",
+        "template",
+        "workspace",
+        "stream",
+        "fields",
+        "raw",
+        "deadline",
+        "first_part_by",
+        "session",
+        "digest",
+        "prefix",
+    )
+
+    def __init__(
+        self,
+        request: str,
+        template: documents.Template,
+        fields: JsonObject,
+        raw: bytes,
+        stream: bool,
+        deadline: float,
+        now: float,
+    ) -> None:
+        self.request = request
+        self.template = template
+        self.workspace = template.workspace
+        # The decoded body of a chat; a call to a service is passed on as it is.
+        self.fields = fields
+        self.raw = raw
+        self.stream = stream
+        self.deadline = deadline
+        self.first_part_by = min(deadline, now + template.first_part_s)
+        if not stream:
+            # A whole answer has all its time to wait in.
+            self.first_part_by = deadline
+        self.session: sessions.Session | None = None
+        self.digest = ids.digest(raw)
+        self.prefix = ""
+
+    @property
+    def bill_key(self) -> str:
+        """The key of the request's bill."""
+        return bills.key_of(self.workspace, self.request, self.digest)
+
+    def body_for(self, version: str) -> bytes:
+        """Give the body that an endpoint gets for a version."""
+        if self.template.kind == documents.CALL:
+            return self.raw
+        return msgspec.json.encode({**self.fields, "model": version})
+
+    @property
+    def path(self) -> str:
+        """The endpoint's path."""
+        is_call = self.template.kind == documents.CALL
+        return self.template.path if is_call else CHAT_PATH
+
+
+class Parser:
+    """Checks requests against the configuration."""
+
+    __slots__ = ("_cfg", "_clock", "_config", "_signer")
+
+    def __init__(
+        self,
+        cfg: options.Options,
+        clock_: clock.Clock,
+        config_: config.Config,
+        signer: sessions.Signer,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock_
+        self._config = config_
+        self._signer = signer
+
+    def workspace(self, headers: Headers) -> str:
+        """Find the caller's workspace.
+
+        :raises errors.GaprockError: ``NOT_READY`` or ``UNAUTHORIZED``.
+        """
+        if not self._config.ready:
+            raise errors.GaprockError(errorcodes.NOT_READY, "", self._clock.now() + 1.0)
+        workspace = self._config.workspace_of(bearer(headers))
+        if workspace is None:
+            raise errors.GaprockError(errorcodes.UNAUTHORIZED)
+        return workspace
+
+    def chat(self, headers: Headers, raw: bytes) -> Call:
+        """Check a chat request.
+
+        :raises errors.GaprockError: a code of category *not run*.
+        """
+        workspace = self.workspace(headers)
+        fields = decode_object(raw)
+        chat = _convert(fields)
+        template = self._template(workspace, chat.model, documents.CHAT)
+        call = self._call(headers, template, fields, raw, chat.stream)
+        call.prefix = _prefix(workspace, chat)
+        return call
+
+    def service_call(self, headers: Headers, name: str, raw: bytes) -> Call:
+        """Check a call to a plain service.
+
+        :raises errors.GaprockError: a code of category *not run*.
+        """
+        workspace = self.workspace(headers)
+        fields = decode_object(raw)
+        template = self._template(workspace, name, documents.CALL)
+        return self._call(headers, template, fields, raw, False)
+
+    def session_request(self, headers: Headers, raw: bytes) -> documents.Template:
+        """Check a request to open a session.
+
+        :raises errors.GaprockError: a code of category *not run*.
+        """
+        workspace = self.workspace(headers)
+        try:
+            fields = msgspec.json.decode(raw, type=SessionFields)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            raise errors.GaprockError(errorcodes.BAD_REQUEST, str(exc)) from exc
+        return self._template(workspace, fields.template, documents.CHAT)
+
+    def request_id(self, headers: Headers, template: documents.Template) -> str:
+        """Give the request's id: the caller's, or a new one.
+
+        :raises errors.GaprockError: when the caller's id does not fit.
+        """
+        given = headers.get("idempotency-key", "")
+        if not template.repeatable:
+            return ids.check_once_id(given, self._clock.now())
+        return ids.check_caller_id(given) if given else ids.new_uuid7()
+
+    def _call(
+        self,
+        headers: Headers,
+        template: documents.Template,
+        fields: JsonObject,
+        raw: bytes,
+        stream: bool,
+    ) -> Call:
+        now = self._clock.now()
+        request = self.request_id(headers, template)
+        deadline = self._deadline(headers, template, now)
+        call = Call(request, template, fields, raw, stream, deadline, now)
+        token = headers.get("x-gaprock-session", "")
+        if token:
+            call.session = self._signer.read(token, call.workspace, template.name)
+        return call
+
+    def _template(self, workspace: str, name: str, kind: str) -> documents.Template:
+        template = self._config.template(workspace, name)
+        if template is None or template.kind != kind:
+            raise errors.GaprockError(
+                errorcodes.UNKNOWN_TEMPLATE, f"{name!r} of kind {kind!r}"
+            )
+        return template
+
+    def _deadline(
+        self, headers: Headers, template: documents.Template, now: float
+    ) -> float:
+        """Give the earlier of the caller's deadline and the template's limit."""
+        latest = now + template.time_limit_s
+        given = headers.get("x-gaprock-deadline", "")
+        if not given:
+            return latest
+        try:
+            deadline = float(given)
+        except ValueError as exc:
+            raise errors.GaprockError(
+                errorcodes.BAD_REQUEST,
+                "X-Gaprock-Deadline takes seconds since the epoch",
+            ) from exc
+        # Written so that it is true of "not a number" as well.
+        if not deadline > now:
+            raise errors.GaprockError(errorcodes.DEADLINE_PAST)
+        return min(deadline, latest)
+
+
+def bearer(headers: Headers) -> str:
+    """Give the bearer key of a request; empty when there is none."""
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def decode_object(raw: bytes) -> JsonObject:
+    """Decode a JSON object.
+
+    :raises errors.GaprockError: ``BAD_REQUEST``.
+    """
+    try:
+        return msgspec.json.decode(raw, type=JsonObject)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise errors.GaprockError(errorcodes.BAD_REQUEST, str(exc)) from exc
+
+
+def _convert(fields: JsonObject) -> ChatFields:
+    try:
+        return msgspec.convert(fields, ChatFields)
+    except msgspec.ValidationError as exc:
+        raise errors.GaprockError(errorcodes.BAD_REQUEST, str(exc)) from exc
+
+
+def _prefix(workspace: str, chat: ChatFields) -> str:
+    """Give a digest of the prompt's first characters."""
+    first = str(chat.messages[0].get("content", ""))[:PREFIX_CHARS]
+    return ids.digest(f"{workspace}\0{first}".encode("utf-8", "surrogatepass"))
--- /dev/null
+++ b/gaprock/entry_guard.py
@@ -0,0 +1,61 @@
+"""Stops versions that evidence shows to be bad; every entry does this by itself.
+
+A stop is a halt: an urgent change that needs no lease and no table.  It ends new
+sessions here at once, and everywhere as heartbeats carry it.
+"""
+
+from gaprock import config, documents, entry_publish, eventlog, evidence, policy_api
+
+
+class GuardTask:
+    """The periodic look at every rollout, ended ones included."""
+
+    __slots__ = ("_config", "_evidence", "_guard", "_publisher")
+
+    def __init__(
+        self,
+        config_: config.Config,
+        evidence_: evidence.EvidenceBook,
+        guard: policy_api.Guard,
+        publisher: entry_publish.Publisher,
+    ) -> None:
+        self._config = config_
+        self._evidence = evidence_
+        self._guard = guard
+        self._publisher = publisher
+
+    def look(self) -> None:
+        """Judge each version that a rollout has brought in."""
+        for rollout in self._config.rollouts():
+            stopped = self._config.halted(rollout.version)
+            if stopped or self._config.withdrawn(rollout.version):
+                continue
+            self._judge(rollout)
+
+    def _judge(self, rollout: documents.Rollout) -> None:
+        label = self._config.evidence_label(rollout.version)
+        stable_label = self._config.evidence_label(rollout.stable)
+        seen = self._evidence.totals(label)
+        stable = self._evidence.totals(stable_label)
+        bad = self._guard.is_bad(
+            label,
+            policy_api.Counts(seen.answers, seen.bad),
+            policy_api.Counts(stable.answers, stable.bad),
+        )
+        if not bad:
+            return
+        eventlog.warning(
+            "version-halted",
+            version=rollout.version,
+            answers=seen.answers,
+            bad=seen.bad,
+            stable_answers=stable.answers,
+            stable_bad=stable.bad,
+        )
+        self._publisher.urge(
+            documents.Halt(
+                rollout.version,
+                rollout.attempt,
+                f"{seen.bad} of {seen.answers} answers were bad",
+            )
+        )
--- /dev/null
+++ b/gaprock/entry_link.py
@@ -0,0 +1,404 @@
+"""An entry's connection to one agent: one thread, one socket.
+
+The thread sends what other threads put into its mailbox, hands arriving parts to
+their attempts, beats, and asks again for attempts it has not heard of for a while.
+"""
+
+import collections
+import functools
+import math
+import threading
+import typing
+from concurrent import futures
+
+import zmq
+
+from gaprock import (
+    bills,
+    clock,
+    config,
+    entry_attempt,
+    errorcodes,
+    errors,
+    eventlog,
+    evidence,
+    mailbox,
+    messages,
+    options,
+    wire,
+)
+
+# An attempt without news for this long is asked about, seconds.
+PROBE_S: typing.Final = 1.0
+# Messages read before the mailbox is looked at again.
+READ_BURST: typing.Final = 200
+# Replaced attempts that are remembered.
+MAX_VOID: typing.Final = 10_000
+# A configuration push is not repeated sooner than this, seconds.
+PUSH_AGAIN_S: typing.Final = 1.0
+
+
+class Shared:
+    """What all links of an entry share."""
+
+    __slots__ = (
+        "cfg",
+        "clock",
+        "config",
+        "evidence",
+        "bills",
+        "context",
+        "identity",
+        "epoch",
+        "on_change",
+    )
+
+    def __init__(
+        self,
+        cfg: options.Options,
+        clock_: clock.Clock,
+        config_: config.Config,
+        evidence_: evidence.EvidenceBook,
+        bills_: bills.BillBook,
+        identity: str,
+    ) -> None:
+        self.cfg = cfg
+        self.clock = clock_
+        self.config = config_
+        self.evidence = evidence_
+        self.bills = bills_
+        self.context: zmq.Context[typing.Any] = zmq.Context()
+        # The entry's name with its incarnation.
+        self.identity = identity
+        # The highest control epoch that this entry knows.
+        self.epoch = 0
+        # Called when a peer brought newer configuration.
+        self.on_change: typing.Callable[[], None] = _nothing
+
+
+def _nothing() -> None:
+    """Do nothing."""
+
+
+class AgentLink:
+    """The connection to one agent."""
+
+    def __init__(self, shared: Shared, address: str) -> None:
+        self.shared = shared
+        self.address = address
+        self.report: messages.Report | None = None
+        self.heard_at = 0.0
+        # Whether the VM list says that the agent's VM is leaving.
+        self.vm_leaving = False
+        self._lock = threading.Lock()
+        self._attempts: dict[int, entry_attempt.Attempt] = {}
+        self._orders: dict[str, futures.Future[messages.OrderDone]] = {}
+        # Attempts that were replaced by another one; their bills are void.
+        self._void: collections.deque[int] = collections.deque(maxlen=MAX_VOID)
+        self._last_number = 0
+        # Requests sent less those ended since the last report, by endpoint.
+        self._sent_since: dict[str, int] = {}
+        self._mailbox: mailbox.Mailbox[messages.Message] = mailbox.Mailbox()
+        self._stopped = False
+        self._evidence_tick = 0
+        self._pushed_revision = 0
+        self._push_again_at = 0.0
+        self._thread = threading.Thread(
+            target=self._run, name=f"link-{address}", daemon=True
+        )
+
+    # -- For other threads --
+
+    def start(self) -> None:
+        """Connect in the background."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the connection, after what waits in the mailbox is sent."""
+        self._stopped = True
+        self._mailbox.put(self._beat())
+        self._thread.join()
+        self._mailbox.close()
+
+    @property
+    def live(self) -> bool:
+        """Whether the agent spoke lately."""
+        silent_since = self.heard_at + self.shared.cfg.silent_s
+        return self.shared.clock.now() < silent_since
+
+    @property
+    def usable(self) -> bool:
+        """Whether the agent may get new work."""
+        report = self.report
+        if report is None or not self.live:
+            return False
+        return not (report.leaving or self.vm_leaving)
+
+    def sent_since(self, endpoint: str) -> int:
+        """Give the requests sent there that the last report may not count."""
+        return max(0, self._sent_since.get(endpoint, 0))
+
+    def open(self, start: messages.Start) -> entry_attempt.Attempt:
+        """Send a request; its number is set here."""
+        now = self.shared.clock.now()
+        incarnation = self.report.incarnation if self.report else ""
+        with self._lock:
+            self._last_number += 1
+            start.attempt = self._last_number
+            attempt = entry_attempt.Attempt(start.attempt, start, incarnation, now)
+            self._attempts[attempt.number] = attempt
+            self._add_sent(start.endpoint, 1)
+        self._mailbox.put(start)
+        return attempt
+
+    def ack(self, attempt: entry_attempt.Attempt) -> None:
+        """Tell the agent how many parts were taken; it opens the window again."""
+        self._mailbox.put(messages.Ack(attempt.number, attempt.taken))
+
+    def close(self, attempt: entry_attempt.Attempt, void: bool = False) -> None:
+        """Forget an attempt; what still comes for it is dropped.
+
+        :param void: another attempt takes its place, so it is not billed.
+        """
+        with self._lock:
+            if self._attempts.pop(attempt.number, None) is None:
+                return
+            attempt.closed = True
+            if void:
+                self._void.append(attempt.number)
+            self._add_sent(attempt.start.endpoint, -1)
+        end = attempt.outcome
+        if void and end is not None and end.bill is not None:
+            self._mailbox.put(messages.BillsWritten([end.bill.key]))
+        if end is not None and attempt.next_part >= end.count:
+            self._mailbox.put(messages.Ack(attempt.number, end.count))
+        else:
+            self._mailbox.put(messages.Cancel(attempt.number, void))
+
+    def send(self, msg: messages.Message) -> None:
+        """Send any other message."""
+        self._mailbox.put(msg)
+
+    def order(self, order: messages.Order) -> "futures.Future[messages.OrderDone]":
+        """Send an order; the future gives its result."""
+        fut: futures.Future[messages.OrderDone] = futures.Future()
+        with self._lock:
+            self._orders[order.order] = fut
+        self._mailbox.put(order)
+        return fut
+
+    def push_config(self) -> None:
+        """Send what the agent lacks of the configuration."""
+        known = self.report.revision if self.report else 0
+        self._mailbox.put(self.shared.config.delta_since(known))
+
+    # -- The link's own thread --
+
+    def _run(self) -> None:
+        shared = self.shared
+        sock = wire.open_dealer(shared.context, shared.cfg, shared.identity)
+        sock.connect(self.address)
+        poller = zmq.Poller()
+        poller.register(sock, zmq.POLLIN)
+        poller.register(self._mailbox.fileno(), zmq.POLLIN)
+        beat_at = 0.0
+        try:
+            while not self._stopped:
+                left = clock.remaining(beat_at, self.shared.clock)
+                poller.poll(math.ceil(left * 1000))
+                self._send_waiting(sock)
+                self._read_waiting(sock)
+                if self.shared.clock.now() >= beat_at:
+                    self._tick(sock)
+                    beat_at = self.shared.clock.now() + self.shared.cfg.beat_s
+            self._send_waiting(sock)
+        finally:
+            sock.close(linger=200)
+
+    def _send_waiting(self, sock: "zmq.Socket[bytes]") -> None:
+        for msg in self._mailbox.drain():
+            self._send(sock, msg)
+
+    def _send(self, sock: "zmq.Socket[bytes]", msg: messages.Message) -> None:
+        try:
+            sock.send(messages.encode(msg), zmq.NOBLOCK)
+        except zmq.Again:
+            # There is no connection; a request was surely not sent.
+            if isinstance(msg, messages.Start):
+                self._fail_unsent(msg)
+
+    def _fail_unsent(self, start: messages.Start) -> None:
+        attempt = self._attempts.get(start.attempt)
+        if attempt is not None:
+            attempt.fail(
+                errors.GaprockError(
+                    errorcodes.ENDPOINT_UNREACHABLE, "its agent is not connected"
+                )
+            )
+
+    def _read_waiting(self, sock: "zmq.Socket[bytes]") -> None:
+        for _ in range(READ_BURST):
+            try:
+                data = sock.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            msg = messages.decode(data)
+        except errors.GaprockError as exc:
+            eventlog.warning("undecodable", peer=self.address, error=exc)
+            return
+        self.heard_at = self.shared.clock.now()
+        self.handle(msg)
+
+    def _tick(self, sock: "zmq.Socket[bytes]") -> None:
+        """Beat, and look after attempts without news."""
+        self._send(sock, self._beat())
+        now = self.shared.clock.now()
+        for attempt in list(self._attempts.values()):
+            if now - max(attempt.sent_at, self.heard_at) > self._patience(attempt):
+                self._give_up(attempt, "its agent fell silent")
+            elif now - attempt.asked_at > PROBE_S:
+                attempt.asked_at = now
+                self._send(sock, self._resume(attempt))
+
+    def _patience(self, attempt: entry_attempt.Attempt) -> float:
+        """How long an agent may be silent: less where another may take over."""
+        if attempt.started:
+            return self.shared.cfg.stream_silent_s
+        return self.shared.cfg.silent_s
+
+    def _give_up(self, attempt: entry_attempt.Attempt, why: str) -> None:
+        started = attempt.started
+        code = errorcodes.STREAM_CUT if started else errorcodes.OUTCOME_UNKNOWN
+        attempt.fail(errors.GaprockError(code, why))
+        eventlog.warning(
+            "attempt-lost", request=attempt.start.request, agent=self.address, why=why
+        )
+
+    def _give_up_older(self, incarnation: str) -> None:
+        """The agent was replaced: what an earlier process ran is lost."""
+        for attempt in list(self._attempts.values()):
+            if attempt.incarnation not in ("", incarnation):
+                self._give_up(attempt, "its agent was replaced")
+
+    def _resume(self, attempt: entry_attempt.Attempt) -> messages.Resume:
+        return messages.Resume(attempt.number, attempt.next_part, attempt.incarnation)
+
+    def _beat(self) -> messages.Beat:
+        shared = self.shared
+        self._evidence_tick, changed = shared.evidence.since(self._evidence_tick)
+        return messages.Beat(
+            shared.identity,
+            shared.cfg.hall,
+            shared.config.revision if shared.config.ready else -1,
+            shared.epoch,
+            shared.config.urgent,
+            changed,
+        )
+
+    def _add_sent(self, endpoint: str, change: int) -> None:
+        self._sent_since[endpoint] = self._sent_since.get(endpoint, 0) + change
+
+    # -- Arriving messages --
+
+    @functools.singledispatchmethod
+    def handle(self, msg: messages.Message) -> None:
+        """Take one message from the agent."""
+        eventlog.warning("unexpected", peer=self.address, kind=type(msg).__name__)
+
+    @handle.register
+    def _(self, msg: messages.Parts) -> None:
+        for part in msg.parts:
+            attempt = self._attempts.get(part.attempt)
+            if attempt is None:
+                continue
+            attempt.asked_at = self.heard_at
+            if not attempt.deliver(part):
+                self._mailbox.put(self._resume(attempt))
+
+    @handle.register
+    def _(self, msg: messages.End) -> None:
+        attempt = self._attempts.get(msg.attempt)
+        if msg.bill is not None:
+            self._hold_bill(attempt, msg.bill, msg.attempt)
+        if attempt is None:
+            return
+        attempt.asked_at = self.heard_at
+        if not attempt.finish(msg):
+            self._mailbox.put(self._resume(attempt))
+
+    @handle.register
+    def _(self, msg: messages.Refused) -> None:
+        attempt = self._attempts.get(msg.attempt)
+        if attempt is not None:
+            attempt.fail(
+                errors.GaprockError(errorcodes.get(msg.code), msg.detail, msg.retry_at)
+            )
+
+    @handle.register
+    def _(self, msg: messages.Report) -> None:
+        with self._lock:
+            self.report = msg
+            self._sent_since.clear()
+        self._give_up_older(msg.incarnation)
+        self.shared.evidence.merge(msg.evidence)
+        self.shared.epoch = max(self.shared.epoch, msg.epoch)
+        self._compare_config(msg.revision, msg.urgent)
+
+    @handle.register
+    def _(self, msg: messages.ConfigDelta) -> None:
+        if self.shared.config.apply(msg):
+            eventlog.info("config-from-agent", revision=msg.revision, peer=self.address)
+            self.shared.on_change()
+
+    @handle.register
+    def _(self, msg: messages.ConfigWanted) -> None:
+        self._mailbox.put(self.shared.config.delta_since(max(0, msg.revision)))
+
+    @handle.register
+    def _(self, msg: messages.BillsWritten) -> None:
+        self.shared.bills.drop(msg.keys)
+
+    @handle.register
+    def _(self, msg: messages.BillsHandover) -> None:
+        for bill in msg.bills:
+            self.shared.bills.hold(bill, [self.address], self.shared.clock.now())
+
+    @handle.register
+    def _(self, msg: messages.OrderDone) -> None:
+        with self._lock:
+            fut = self._orders.pop(msg.order, None)
+        if fut is not None:
+            fut.set_result(msg)
+
+    def _compare_config(self, revision: int, urgent: list[str]) -> None:
+        """Bring the side that is behind forward."""
+        mine = self.shared.config
+        if mine.add_urgent(urgent):
+            eventlog.warning("urgent-from-agent", keys=",".join(urgent))
+            self.shared.on_change()
+        my_revision = mine.revision if mine.ready else -1
+        if revision > my_revision:
+            self._mailbox.put(messages.ConfigWanted(my_revision))
+        behind = revision < my_revision or bool(set(mine.urgent) - set(urgent))
+        now = self.shared.clock.now()
+        fresh = self._pushed_revision < my_revision or now >= self._push_again_at
+        if behind and fresh:
+            self._pushed_revision = my_revision
+            self._push_again_at = now + PUSH_AGAIN_S
+            self._mailbox.put(mine.delta_since(max(0, revision)))
+
+    def _hold_bill(
+        self, attempt: entry_attempt.Attempt | None, bill: messages.Bill, number: int
+    ) -> None:
+        """Hold the bill of an attempt that nobody waits for any more.
+
+        The bill of a live attempt is held by the request, which may add to it.
+        """
+        if number in self._void:
+            self._mailbox.put(messages.BillsWritten([bill.key]))
+        elif attempt is None:
+            self.shared.bills.hold(bill, [self.address], self.shared.clock.now())
--- /dev/null
+++ b/gaprock/entry_main.py
@@ -0,0 +1,269 @@
+"""``gaprock-entry``: callers' and operators' HTTP on a thin entry VM.
+
+The process starts in this order: settings, the configuration from the table or
+from agents, links, background tasks, and last the HTTP port.  A planned stop goes
+the other way: the health check fails, then new requests are refused, then what
+is open ends, then unwritten bills are written or handed over.
+"""
+
+import signal
+import sys
+import threading
+import types
+import typing
+
+from gaprock import (
+    bills,
+    claims,
+    clock,
+    config,
+    config_store,
+    decisions,
+    entry_call,
+    entry_duties,
+    entry_guard,
+    entry_http,
+    entry_judge,
+    entry_link,
+    entry_links,
+    entry_operator,
+    entry_publish,
+    entry_serve,
+    entry_sessions,
+    errors,
+    eventlog,
+    evidence,
+    ids,
+    lease,
+    messages,
+    metrics,
+    options,
+    options_flags,
+    periodic,
+    platform_api,
+    platform_http,
+    plugin,
+    policy_api,
+    sessions,
+    table_batch,
+)
+
+DESCRIPTION: typing.Final = (
+    "Serves callers and operators over HTTP and chooses the model, version and "
+    "endpoint of each request. Every setting is a flag or a variable."
+)
+# Agents are given this long to take over bills at a stop, seconds.
+HANDOVER_S: typing.Final = 0.5
+SETTLE_S: typing.Final = 0.5
+GUARD_S: typing.Final = 0.25
+BILL_STOP_S: typing.Final = 3.0
+
+
+class Entry:
+    """One entry process: its parts and its background tasks."""
+
+    def __init__(
+        self,
+        cfg: options.Options,
+        platform: platform_http.Platform,
+        clock_: clock.Clock | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self.clock = clock_ or clock.Clock()
+        self.platform = platform
+        identity = f"{cfg.vm}/{ids.new_token()}"
+        self.config = config.Config()
+        self.evidence = evidence.EvidenceBook(identity)
+        self.bills = bills.BillBook(
+            platform.table, bills.ENTRY, cfg.max_bills, self.clock
+        )
+        self.bills.written = self._bills_written
+        shared = entry_link.Shared(
+            cfg, self.clock, self.config, self.evidence, self.bills, identity
+        )
+        self.links = entry_links.Links(shared)
+        shared.on_change = self.links.broadcast
+        store = config_store.ConfigStore(platform.table)
+        self.publisher = entry_publish.Publisher(self.config, store, self.links)
+        self.lease = lease.Lease(platform.table, identity, self.clock, cfg.lease_s)
+        self.batcher = table_batch.Batcher(platform.table, self.clock)
+        self.claims = claims.Claims(
+            platform.table, platform.objects, self.batcher, self.clock, identity
+        )
+        self.metrics = metrics.Metrics(cfg.statsd_host, cfg.statsd_port, "gaprock")
+        self.decisions = decisions.Decisions()
+        cascade = plugin.find(policy_api.Cascade, cfg.cascade)()
+        self.judge = entry_judge.Judge(
+            cfg, platform.rater, cascade, self.config, self.evidence
+        )
+        signer = sessions.Signer(cfg.session_keys)
+        self.parser = entry_call.Parser(cfg, self.clock, self.config, signer)
+        self.server = entry_serve.Server(
+            cfg,
+            self.clock,
+            self.config,
+            self.links,
+            self.claims,
+            self.bills,
+            self.judge,
+            cascade,
+            plugin.find(policy_api.Routing, cfg.routing)(),
+            signer,
+            self.decisions,
+            self.metrics,
+        )
+        self.sessions = entry_sessions.SessionDesk(
+            self.clock, self.parser, self.server, signer, self.batcher
+        )
+        self.operator = entry_operator.OperatorApi(
+            cfg,
+            self.clock,
+            self.config,
+            platform.table,
+            self.publisher,
+            self.links,
+            self.server,
+            self.decisions,
+            self.evidence,
+            self.lease,
+            self.bills.__len__,
+        )
+        self.duties = entry_duties.Duties(
+            self.clock,
+            self.config,
+            platform.table,
+            store,
+            self.lease,
+            self.publisher,
+            self.links,
+            self.evidence,
+            plugin.find(policy_api.Placement, cfg.placement)(),
+        )
+        self.guard = entry_guard.GuardTask(
+            self.config,
+            self.evidence,
+            plugin.find(policy_api.Guard, cfg.guard)(),
+            self.publisher,
+        )
+        self.health = entry_http.Health(lambda: self.config.ready)
+        self._tasks = self._make_tasks()
+
+    def start(self) -> None:
+        """Start everything but the HTTP port."""
+        self.batcher.start()
+        self.links.start()
+        for task in self._tasks:
+            task.start()
+
+    def root(self) -> entry_http.Root:
+        """Make the HTTP port's root."""
+        return entry_http.Root(
+            self.cfg,
+            self.config,
+            self.parser,
+            self.server,
+            self.sessions,
+            self.operator,
+            self.health,
+            self.metrics,
+        )
+
+    def stop(self) -> None:
+        """Carry out a planned stop; no request in flight is cut."""
+        self.health.leaving = True
+        eventlog.info("leaving", open=self.server.open_requests)
+        threading.Event().wait(self.cfg.linger_s)
+        self.server.leaving = True
+        drained = self.server.drain(self.clock.now() + self.cfg.drain_s)
+        eventlog.info("drained", whole=drained)
+        for task in self._tasks:
+            task.stop()
+        self.duties.stop()
+        self.judge.stop()
+        self._part_with_bills()
+        self._settle_claims()
+        self.batcher.stop()
+        self.links.stop()
+
+    def _make_tasks(self) -> list[periodic.Periodic]:
+        cfg = self.cfg
+        return [
+            periodic.Periodic("config", cfg.config_poll_s, self.publisher.refresh),
+            periodic.Periodic("vm-list", cfg.vm_poll_s, self._follow_vms),
+            periodic.Periodic("bills", cfg.bill_write_s, self._write_bills),
+            periodic.Periodic("claims", SETTLE_S, self.claims.settle_open),
+            periodic.Periodic(
+                "urgent", cfg.config_poll_s, self.publisher.accept_urgent
+            ),
+            periodic.Periodic("guard", GUARD_S, self.guard.look),
+            periodic.Periodic("duties", cfg.lease_s / 4, self.duties.step),
+        ]
+
+    def _follow_vms(self) -> None:
+        self.links.follow(self.platform.vm_list.vms())
+
+    def _write_bills(self) -> None:
+        while self.bills.write_due():
+            continue
+
+    def _bills_written(self, owner: str, keys: list[str]) -> None:
+        link = self.links.get(owner)
+        if link is not None:
+            link.send(messages.BillsWritten(keys))
+
+    def _part_with_bills(self) -> None:
+        """Write the last bills, or hand them to an agent while the table is down."""
+        deadline = self.clock.now() + BILL_STOP_S
+        while len(self.bills) and self.clock.now() < deadline:
+            try:
+                self.bills.write_due()
+            except platform_api.PlatformError:
+                threading.Event().wait(SETTLE_S)
+        held = self.bills.take_all()
+        usable = [link for link in self.links.all() if link.usable]
+        if held and usable:
+            usable[0].send(messages.BillsHandover(held))
+            threading.Event().wait(HANDOVER_S)
+        eventlog.info("bills-left", count=len(held), handed_over=bool(usable))
+
+    def _settle_claims(self) -> None:
+        if self.claims.settle_open():
+            eventlog.warning("claims-left-open")
+
+
+def run(cfg: options.Options) -> None:
+    """Run an entry until it is told to stop."""
+    eventlog.start(cfg.vm, cfg.verbose)
+    entry = Entry(cfg, platform_http.connect(cfg))
+    stopped = threading.Event()
+
+    def on_signal(number: int, frame: types.FrameType | None) -> None:
+        stopped.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    entry.start()
+    entry_http.serve(cfg, entry.root())
+    eventlog.info("started", hall=cfg.hall, port=cfg.http_port)
+    stopped.wait()
+    entry.stop()
+    entry_http.stop()
+    eventlog.info("stopped")
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program.
+
+    :returns: the exit code: 0, or 2 when the settings are wrong.
+    """
+    try:
+        cfg = options_flags.parse(options_flags.ENTRY, DESCRIPTION, argv)
+    except errors.GaprockError as exc:
+        print(f"gaprock-entry: {exc}", file=sys.stderr)
+        return 2
+    run(cfg)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gaprock/entry_sessions.py
@@ -0,0 +1,89 @@
+"""Opening sessions.
+
+A session is its token; nothing is kept here.  Only where a caller names the
+session with an ``Idempotency-Key`` is there a row in the table: of two first
+requests at once, the first one written decides for both.
+"""
+
+import typing
+
+from gaprock import (
+    answers,
+    clock,
+    entry_call,
+    entry_serve,
+    errorcodes,
+    errors,
+    ids,
+    platform_api,
+    sessions,
+    table_batch,
+)
+
+KEY: typing.Final = "session/"
+PATIENCE_S: typing.Final = 1.5
+RETRY_AFTER_S: typing.Final = 2.0
+
+
+class SessionDesk:
+    """Answers ``POST /v1/sessions``."""
+
+    __slots__ = ("_clock", "_parser", "_server", "_signer", "_batcher")
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        parser: entry_call.Parser,
+        server: entry_serve.Server,
+        signer: sessions.Signer,
+        batcher: table_batch.Batcher,
+    ) -> None:
+        self._clock = clock_
+        self._parser = parser
+        self._server = server
+        self._signer = signer
+        self._batcher = batcher
+
+    def open(self, headers: entry_call.Headers, raw: bytes) -> answers.Answer:
+        """Open a session.
+
+        :raises errors.GaprockError: a code of category *not run*.
+        """
+        template = self._parser.session_request(headers, raw)
+        given = headers.get("idempotency-key", "")
+        name = ids.check_caller_id(given) if given else ids.new_token()
+        session = self._server.open_session(template, name)
+        if given:
+            session = self._first(session)
+        answer = answers.json_answer(
+            {"session": self._signer.sign(session), "version": session.version}
+        )
+        answer.headers["X-Gaprock-Version"] = session.version
+        return answer
+
+    def _first(self, session: sessions.Session) -> sessions.Session:
+        """Give the session that was opened first under this name."""
+        value = {
+            "template": session.template,
+            "version": session.version,
+            "txid": ids.new_token(),
+        }
+        op = platform_api.Op(
+            f"{KEY}{session.workspace}/{session.session}", platform_api.ABSENT, value
+        )
+        now = self._clock.now()
+        try:
+            row = self._batcher.submit(op, now + PATIENCE_S).result()
+        except platform_api.PlatformError as exc:
+            raise errors.GaprockError(
+                errorcodes.TABLE_DOWN,
+                "the session's name could not be claimed",
+                max(exc.retry_at, now + RETRY_AFTER_S),
+            ) from exc
+        if row is None or row.value is None:
+            return session
+        if row.value["template"] != session.template:
+            raise errors.GaprockError(errorcodes.ID_REUSED, "of another template")
+        return sessions.Session(
+            session.session, session.workspace, session.template, row.value["version"]
+        )
--- /dev/null
+++ b/gaprock/eventlog.py
@@ -0,0 +1,71 @@
+"""Logs: one line of key=value pairs for each event.
+
+Values from outside are quoted, so that no caller's text can forge a field
+or a line.  The lines go through ``absl.logging`` to standard error.
+"""
+
+import json
+import logging as std_logging
+import re
+import time
+import typing
+
+from absl import flags, logging
+
+# A value of only these characters stands bare; anything else is quoted.
+BARE_VALUE: typing.Final = re.compile(r"[A-Za-z0-9_.:/@,+-]+\Z")
+MAX_VALUE_CHARS: typing.Final = 400
+LINE_FORMAT: typing.Final = (
+    "ts=%(asctime)s.%(msecs)03dZ level=%(levelname)s %(message)s"
+)
+TIME_FORMAT: typing.Final = "%Y-%m-%dT%H:%M:%S"
+
+_process_name = "gaprock"
+
+
+def start(process_name: str, verbose: bool = False) -> None:
+    """Set the name that opens each line of this process."""
+    global _process_name
+    _process_name = process_name
+    # The settings come from ``options``; absl's own flags keep their defaults.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    formatter = std_logging.Formatter(LINE_FORMAT, TIME_FORMAT)
+    formatter.converter = time.gmtime
+    logging.get_absl_handler().setFormatter(formatter)
+    logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
+
+
+def quote(value: object) -> str:
+    """Write one value so that it stays one field of one line."""
+    if isinstance(value, float):
+        return f"{value:.6g}" if abs(value) < 1e6 else f"{value:.3f}"
+    text = str(value)[:MAX_VALUE_CHARS]
+    return text if BARE_VALUE.match(text) else json.dumps(text)
+
+
+def line(event: str, fields: dict[str, object]) -> str:
+    """Build the line of an event."""
+    pairs = " ".join(f"{key}={quote(value)}" for key, value in fields.items())
+    return f"proc={_process_name} event={event} {pairs}".rstrip()
+
+
+def info(event: str, **fields: object) -> None:
+    """Log an event of normal work."""
+    logging.info("%s", line(event, fields))
+
+
+def warning(event: str, **fields: object) -> None:
+    """Log an event that an operator may have to look at."""
+    logging.warning("%s", line(event, fields))
+
+
+def debug(event: str, **fields: object) -> None:
+    """Log a detail, seen only with ``--verbose``."""
+    if logging.level_debug():
+        logging.debug("%s", line(event, fields))
+
+
+def info_line(text: str) -> None:
+    """Log a line that ``line`` has built already."""
+    logging.info("%s", text)
--- /dev/null
+++ b/gaprock/evidence.py
@@ -0,0 +1,98 @@
+"""Evidence on versions: counters that only grow, summed over processes.
+
+Each process counts its own answers under its own source name.  Heartbeats carry
+the counters that changed; a newer counter of a source replaces the older one,
+so a doubled or late heartbeat does no harm.  The sum is the fleet's evidence,
+kept without a store.
+"""
+
+import threading
+import typing
+
+from gaprock import messages
+
+# Records beyond this many are forgotten, the longest unchanged first.
+MAX_RECORDS: typing.Final = 20_000
+
+Key = tuple[str, str]
+
+
+class Record:
+    """One source's counters of one version, and when they last changed."""
+
+    __slots__ = ("counts", "tick")
+
+    def __init__(self, counts: messages.Evidence, tick: int) -> None:
+        self.counts = counts
+        self.tick = tick
+
+
+class Totals(typing.NamedTuple):
+    """A version's counters, summed over all sources."""
+
+    answers: int
+    bad: int
+    rated: int
+
+
+class EvidenceBook:
+    """The counters that one process knows; safe for all threads."""
+
+    __slots__ = ("_lock", "_source", "_records", "_tick")
+
+    def __init__(self, source: str) -> None:
+        self._lock = threading.Lock()
+        self._source = source
+        self._records: dict[Key, Record] = {}
+        self._tick = 0
+
+    def count(self, version: str, bad: bool, rated: bool) -> None:
+        """Count one judged answer of this process."""
+        with self._lock:
+            old = self._records.get((self._source, version))
+            answers, bads, rates = 0, 0, 0
+            if old is not None:
+                answers, bads = old.counts.answers, old.counts.bad
+                rates = old.counts.rated
+            self._store(
+                messages.Evidence(
+                    self._source, version, answers + 1, bads + bad, rates + rated
+                )
+            )
+
+    def merge(self, counters: list[messages.Evidence]) -> bool:
+        """Take counters from a heartbeat.
+
+        :returns: whether any was new.
+        """
+        changed = False
+        with self._lock:
+            for counts in counters:
+                old = self._records.get((counts.source, counts.version))
+                if old is None or counts.answers > old.counts.answers:
+                    self._store(counts)
+                    changed = True
+        return changed
+
+    def since(self, tick: int) -> tuple[int, list[messages.Evidence]]:
+        """Give the counters that changed after ``tick``, and the tick now."""
+        with self._lock:
+            changed = [r.counts for r in self._records.values() if r.tick > tick]
+            return self._tick, changed
+
+    def totals(self, version: str) -> Totals:
+        """Sum a version's counters over all sources."""
+        with self._lock:
+            found = [r.counts for (_, v), r in self._records.items() if v == version]
+        return Totals(
+            sum(c.answers for c in found),
+            sum(c.bad for c in found),
+            sum(c.rated for c in found),
+        )
+
+    def _store(self, counts: messages.Evidence) -> None:
+        self._tick += 1
+        self._records[(counts.source, counts.version)] = Record(counts, self._tick)
+        if len(self._records) > MAX_RECORDS:
+            oldest = min(self._records, key=lambda key: self._records[key].tick)
+            del self._records[oldest]
--- /dev/null
+++ b/gaprock/ids.py
@@ -0,0 +1,77 @@
+"""Ids: of requests, of processes, of transactions.
+
+Callers of calls that may not be repeated send a UUIDv7: its time lets old
+claims be collected without forgetting one that could still come again.
+"""
+
+import hashlib
+import re
+import secrets
+import typing
+import uuid
+
+import uuid6
+
+from gaprock import errorcodes, errors
+
+# An id may be used for this long after its own time ...
+RETENTION_S: typing.Final = 7 * 24 * 3600.0
+# ... and may lie this far ahead, as clocks differ.
+MAX_AHEAD_S: typing.Final = 300.0
+
+CALLER_ID: typing.Final = re.compile(r"[A-Za-z0-9_.:-]{1,128}\Z")
+UUID7_TIME_SHIFT: typing.Final = 80
+
+
+def new_uuid7() -> str:
+    """Make a time-ordered id."""
+    return str(uuid6.uuid7())
+
+
+def new_token() -> str:
+    """Make a short random id."""
+    return secrets.token_hex(8)
+
+
+def check_caller_id(text: str) -> str:
+    """Check an id from a caller.
+
+    :raises errors.GaprockError: ``BAD_REQUEST``.
+    """
+    if not CALLER_ID.match(text):
+        raise errors.GaprockError(
+            errorcodes.BAD_REQUEST,
+            "Idempotency-Key takes 1 to 128 letters, digits, or any of _ . : -",
+        )
+    return text
+
+
+def check_once_id(text: str, now: float) -> str:
+    """Check the id of a call that may not be repeated.
+
+    :param now: seconds since the epoch.
+    :returns: the id in its one canonical spelling.
+    :raises errors.GaprockError: ``BAD_REQUEST``, or ``ID_TOO_OLD`` when the
+        claim of such an id may have been collected already.
+    """
+    try:
+        parsed = uuid.UUID(text)
+    except ValueError as exc:
+        raise errors.GaprockError(
+            errorcodes.BAD_REQUEST, "Idempotency-Key takes a UUIDv7 for this template"
+        ) from exc
+    if parsed.version != 7:
+        raise errors.GaprockError(
+            errorcodes.BAD_REQUEST, "Idempotency-Key takes a UUIDv7 for this template"
+        )
+    born = (parsed.int >> UUID7_TIME_SHIFT) / 1000.0
+    if not now - RETENTION_S < born < now + MAX_AHEAD_S:
+        raise errors.GaprockError(
+            errorcodes.ID_TOO_OLD, "an id is good for 7 days from its own time"
+        )
+    return str(parsed)
+
+
+def digest(data: bytes) -> str:
+    """Give a short digest that binds an id to its request's body."""
+    return hashlib.sha256(data).hexdigest()[:16]
--- /dev/null
+++ b/gaprock/platform_api.py
@@ -0,0 +1,140 @@
+"""What gaprock needs of the platform, as plug-in kinds.
+
+``platform_http`` speaks to services over HTTP; a site with other protocols
+registers its own classes.
+"""
+
+import typing
+
+import msgspec
+
+from gaprock import plugin
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A row of the table.
+
+    :param version: raised by each write; 0 means that there is no row.
+    """
+
+    key: str
+    version: int
+    value: dict[str, typing.Any] | None = None
+
+
+class Op(msgspec.Struct, frozen=True):
+    """One step of a transaction.
+
+    :param expect: the row's version that must hold; ``ANY_VERSION`` for any.
+    :param value: what to write.
+    :param check_only: when true, only the condition counts.
+    """
+
+    key: str
+    expect: int
+    value: dict[str, typing.Any] | None = None
+    check_only: bool = False
+    delete: bool = False
+
+
+ANY_VERSION: typing.Final = -1
+ABSENT: typing.Final = 0
+
+
+class TxResult(msgspec.Struct, frozen=True):
+    """A transaction's answer: done whole, or the rows whose condition failed."""
+
+    ok: bool
+    failed: list[Row] = []
+
+
+class PlatformError(Exception):
+    """The service refused or could not be reached; nothing was changed.
+
+    :param retry_at: when it asked us to come back, seconds since the epoch.
+    """
+
+    def __init__(self, detail: str, retry_at: float = 0.0) -> None:
+        super().__init__(detail)
+        self.retry_at = retry_at
+
+
+class RateLimited(PlatformError):
+    """The service is up but takes no more calls now."""
+
+
+class AnswerLost(PlatformError):
+    """The service may have taken the change: its answer did not come."""
+
+
+class Table(plugin.Plugin):
+    """The platform's transactional table."""
+
+    def transact(self, ops: list[Op]) -> TxResult:
+        """Carry out all steps or none.
+
+        :raises AnswerLost: when the outcome is not known.
+        :raises PlatformError: when nothing was changed.
+        """
+        raise NotImplementedError
+
+    def read(self, keys: list[str]) -> list[Row]:
+        """Read rows at one point in time, in the order of ``keys``.
+
+        :raises PlatformError: when it did not answer.
+        """
+        raise NotImplementedError
+
+    def scan(self, prefix: str, after: str, limit: int) -> list[Row]:
+        """Read up to ``limit`` rows of a prefix with keys above ``after``.
+
+        :raises PlatformError: when it did not answer.
+        """
+        raise NotImplementedError
+
+
+class Objects(plugin.Plugin):
+    """The platform's object store."""
+
+    def put(self, name: str, data: bytes) -> None:
+        """Store an object.
+
+        :raises PlatformError: when it may not be stored.
+        """
+        raise NotImplementedError
+
+    def get(self, name: str) -> bytes | None:
+        """Read an object; ``None`` when there is none.
+
+        :raises PlatformError: when it did not answer.
+        """
+        raise NotImplementedError
+
+
+class Rater(plugin.Plugin):
+    """The platform's rating service."""
+
+    def rate(self, workspace: str, body: bytes, answer: bytes) -> float | None:
+        """Rate an answer, 0 to 1; ``None`` when it gives no rating now."""
+        raise NotImplementedError
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """A line of the VM list."""
+
+    vm: str
+    hall: str
+    role: str
+    address: str
+    state: str
+
+
+class VmList(plugin.Plugin):
+    """The platform's lagging list of VMs."""
+
+    def vms(self) -> list[Vm]:
+        """List the VMs.
+
+        :raises PlatformError: when it did not answer.
+        """
+        raise NotImplementedError
--- /dev/null
+++ b/gaprock/platform_http.py
@@ -0,0 +1,226 @@
+"""The platform's services over HTTP and JSON, through ``urllib3``."""
+
+import time
+import typing
+
+import msgspec
+import pybreaker
+import urllib3
+
+from gaprock import options, platform_api, plugin
+
+DEFAULT_RETRY_S: typing.Final = 1.0
+POOL_SIZE: typing.Final = 16
+# After so many failures in a row the table is taken to be down ...
+BREAKER_FAILURES: typing.Final = 2
+# ... and is asked again after this, seconds.  Until then calls fail at once.
+BREAKER_RESET_S: typing.Final = 1.0
+
+
+class Http:
+    """One client for all of the platform's services; safe for all threads."""
+
+    __slots__ = ("_base", "_pool", "_headers", "_wait_s")
+
+    def __init__(self, cfg: options.Options) -> None:
+        self._base = cfg.platform.rstrip("/")
+        self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
+        self._headers = {"Content-Type": "application/json"}
+        if cfg.platform_token:
+            self._headers["Authorization"] = f"Bearer {cfg.platform_token}"
+        self._wait_s = cfg.platform_wait_s
+
+    def call(self, method: str, path: str, body: bytes | None) -> bytes:
+        """Make one call.
+
+        :raises platform_api.AnswerLost: the call may have been carried out.
+        :raises platform_api.PlatformError: it was not carried out.
+        """
+        timeout = urllib3.Timeout(total=self._wait_s)
+        try:
+            resp = self._pool.request(
+                method,
+                self._base + path,
+                body=body,
+                headers=self._headers,
+                timeout=timeout,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise platform_api.PlatformError(str(exc)) from exc
+        except urllib3.exceptions.HTTPError as exc:
+            raise platform_api.AnswerLost(str(exc)) from exc
+        seconds = float(resp.headers.get("Retry-After", DEFAULT_RETRY_S))
+        if resp.status == 429:
+            raise platform_api.RateLimited("status 429", time.time() + seconds)
+        if resp.status == 503:
+            raise platform_api.PlatformError("status 503", time.time() + seconds)
+        if resp.status >= 500:
+            raise platform_api.AnswerLost(f"status {resp.status}")
+        if resp.status == 404:
+            return b""
+        if resp.status not in (200, 409):
+            raise platform_api.PlatformError(f"status {resp.status}")
+        return resp.data
+
+
+T = typing.TypeVar("T")
+
+
+def _decode(data: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as exc:
+        raise platform_api.AnswerLost(f"unreadable answer: {exc}") from exc
+
+
+class ReadRequest(msgspec.Struct):
+    """Asks for rows by key."""
+
+    keys: list[str]
+
+
+class ScanRequest(msgspec.Struct):
+    """Asks for rows by prefix."""
+
+    prefix: str
+    after: str
+    limit: int
+
+
+class TxRequest(msgspec.Struct):
+    """Asks for a transaction."""
+
+    ops: list[platform_api.Op]
+
+
+class RateRequest(msgspec.Struct):
+    """Asks for a rating."""
+
+    workspace: str
+    body: str
+    answer: str
+
+
+class RateAnswer(msgspec.Struct):
+    """A rating, 0 to 1."""
+
+    rating: float
+
+
+@plugin.register(platform_api.Table, "http")
+class HttpTable(platform_api.Table):
+    """The table service; while it is down, calls fail at once."""
+
+    __slots__ = ("_http", "_breaker")
+
+    def __init__(self, http: Http) -> None:
+        self._http = http
+        self._breaker = pybreaker.CircuitBreaker(
+            fail_max=BREAKER_FAILURES,
+            reset_timeout=BREAKER_RESET_S,
+            exclude=[platform_api.RateLimited],
+            throw_new_error_on_trip=False,
+        )
+
+    def _call(self, path: str, body: bytes) -> bytes:
+        try:
+            return self._breaker.call(self._http.call, "POST", path, body)
+        except pybreaker.CircuitBreakerError as exc:
+            raise platform_api.PlatformError(
+                "the table did not answer just now", time.time() + BREAKER_RESET_S
+            ) from exc
+
+    def transact(self, ops: list[platform_api.Op]) -> platform_api.TxResult:
+        body = msgspec.json.encode(TxRequest(ops))
+        data = self._call("/table/transact", body)
+        return _decode(data, platform_api.TxResult)
+
+    def read(self, keys: list[str]) -> list[platform_api.Row]:
+        body = msgspec.json.encode(ReadRequest(keys))
+        data = self._call("/table/read", body)
+        return _decode(data, list[platform_api.Row])
+
+    def scan(self, prefix: str, after: str, limit: int) -> list[platform_api.Row]:
+        body = msgspec.json.encode(ScanRequest(prefix, after, limit))
+        data = self._call("/table/scan", body)
+        return _decode(data, list[platform_api.Row])
+
+
+@plugin.register(platform_api.Objects, "http")
+class HttpObjects(platform_api.Objects):
+    """The object store."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, http: Http) -> None:
+        self._http = http
+
+    def put(self, name: str, data: bytes) -> None:
+        self._http.call("PUT", f"/objects/{name}", data)
+
+    def get(self, name: str) -> bytes | None:
+        return self._http.call("GET", f"/objects/{name}", None) or None
+
+
+@plugin.register(platform_api.Rater, "http")
+class HttpRater(platform_api.Rater):
+    """The rating service."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, http: Http) -> None:
+        self._http = http
+
+    def rate(self, workspace: str, body: bytes, answer: bytes) -> float | None:
+        req = RateRequest(
+            workspace,
+            body.decode("utf-8", "replace"),
+            answer.decode("utf-8", "replace"),
+        )
+        try:
+            data = self._http.call("POST", "/rating", msgspec.json.encode(req))
+            return _decode(data, RateAnswer).rating
+        except platform_api.PlatformError:
+            return None
+
+
+@plugin.register(platform_api.VmList, "http")
+class HttpVmList(platform_api.VmList):
+    """The VM list."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, http: Http) -> None:
+        self._http = http
+
+    def vms(self) -> list[platform_api.Vm]:
+        return _decode(self._http.call("GET", "/vms", None), list[platform_api.Vm])
+
+
+class Platform:
+    """All of the platform's services, as one process uses them."""
+
+    __slots__ = ("table", "objects", "rater", "vm_list")
+
+    def __init__(
+        self,
+        table: platform_api.Table,
+        objects: platform_api.Objects,
+        rater: platform_api.Rater,
+        vm_list: platform_api.VmList,
+    ) -> None:
+        self.table = table
+        self.objects = objects
+        self.rater = rater
+        self.vm_list = vm_list
+
+
+def connect(cfg: options.Options) -> Platform:
+    """Make the clients of one process."""
+    http = Http(cfg)
+    return Platform(
+        HttpTable(http), HttpObjects(http), HttpRater(http), HttpVmList(http)
+    )
