--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -5,6 +5,7 @@
 by the endpoint's admission plug-in, and run on a thread of its own.
 """
 
+import math
 import threading
 import typing
 from concurrent import futures
@@ -31,12 +32,23 @@
 # An endpoint whose load report failed so often takes nothing new.
 MAX_LOAD_FAILURES: typing.Final = 2
 LEAVING_RETRY_S: typing.Final = 1.0
+# The reported time of a run halves for each such time without a run, seconds, so
+# that an endpoint that was slow once is tried again.
+SERVICE_HALF_LIFE_S: typing.Final = 5.0
 
 
 class Slot:
     """One endpoint with its admission and its last reported load."""
 
-    __slots__ = ("endpoint", "admission", "lock", "load", "failures", "order_lock")
+    __slots__ = (
+        "endpoint",
+        "admission",
+        "lock",
+        "load",
+        "failures",
+        "order_lock",
+        "ended_at",
+    )
 
     def __init__(
         self, endpoint: agent_endpoint.Endpoint, admission: policy_api.Admission
@@ -46,6 +58,8 @@
         self.lock = threading.Lock()
         self.load = agent_endpoint.EngineLoad()
         self.failures = MAX_LOAD_FAILURES
+        # When a run ended last; 0 before the first one.
+        self.ended_at = 0.0
         # Orders to one endpoint are carried out one after the other.
         self.order_lock = threading.Lock()
 
@@ -257,7 +271,7 @@
     def _free(self, slot: Slot, run: agent_run.Run) -> None:
         assert run.ticket is not None
         with slot.lock:
-            now = self._clock.now()
+            now = slot.ended_at = self._clock.now()
             started = slot.admission.finished(run.ticket, run.first_s, now)
             self._refuse_expired(slot, now)
         for ticket in started:
@@ -293,6 +307,16 @@
             admission.queued,
             admission.limit,
             slot.load.running,
-            admission.service_s,
+            self._service_s(slot),
             slot.load.memory_free,
         )
+
+    def _service_s(self, slot: Slot) -> float:
+        """Give the mean time of a run, forgotten while none ends.
+
+        An endpoint without runs reports 0, so that it gets some.
+        """
+        if not slot.ended_at:
+            return 0.0
+        idle_s = self._clock.now() - slot.ended_at
+        return slot.admission.service_s * math.exp2(-idle_s / SERVICE_HALF_LIFE_S)
--- a/gaprock/agent_hub.py
+++ b/gaprock/agent_hub.py
@@ -119,6 +119,7 @@
         self.post(b"", messages.ConfigWanted(0))
         self._thread.join()
         self._mailbox.close()
+        self.context.term()
 
     def post(self, identity: bytes, msg: Outgoing) -> None:
         """Send a message to an entry."""
@@ -131,17 +132,17 @@
 
     def bills_written(self, owner: str, keys: list[str]) -> None:
         """Tell the other holder that bills are in the table."""
-        self.post(owner.encode(), messages.BillsWritten(keys))
+        self.post(owner.encode(), messages.BillsReleased(keys))
 
     def hand_over(self, held: list[messages.Bill]) -> bool:
-        """Hand bills to a live entry.
+        """Hand bills to the entries that were heard last.
 
         :returns: false when there is none.
         """
-        for peer in self._live_peers():
+        peers = sorted(self._live_peers(), key=lambda p: p.heard_at, reverse=True)
+        for peer in peers[: bills.HANDOVER_COPIES]:
             self.post(peer.identity, messages.BillsHandover(held))
-            return True
-        return False
+        return bool(peers)
 
     @property
     def open_runs(self) -> int:
@@ -217,7 +218,12 @@
         peer.heard_at = self._clock.now()
         peer.gone = False
         self._peer = peer
-        self.handle(msg)
+        try:
+            self.handle(msg)
+        except Exception as exc:
+            # One message must not close the port for all entries.
+            kind = type(msg).__name__
+            eventlog.warning("handler-failed", kind=kind, error=repr(exc))
 
     # -- Heartbeats --
 
@@ -339,13 +345,23 @@
         self._send(self._peer.identity, self._config.delta_since(max(0, msg.revision)))
 
     @handle.register
-    def _(self, msg: messages.BillsWritten) -> None:
+    def _(self, msg: messages.BillsReleased) -> None:
         self._bills.drop(msg.keys)
 
     @handle.register
     def _(self, msg: messages.BillsHandover) -> None:
         for bill in msg.bills:
             self._bills.hold(bill, [], self._clock.now())
+        keys = [bill.key for bill in msg.bills]
+        self._send(self._peer.identity, messages.BillsReleased(keys))
+
+    @handle.register
+    def _(self, msg: messages.Goodbye) -> None:
+        peer = self._peer
+        del self._peers[peer.identity]
+        for run in peer.runs.values():
+            self.gate.cancel(run)
+        self._bills.release_owner(peer.name, self._clock.now())
 
     @handle.register
     def _(self, msg: messages.Order) -> None:
--- a/gaprock/agent_main.py
+++ b/gaprock/agent_main.py
@@ -40,7 +40,6 @@
 # Agents read the table this many times less often than entries: entries tell them.
 POLL_FACTOR: typing.Final = 5
 TAKEN_POLL_S: typing.Final = 0.05
-BILL_STOP_S: typing.Final = 3.0
 
 
 class Agent:
@@ -131,15 +130,14 @@
         """Write the last bills, or hand them to an entry while the table is down."""
         for owner in self.bills.owners():
             self.bills.release_owner(owner, self.clock.now())
-        deadline = self.clock.now() + BILL_STOP_S
-        while len(self.bills) and self.clock.now() < deadline:
-            try:
-                self.bills.write_due()
-            except platform_api.PlatformError:
-                threading.Event().wait(TAKEN_POLL_S)
+        try:
+            self._write_bills()
+        except platform_api.PlatformError as exc:
+            eventlog.warning("platform-down", task="last-bills", error=exc)
         held = self.bills.take_all()
-        handed_over = bool(held) and self.hub.hand_over(held)
-        eventlog.info("bills-left", count=len(held), handed_over=handed_over)
+        if held and self.hub.hand_over(held):
+            self.bills.wait_empty(self.clock.now() + bills.HANDOVER_S)
+        eventlog.info("bills-left", handed_over=len(held), lost=len(self.bills))
 
 
 def run(cfg: options.Options) -> None:
--- a/gaprock/bills.py
+++ b/gaprock/bills.py
@@ -15,6 +15,11 @@
 
 KEY: typing.Final = "bill/"
 BATCH: typing.Final = 100
+# A process that stops hands its bills to so many others: any of them may be gone
+# without a word, and writing a bill twice is harmless.
+HANDOVER_COPIES: typing.Final = 3
+# ... and waits this long for one of them to say that it has them, seconds.
+HANDOVER_S: typing.Final = 1.0
 ENTRY: typing.Final = "entry"
 AGENT: typing.Final = "agent"
 
@@ -46,7 +51,16 @@
     :param capacity: bills beyond which ``full`` is true.
     """
 
-    __slots__ = ("_table", "_by", "_capacity", "_clock", "_lock", "_held", "written")
+    __slots__ = (
+        "_table",
+        "_by",
+        "_capacity",
+        "_clock",
+        "_lock",
+        "_dropped",
+        "_held",
+        "written",
+    )
 
     def __init__(
         self,
@@ -60,6 +74,7 @@
         self._capacity = capacity
         self._clock = clock_
         self._lock = threading.Lock()
+        self._dropped = threading.Condition(self._lock)
         self._held: dict[str, Held] = {}
         # Called with (owner, keys) once bills are in the table.
         self.written: typing.Callable[[str, list[str]], None] | None = None
@@ -98,12 +113,19 @@
         with self._lock:
             for key in keys:
                 self._held.pop(key, None)
+            self._dropped.notify_all()
 
     def take_all(self) -> list[messages.Bill]:
         """Give all bills, to hand them over at a stop."""
         with self._lock:
             return [held.bill for held in self._held.values()]
 
+    def wait_empty(self, deadline: float) -> None:
+        """Wait until no bill is held here, or until the deadline."""
+        left = clock.remaining(deadline, self._clock)
+        with self._dropped:
+            self._dropped.wait_for(lambda: not self._held, left)
+
     def write_due(self) -> int:
         """Write one batch of due bills.
 
--- a/gaprock/entry_link.py
+++ b/gaprock/entry_link.py
@@ -115,8 +115,8 @@
 
     def stop(self) -> None:
         """End the connection, after what waits in the mailbox is sent."""
+        self._mailbox.put(messages.Goodbye())
         self._stopped = True
-        self._mailbox.put(self._beat())
         self._thread.join()
         self._mailbox.close()
 
@@ -169,7 +169,7 @@
             self._add_sent(attempt.start.endpoint, -1)
         end = attempt.outcome
         if void and end is not None and end.bill is not None:
-            self._mailbox.put(messages.BillsWritten([end.bill.key]))
+            self._mailbox.put(messages.BillsReleased([end.bill.key]))
         if end is not None and attempt.next_part >= end.count:
             self._mailbox.put(messages.Ack(attempt.number, end.count))
         else:
@@ -251,7 +251,12 @@
             eventlog.warning("undecodable", peer=self.address, error=exc)
             return
         self.heard_at = self.shared.clock.now()
-        self.handle(msg)
+        try:
+            self.handle(msg)
+        except Exception as exc:
+            # One message must not close the link.
+            kind = type(msg).__name__
+            eventlog.warning("handler-failed", kind=kind, error=repr(exc))
 
     def _tick(self, sock: "zmq.Socket[bytes]") -> None:
         """Beat, and look after attempts without news."""
@@ -359,13 +364,14 @@
         self._mailbox.put(self.shared.config.delta_since(max(0, msg.revision)))
 
     @handle.register
-    def _(self, msg: messages.BillsWritten) -> None:
+    def _(self, msg: messages.BillsReleased) -> None:
         self.shared.bills.drop(msg.keys)
 
     @handle.register
     def _(self, msg: messages.BillsHandover) -> None:
         for bill in msg.bills:
-            self.shared.bills.hold(bill, [self.address], self.shared.clock.now())
+            self.shared.bills.hold(bill, [], self.shared.clock.now())
+        self._mailbox.put(messages.BillsReleased([bill.key for bill in msg.bills]))
 
     @handle.register
     def _(self, msg: messages.OrderDone) -> None:
@@ -399,6 +405,6 @@
         The bill of a live attempt is held by the request, which may add to it.
         """
         if number in self._void:
-            self._mailbox.put(messages.BillsWritten([bill.key]))
+            self._mailbox.put(messages.BillsReleased([bill.key]))
         elif attempt is None:
             self.shared.bills.hold(bill, [self.address], self.shared.clock.now())
--- a/gaprock/entry_main.py
+++ b/gaprock/entry_main.py
@@ -52,11 +52,8 @@
     "Serves callers and operators over HTTP and chooses the model, version and "
     "endpoint of each request. Every setting is a flag or a variable."
 )
-# Agents are given this long to take over bills at a stop, seconds.
-HANDOVER_S: typing.Final = 0.5
 SETTLE_S: typing.Final = 0.5
 GUARD_S: typing.Final = 0.25
-BILL_STOP_S: typing.Final = 3.0
 
 
 class Entry:
@@ -209,22 +206,22 @@
     def _bills_written(self, owner: str, keys: list[str]) -> None:
         link = self.links.get(owner)
         if link is not None:
-            link.send(messages.BillsWritten(keys))
+            link.send(messages.BillsReleased(keys))
 
     def _part_with_bills(self) -> None:
         """Write the last bills, or hand them to an agent while the table is down."""
-        deadline = self.clock.now() + BILL_STOP_S
-        while len(self.bills) and self.clock.now() < deadline:
-            try:
-                self.bills.write_due()
-            except platform_api.PlatformError:
-                threading.Event().wait(SETTLE_S)
+        try:
+            self._write_bills()
+        except platform_api.PlatformError as exc:
+            eventlog.warning("platform-down", task="last-bills", error=exc)
         held = self.bills.take_all()
         usable = [link for link in self.links.all() if link.usable]
+        usable.sort(key=lambda link: link.heard_at, reverse=True)
+        for link in usable[: bills.HANDOVER_COPIES]:
+            link.send(messages.BillsHandover(held))
         if held and usable:
-            usable[0].send(messages.BillsHandover(held))
-            threading.Event().wait(HANDOVER_S)
-        eventlog.info("bills-left", count=len(held), handed_over=bool(usable))
+            self.bills.wait_empty(self.clock.now() + bills.HANDOVER_S)
+        eventlog.info("bills-left", handed_over=len(held), lost=len(self.bills))
 
     def _settle_claims(self) -> None:
         if self.claims.settle_open():
--- a/gaprock/messages.py
+++ b/gaprock/messages.py
@@ -9,7 +9,7 @@
 2. agent to entry: ``Parts``, each part numbered, for many requests in one message.
 3. entry to agent: ``Ack`` as the caller takes the parts; it opens the window again.
 4. agent to entry: ``End`` with the number of parts, the result code and the bill.
-5. entry to agent: ``BillsWritten`` once the bill is in the platform's table.
+5. entry to agent: ``BillsReleased`` once the bill is in the platform's table.
 
 After a reconnect the entry sends ``Resume`` with the next number it needs.
 """
@@ -235,18 +235,22 @@
     bill: Bill | None
 
 
-class BillsWritten(Message):
-    """These bills are in the table; the receiver drops its copies."""
+class BillsReleased(Message):
+    """These bills are in the table or in other hands; the receiver forgets them."""
 
     keys: list[str]
 
 
 class BillsHandover(Message):
-    """The sender stops; the receiver now holds these bills."""
+    """The sender stops; the receiver holds these bills, and says so at once."""
 
     bills: list[Bill]
 
 
+class Goodbye(Message):
+    """Entry to agent: I end now; nothing of mine is open here any more."""
+
+
 class Order(Message):
     """Entry to agent: a fenced order for an endpoint."""
 
@@ -277,8 +281,9 @@
     Refused,
     Parts,
     End,
-    BillsWritten,
+    BillsReleased,
     BillsHandover,
+    Goodbye,
     Order,
     OrderDone,
 ]
@@ -300,6 +305,6 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise errors.GaprockError(errorcodes.UNDECODABLE, f"{len(data)} bytes")
     try:
-        return _decoder.decode(data)
+        return typing.cast(AnyMessage, _decoder.decode(data))
     except (msgspec.DecodeError, RecursionError) as exc:
         raise errors.GaprockError(errorcodes.UNDECODABLE, str(exc)) from exc
--- a/gaprock/periodic.py
+++ b/gaprock/periodic.py
@@ -17,7 +17,15 @@
     logged with its type, and the task goes on.
     """
 
-    __slots__ = ("_name", "_period_s", "_call", "_stopped", "_thread", "_was_down")
+    __slots__ = (
+        "_name",
+        "_period_s",
+        "_call",
+        "_stopped",
+        "_thread",
+        "_was_down",
+        "_rng",
+    )
 
     def __init__(
         self, name: str, period_s: float, call: typing.Callable[[], object]
@@ -27,6 +35,7 @@
         self._call = call
         self._stopped = threading.Event()
         self._was_down = False
+        self._rng = random.Random()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
     def start(self) -> None:
@@ -41,7 +50,7 @@
     def _run(self) -> None:
         while True:
             self._call_once()
-            pause_s = self._period_s * random.uniform(1 - JITTER, 1 + JITTER)
+            pause_s = self._period_s * self._rng.uniform(1 - JITTER, 1 + JITTER)
             if self._stopped.wait(pause_s):
                 return
 
--- a/gaprock/test/fakes/httpfake.py
+++ b/gaprock/test/fakes/httpfake.py
@@ -39,6 +39,14 @@
     disable_nagle_algorithm = True
     fake: "Fake"
 
+    def setup(self) -> None:
+        super().setup()
+        self.fake.connections.add(self.connection)
+
+    def finish(self) -> None:
+        self.fake.connections.discard(self.connection)
+        super().finish()
+
     def _any(self) -> None:
         length = int(self.headers.get("Content-Length") or 0)
         body = self.rfile.read(length)
@@ -100,6 +108,7 @@
         self.port = self._server.server_address[1]
         self.url = f"http://127.0.0.1:{self.port}"
         self.faults: dict[str, typing.Any] = {}
+        self.connections: set[socket.socket] = set()
         self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
 
     def start(self) -> None:
@@ -107,9 +116,14 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening and cut what is open, as the end of a process does."""
         self._server.shutdown()
         self._server.server_close()
+        for sock in list(self.connections):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
 
     def handle(
         self, exchange: Exchange, method: str, path: str, body: bytes
