--- a/gaprock/agent_main.py
+++ b/gaprock/agent_main.py
@@ -100,9 +100,10 @@
         for task in self._tasks:
             task.stop()
         self._part_with_bills()
-        self.hub.stop()
+        # The authenticator holds a socket of the hub's context, which ends last.
         if self._auth is not None:
             self._auth.stop()
+        self.hub.stop()
 
     def _refresh_config(self) -> None:
         delta = self.store.read_since(self.config.revision, self.config.ready)
--- a/gaprock/messages.py
+++ b/gaprock/messages.py
@@ -305,6 +305,7 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise errors.GaprockError(errorcodes.UNDECODABLE, f"{len(data)} bytes")
     try:
-        return typing.cast(AnyMessage, _decoder.decode(data))
+        msg: AnyMessage = _decoder.decode(data)
+        return msg
     except (msgspec.DecodeError, RecursionError) as exc:
         raise errors.GaprockError(errorcodes.UNDECODABLE, str(exc)) from exc
--- a/gaprock/wire.py
+++ b/gaprock/wire.py
@@ -9,7 +9,6 @@
 
 import zmq
 import zmq.auth.thread
-import zmq.utils.z85
 
 from gaprock import options
 
@@ -80,8 +79,8 @@
         self._key = key.encode()
 
     def callback(self, domain: str, key: bytes) -> bool:
-        """Decide on a peer's public key; the authenticator calls this."""
-        return zmq.utils.z85.encode(key) == self._key
+        """Decide on a peer's public key, in Z85; the authenticator calls this."""
+        return key == self._key
 
 
 def _set_common(sock: zmq.Socket[bytes]) -> None:
