Turn each mechanism off and see its test fail

Cause: a test that was never seen failing proves nothing. misc.prove replaces one mechanism at a time in a scratch copy and expects its test to fail there. Ruled out: coverage as a measure (it does not tell whether a test would notice).

--- a/gaprock/test/testclaims.py
+++ b/gaprock/test/testclaims.py
@@ -47,12 +47,15 @@
 
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=120)
 @hypothesis.given(steps=steps, faults=faults)
+# A claim whose write is late is given up, its id is claimed anew by the same holder,
+# and only then is the first one settled.
+@hypothesis.example(
+    steps=[(0, "run"), (0, "crash"), (0, "settle"), (0, "run")], faults=[tables.LATE]
+)
 def test_no_order_of_faults_lets_a_call_run_twice(
     steps: list[tuple[int, str]], faults: list[str]
 ) -> None:
     rig = Rig(faults)
-    # Refused claims must not wait long for a table that does not answer.
-    deadline = rig.clock.now() + 0.05
     ran = 0
     for who, step in steps:
         holder = rig.holders[who]
@@ -63,6 +66,8 @@
             holder.settle_open()
             continue
         try:
+            # So short that a claim is given up after one failed try.
+            deadline = rig.clock.now() + 0.005
             claim = holder.take("demo", "id", "digest", deadline)
         except errors.GaprockError:
             continue
