--- /dev/null
+++ b/gaprock/test/testdocs.py
@@ -0,0 +1,27 @@
+"""Pages and files that must match the code, and log lines that cannot be forged."""
+
+import pytest
+
+from gaprock import errorcodes, eventlog
+from misc import write_pages
+
+
+@pytest.mark.parametrize("name", write_pages.PAGES)
+def test_a_page_that_is_made_from_the_code_matches_it(name: str) -> None:
+    text = (write_pages.ROOT / name).read_text()
+    assert write_pages.PAGES[name](text) == text
+
+
+def test_every_code_is_in_the_range_of_its_category() -> None:
+    for number, code in errorcodes.by_number.items():
+        assert errorcodes.category_of(number) is code.category
+        assert number < 2000 or code.category is not errorcodes.Category.NOT_RUN
+
+
+def test_a_callers_text_can_forge_no_field_and_no_line() -> None:
+    text = 'x code=0\nproc=entry event="route" choice=other'
+    line = eventlog.line("route", {"request": text, "choice": "a"})
+    assert "\n" not in line
+    assert line.endswith("choice=a")
+    assert line.count(" event=route ") == 1
+    assert line.count('request="') == 1
