Follow the endpoint's state in admission, and refuse by fair pace

Three faults in admission: the estimate of a wait left out the first part's own time; a workspace's turns were estimated as if no other came between; and an endpoint that turned slow was taken for a full one, so its limit fell to 1 and stayed (usual time crept up too slowly, and crept up under load as well). Change: a limit that shrinks, looks whether that helped, and otherwise takes the longer time as usual; the endpoint's own number of slots as a hint; waits by measured pace.

--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -75,6 +75,8 @@
         try:
             self.load = self.endpoint.load()
             self.failures = 0
+            with self.lock:
+                self.admission.hint(self.load.slots)
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
             self.failures += 1
             if self.failures == MAX_LOAD_FAILURES:
@@ -251,7 +253,7 @@
             eventlog.warning("run-failed", request=run.start.request, error=repr(exc))
             end = self._unknown_end(run)
         self._conclude(run, end)
-        self._free(slot, run)
+        self._free(slot, run, end.code == errorcodes.ENDPOINT_REFUSED.number)
 
     def _conclude(
         self, run: agent_run.Run, end: messages.End | messages.Refused
@@ -268,11 +270,14 @@
             first_ms=run.first_s * 1000,
         )
 
-    def _free(self, slot: Slot, run: agent_run.Run) -> None:
+    def _free(self, slot: Slot, run: agent_run.Run, refused: bool) -> None:
         assert run.ticket is not None
+        # A whole answer's time tells of its length rather than of the load.
+        first_s = run.first_s if run.start.stream else -1.0
+        result = policy_api.RunResult(first_s, refused)
         with slot.lock:
             now = slot.ended_at = self._clock.now()
-            started = slot.admission.finished(run.ticket, run.first_s, now)
+            started = slot.admission.finished(run.ticket, result, now)
             self._refuse_expired(slot, now)
         for ticket in started:
             next_run = typing.cast(agent_run.Run, ticket.attempt)
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -57,6 +57,15 @@
         self.reason = reason
 
 
+class RunResult(typing.NamedTuple):
+    """What a run tells of its endpoint's load."""
+
+    # Seconds from the call to a stream's first part; below 0 for no such time.
+    first_s: float
+    # The endpoint refused the call for its own load.
+    refused: bool = False
+
+
 class Admission(plugin.Plugin):
     """Decides at an agent what runs, waits, or is refused; one per endpoint.
 
@@ -72,13 +81,13 @@
         """Decide on a new ticket."""
         raise NotImplementedError
 
-    def finished(self, ticket: Ticket, first_s: float, now: float) -> list[Ticket]:
-        """Note the end of a run and give the tickets to start next.
-
-        :param first_s: seconds from its start to its first part; below 0 if none.
-        """
+    def finished(self, ticket: Ticket, result: RunResult, now: float) -> list[Ticket]:
+        """Note the end of a run and give the tickets to start next."""
         raise NotImplementedError
 
+    def hint(self, slots: int) -> None:
+        """Take what the endpoint says of how many requests it runs at once."""
+
     def expired(self, now: float) -> list[Ticket]:
         """Take out the queued tickets that can no longer be in time."""
         raise NotImplementedError
