--- a/gaprock/agent_endpoint.py
+++ b/gaprock/agent_endpoint.py
@@ -90,20 +90,24 @@
         self._clock = clock_
         self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
 
-    def call(self, path: str, body: bytes, request: str, deadline: float) -> Answer:
-        """Make one whole call, on a connection of its own.
+    def call(
+        self, path: str, body: bytes, request: str, deadline: float, repeatable: bool
+    ) -> Answer:
+        """Make one whole call.
 
-        A kept connection could be closed by the other side just as the call is
-        written, and then nobody knows whether the call was read.
+        One that may not be repeated gets a connection of its own: a kept one could be
+        closed by the other side just as the call is written, and then nobody knows
+        whether the call was read.
 
         :raises errors.GaprockError: *not run* when no connection was made or the
             endpoint refused, *outcome unknown* when its answer did not come.
         """
-        resp = self._open("POST", path, body, request, deadline, keep=False)
+        resp = self._open("POST", path, body, request, deadline, keep=repeatable)
         try:
             data = resp.read()
         except urllib3.exceptions.HTTPError as exc:
             raise self._unknown(exc) from exc
+        resp.release_conn()
         content_type = resp.headers.get("Content-Type", "application/json")
         return Answer(resp.status, content_type, data)
 
--- a/gaprock/agent_run.py
+++ b/gaprock/agent_run.py
@@ -189,7 +189,7 @@
     def _relay_whole(self) -> messages.End:
         start = self._run.start
         answer = self._endpoint.call(
-            start.path, start.body, start.request, start.deadline
+            start.path, start.body, start.request, start.deadline, start.repeatable
         )
         self._note_first()
         if answer.status >= ERROR_STATUS:
--- a/gaprock/entry_http.py
+++ b/gaprock/entry_http.py
@@ -197,14 +197,18 @@
                 "server.ssl_private_key": cfg.tls_key,
             }
         )
-    # Our own event lines say more than the access log's.
-    cherrypy.log.access_log.propagate = False
     cherrypy.log.error_log.setLevel(std_logging.WARNING)
     app_config = {"/": {"request.process_request_body": False}}
-    cherrypy.tree.mount(root, "/", app_config)
+    app = cherrypy.tree.mount(root, "/", app_config)
+    # Our own event lines say more than the access log's.
+    app.log.access = _no_access_log
     cherrypy.engine.start()
 
 
+def _no_access_log() -> None:
+    """Stand in for CherryPy's access log."""
+
+
 def stop() -> None:
     """Close the port."""
     cherrypy.engine.exit()
--- a/gaprock/entry_serve.py
+++ b/gaprock/entry_serve.py
@@ -523,6 +523,7 @@
             first_part_by=call.first_part_by,
             priority=call.template.priority,
             stream=call.stream,
+            repeatable=call.template.repeatable,
             bill_key=call.bill_key,
             cost=costs.get(version, 0.0),
             prior=progress.lines,
--- a/gaprock/eventlog.py
+++ b/gaprock/eventlog.py
@@ -30,6 +30,12 @@
     # The settings come from ``options``; absl's own flags keep their defaults.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
+    # The lines carry neither the caller's place nor thread and process, so the
+    # library need not look them up (its documented switches).
+    std_logging.logThreads = False
+    std_logging.logProcesses = False
+    std_logging.logMultiprocessing = False
+    setattr(std_logging, "_srcfile", None)
     formatter = std_logging.Formatter(LINE_FORMAT, TIME_FORMAT)
     formatter.converter = time.gmtime
     logging.get_absl_handler().setFormatter(formatter)
--- a/gaprock/messages.py
+++ b/gaprock/messages.py
@@ -158,6 +158,8 @@
     first_part_by: float
     priority: int
     stream: bool
+    # Whether another run would do no harm.
+    repeatable: bool
     bill_key: str
     cost: float
     # Earlier versions of the same cascade; the bill names them too.
--- a/gaprock/test/testconfig.py
+++ b/gaprock/test/testconfig.py
@@ -55,6 +55,7 @@
         "first_part_by": clock.Clock().now() + 5,
         "priority": 5,
         "stream": False,
+        "repeatable": True,
         "bill_key": "k",
         "cost": 1.0,
         "prior": [],
