Queue briefly, and start from the endpoint's own number of slots

And 120 streams at once before engines with 128 slots were refused at a limit of 8, since nothing had been measured yet. Change: a wait counts 2.5 times (was 1.25); the first hint of slots is the first limit.

--- a/bench/path.py
+++ b/bench/path.py
@@ -33,6 +33,9 @@
 CPU_CALLERS: typing.Final = 12
 STREAMS: typing.Final = 80
 STREAM_PARTS: typing.Final = 1500
+PACED_STREAMS: typing.Final = 120
+PACED_PARTS: typing.Final = 150
+PACE_S: typing.Final = 0.033
 OPEN_STREAMS: typing.Final = 200
 IDLE_S: typing.Final = 10.0
 
@@ -133,13 +136,15 @@
     return size
 
 
-def cost_per_part(fleet: processes.Fleet, url: str, label: str) -> None:
+def cost_per_part(
+    fleet: processes.Fleet, url: str, label: str, streams: int, each: int
+) -> None:
     """Measure processor time of streamed parts."""
     meters = {name: Meter(fleet, name) for name in ("entry-0", *ENGINES)}
     began_at = time.time()
-    call_many(lambda: read_stream(url, STREAM_PARTS), STREAMS, STREAMS)
+    call_many(lambda: read_stream(url, each), streams, streams)
     took_s = time.time() - began_at
-    parts = STREAMS * STREAM_PARTS
+    parts = streams * each
     used = {name: meter.used_s() for name, meter in meters.items()}
     agents = sum(used[name] for name in ENGINES)
     show(f"parts a second, {label}", parts / took_s, "1/s")
@@ -194,8 +199,11 @@
             cost_of_control(fleet)
             added_time(url, fleet.urls["engine-a"])
             cost_per_request(fleet, url)
-            cost_per_part(fleet, url, "as fast as it goes")
+            cost_per_part(fleet, url, "at once", STREAMS, STREAM_PARTS)
             memory_per_stream(fleet, url)
+            for name in ENGINES:
+                fleet.faults(f"engine-{name}", pace_s=PACE_S)
+            cost_per_part(fleet, url, "paced", PACED_STREAMS, PACED_PARTS)
 
 
 if __name__ == "__main__":
--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -236,11 +236,11 @@
     def _refuse_expired(self, slot: Slot, now: float) -> None:
         for ticket in slot.admission.expired(now):
             run = typing.cast(agent_run.Run, ticket.attempt)
-            exc = errors.GaprockError(
-                errorcodes.OVERLOADED, "its turn did not come", now
+            detail = f"its turn at {slot.endpoint.option.name} would come too late"
+            retry_at = slot.admission.retry_at(now)
+            self._refuse(
+                run, errors.GaprockError(errorcodes.OVERLOADED, detail, retry_at)
             )
-            exc.retry_at = slot.admission.retry_at(now)
-            self._refuse(run, exc)
             self._ended(run)
 
     def _execute(self, slot: Slot, run: agent_run.Run) -> None:
--- a/gaprock/policy_admission.py
+++ b/gaprock/policy_admission.py
@@ -39,7 +39,7 @@
 # A workspace that waits alone is taken to get at least this part of the starts.
 ALONE_SHARE: typing.Final = 0.5
 # A wait is taken to be this much longer than estimated.
-WAIT_MARGIN: typing.Final = 1.25
+WAIT_MARGIN: typing.Final = 2.5
 # Assumed seconds of a run before the first one has ended.
 FIRST_SERVICE_S: typing.Final = 0.05
 # Appointments are not given further ahead than this, seconds.
@@ -186,6 +186,7 @@
     """
 
     __slots__ = (
+        "_cap",
         "_most",
         "_value",
         "_grows_fast",
@@ -197,7 +198,7 @@
     )
 
     def __init__(self, most: int) -> None:
-        self._most = float(most)
+        self._cap = self._most = float(most)
         self._value = min(INITIAL_LIMIT, self._most)
         # Until the first sign of overload the limit grows by one a run.
         self._grows_fast = True
@@ -217,9 +218,13 @@
 
     def hint(self, slots: int) -> None:
         """Do not go far beyond what the endpoint says that it runs at once."""
-        if slots > 0:
-            self._most = max(MIN_LIMIT, slots * HINT_FACTOR)
-            self._value = min(self._value, self._most)
+        if slots <= 0:
+            return
+        self._most = max(MIN_LIMIT, min(self._cap, slots * HINT_FACTOR))
+        if not self._samples:
+            # Nothing was measured yet: everyone may arrive in the first minute.
+            self._value = min(float(slots), self._most)
+        self._value = min(self._value, self._most)
 
     def grow(self) -> None:
         """Allow more after a run that used the limit up."""
@@ -230,7 +235,7 @@
         """Allow fewer."""
         self._grows_fast = False
         self._before_s = self.recent_s
-        self._samples = 0
+        self._samples = 1
         self._shrinks += 1
         self._value = max(MIN_LIMIT, self._value * SHRINK)
 
