Revert the try to gather parts in the agent's hub

Cause: a part at a pace of 33 ms costs about 250 us in the entry and 260 us in the agent, and the guess was that the messages between them made it so. Ruled out by this try: messages. Conclusion: the cost lies in waking a thread for each part of each stream, on both sides; fewer messages do not change that. Left: one task that writes many streams, which the house style's thread a connection rules out for now, or more parts a wake-up.

--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -149,11 +149,6 @@
         """Requests that wait."""
         return sum(slot.admission.queued for slot in self.slots.values())
 
-    @property
-    def running(self) -> int:
-        """Requests that run."""
-        return sum(slot.admission.running for slot in self.slots.values())
-
     def loads(self) -> list[messages.EndpointLoad]:
         """Give the state of each endpoint for the heartbeat."""
         return [self._load(name, slot) for name, slot in self.slots.items()]
--- a/gaprock/agent_hub.py
+++ b/gaprock/agent_hub.py
@@ -31,8 +31,6 @@
 READ_BURST: typing.Final = 200
 # While requests wait, their deadlines are looked at this often, seconds.
 EXPIRE_S: typing.Final = 0.02
-# Parts wait this long for others, seconds.
-GATHER_S: typing.Final = 0.005
 # Attempt numbers remembered per entry, to know a request that never came.
 MAX_SEEN: typing.Final = 20_000
 # An entry that was silent for this long is forgotten, seconds.
@@ -124,13 +122,8 @@
         self.context.term()
 
     def post(self, identity: bytes, msg: Outgoing) -> None:
-        """Send a message to an entry.
-
-        Parts after an answer's first wait a few milliseconds for others, so that
-        one message carries the parts of many answers.
-        """
-        may_wait = isinstance(msg, messages.Part) and msg.seq > 0
-        self._mailbox.put((identity, msg), wake=not may_wait)
+        """Send a message to an entry."""
+        self._mailbox.put((identity, msg))
 
     def report_now(self) -> None:
         """Send a heartbeat without waiting for its time."""
@@ -175,8 +168,6 @@
 
     def _pause_s(self) -> float:
         left = clock.remaining(self._report_at, self._clock)
-        if self.gate.running:
-            return min(left, GATHER_S)
         return min(left, EXPIRE_S) if self.gate.queued else left
 
     def _send_waiting(self) -> None:
--- a/gaprock/mailbox.py
+++ b/gaprock/mailbox.py
@@ -29,16 +29,13 @@
         """Give the descriptor that is readable while items wait."""
         return self._read_fd
 
-    def put(self, item: T, wake: bool = True) -> None:
-        """Add an item; after ``close`` it is dropped.
-
-        :param wake: false when the owner looks by itself soon enough.
-        """
+    def put(self, item: T) -> None:
+        """Add an item and wake the owner; after ``close`` it is dropped."""
         with self._lock:
             if self._closed:
                 return
             self._items.append(item)
-            if wake and not self._signalled:
+            if not self._signalled:
                 self._signalled = True
                 os.write(self._write_fd, b"\0")
 
