--- a/bench/rush.py
+++ b/bench/rush.py
@@ -172,7 +172,7 @@
         "first_p50_s": clients.percentile(first, 0.5),
         "first_p95_s": clients.percentile(first, 0.95),
         "refusals": len(refusals),
-        "refused_after_waiting": sum("turn" in o.detail for o in outcomes),
+        "refused_after_waiting": sum("did not come" in o.detail for o in outcomes),
         "refusal_p50_ms": clients.percentile(refusals, 0.5) * 1000,
         "refusal_p99_ms": clients.percentile(refusals, 0.99) * 1000,
         "small_first_p95_s": clients.percentile(small, 0.95),
--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -32,6 +32,12 @@
 # An endpoint whose load report failed so often takes nothing new.
 MAX_LOAD_FAILURES: typing.Final = 2
 LEAVING_RETRY_S: typing.Final = 1.0
+# What a refusal by admission says to the caller, by the verdict's reason.
+REASONS: typing.Final = {
+    "deadline": "the time for its first part had passed",
+    "too-late": "its turn would come too late",
+    "queue": "the queue is full",
+}
 # The reported time of a run halves for each such time without a run, seconds, so
 # that an endpoint that was slow once is tried again.
 SERVICE_HALF_LIFE_S: typing.Final = 5.0
@@ -212,9 +218,8 @@
             self._executor.submit(self._execute, slot, run)
         elif not verdict.queued:
             self._ended(run)
-            raise errors.GaprockError(
-                errorcodes.OVERLOADED, verdict.reason, verdict.retry_at
-            )
+            detail = f"at {start.endpoint} {REASONS.get(verdict.reason, 'refused')}"
+            raise errors.GaprockError(errorcodes.OVERLOADED, detail, verdict.retry_at)
 
     def _log_verdict(
         self, slot: Slot, run: agent_run.Run, verdict: policy_api.Verdict
@@ -236,7 +241,7 @@
     def _refuse_expired(self, slot: Slot, now: float) -> None:
         for ticket in slot.admission.expired(now):
             run = typing.cast(agent_run.Run, ticket.attempt)
-            detail = f"its turn at {slot.endpoint.option.name} would come too late"
+            detail = f"at {slot.endpoint.option.name} its turn did not come in time"
             retry_at = slot.admission.retry_at(now)
             self._refuse(
                 run, errors.GaprockError(errorcodes.OVERLOADED, detail, retry_at)
--- a/gaprock/agent_main.py
+++ b/gaprock/agent_main.py
@@ -6,10 +6,8 @@
 and exits.
 """
 
-import signal
 import sys
 import threading
-import types
 import typing
 
 from gaprock import (
@@ -20,7 +18,7 @@
     clock,
     config,
     config_store,
-    errors,
+    daemon,
     eventlog,
     evidence,
     ids,
@@ -141,36 +139,14 @@
         eventlog.info("bills-left", handed_over=len(held), lost=len(self.bills))
 
 
-def run(cfg: options.Options) -> None:
-    """Run an agent until it is told to stop."""
-    eventlog.start(cfg.vm, cfg.verbose)
-    agent = Agent(cfg, platform_http.connect(cfg))
-    stopped = threading.Event()
-
-    def on_signal(number: int, frame: types.FrameType | None) -> None:
-        stopped.set()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    agent.start()
-    eventlog.info("started", hall=cfg.hall, port=agent.hub.port)
-    stopped.wait()
-    agent.stop()
-    eventlog.info("stopped")
+def make(cfg: options.Options) -> Agent:
+    """Make an agent with the platform's services."""
+    return Agent(cfg, platform_http.connect(cfg))
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Run the program.
-
-    :returns: the exit code: 0, or 2 when the settings are wrong.
-    """
-    try:
-        cfg = options_flags.parse(options_flags.AGENT, DESCRIPTION, argv)
-    except errors.GaprockError as exc:
-        print(f"gaprock-agent: {exc}", file=sys.stderr)
-        return 2
-    run(cfg)
-    return 0
+    """Run the program; give its exit code."""
+    return daemon.main(options_flags.AGENT, DESCRIPTION, make, argv)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/gaprock/entry_dispatch.py
@@ -0,0 +1,252 @@
+"""Getting one endpoint to run a call: choice, attempt, and tries elsewhere.
+
+A refusal that is *not run* is tried on another endpoint within the retry budget.  An
+attempt whose outcome is unknown is tried elsewhere only if the call may be repeated.
+"""
+
+import random
+import typing
+
+from gaprock import (
+    answers,
+    clock,
+    config,
+    decisions,
+    entry_attempt,
+    entry_budget,
+    entry_call,
+    entry_judge,
+    entry_link,
+    entry_links,
+    errorcodes,
+    errors,
+    messages,
+    metrics,
+    options,
+    policy_api,
+)
+
+NO_ENDPOINT_RETRY_S: typing.Final = 1.0
+# Refusals that are no sign of load; trying elsewhere does not use up the budget.
+FREE_RETRIES: typing.Final = (
+    errorcodes.LEAVING,
+    errorcodes.BEHIND,
+    errorcodes.ENDPOINT_UNREACHABLE,
+)
+MAX_FREE_RETRIES: typing.Final = 8
+# Refusals after which another endpoint may still serve.
+RETRIED: typing.Final = (
+    *FREE_RETRIES,
+    errorcodes.OVERLOADED,
+    errorcodes.ENDPOINT_REFUSED,
+    errorcodes.NO_ENDPOINT,
+    errorcodes.BILLS_FULL,
+    errorcodes.NOT_READY,
+)
+# Waited beyond a deadline, so that the agent's own word on it comes first, seconds.
+DEADLINE_GRACE_S: typing.Final = 0.25
+
+
+class Tried(typing.NamedTuple):
+    """An attempt whose first part or end is there, and its link."""
+
+    link: entry_link.AgentLink
+    attempt: entry_attempt.Attempt
+
+
+class Progress:
+    """What a request has used so far, over all its attempts."""
+
+    __slots__ = ("lines", "owners", "best", "version")
+
+    def __init__(self) -> None:
+        self.lines: list[messages.BillLine] = []
+        # Addresses of the agents that hold a copy of the bill.
+        self.owners: list[str] = []
+        # The last whole answer, and its version.
+        self.best: answers.Answer | None = None
+        self.version = ""
+
+    def note_bill(self, bill: messages.Bill | None, owner: str) -> None:
+        """Take the bill of an attempt; it names the earlier ones too."""
+        if bill is not None:
+            self.lines = bill.lines
+            self.owners.append(owner)
+
+
+class Dispatcher:
+    """Sends calls to endpoints; safe for all threads."""
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_config",
+        "_links",
+        "_judge",
+        "_routing",
+        "_decisions",
+        "_metrics",
+        "_rng",
+        "budget",
+    )
+
+    def __init__(
+        self,
+        cfg: options.Options,
+        clock_: clock.Clock,
+        config_: config.Config,
+        links: entry_links.Links,
+        judge: entry_judge.Judge,
+        routing: policy_api.Routing,
+        decisions_: decisions.Decisions,
+        metrics_: metrics.Metrics,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock_
+        self._config = config_
+        self._links = links
+        self._judge = judge
+        self._routing = routing
+        self._decisions = decisions_
+        self._metrics = metrics_
+        self._rng = random.Random()
+        self.budget = entry_budget.RetryBudget(cfg.retry_share)
+
+    def start(self, call: entry_call.Call, version: str, progress: Progress) -> Tried:
+        """Get an endpoint to run the call, trying others after *not run*.
+
+        :raises errors.GaprockError: the last refusal, or a failure that leaves
+            open whether the call ran and does not allow another try.
+        """
+        self.budget.note_first()
+        excluded: set[str] = set()
+        free_retries = 0
+        refusal: errors.GaprockError | None = None
+        while True:
+            candidate = self._route(call, version, excluded, refusal)
+            try:
+                return self._attempt(call, version, candidate, progress)
+            except errors.GaprockError as exc:
+                excluded.add(candidate.name)
+                refusal = _earlier(refusal, exc)
+                if exc.code in FREE_RETRIES and free_retries < MAX_FREE_RETRIES:
+                    free_retries += 1
+                elif not self._may_retry(call, exc):
+                    raise refusal
+                self._metrics.incr("entry.retries")
+
+    def _route(
+        self,
+        call: entry_call.Call,
+        version: str,
+        excluded: set[str],
+        refusal: errors.GaprockError | None,
+    ) -> policy_api.Candidate:
+        candidates = self._links.candidates(version, call.prefix, excluded)
+        chosen = self._routing.choose(candidates, self._rng)
+        self._decisions.log(
+            "route",
+            call.request,
+            version=version,
+            candidates=",".join(c.name for c in candidates),
+            ruled_out=",".join(f"{name}:refused" for name in sorted(excluded)),
+            choice=chosen.name if chosen else "none",
+        )
+        if chosen is None:
+            raise refusal or self.no_endpoint(version)
+        return chosen
+
+    def _attempt(
+        self,
+        call: entry_call.Call,
+        version: str,
+        candidate: policy_api.Candidate,
+        progress: Progress,
+    ) -> Tried:
+        """Send the call to one endpoint and wait for its first part."""
+        link = self._links.get(candidate.agent)
+        if link is None:
+            raise errors.GaprockError(errorcodes.ENDPOINT_UNREACHABLE, candidate.name)
+        # A paused process may wake up here long after it was chosen to run.
+        if call.deadline <= self._clock.now():
+            raise errors.GaprockError(errorcodes.DEADLINE_PAST)
+        attempt = link.open(self._message(call, version, candidate, progress))
+        self._links.note_prefix(call.prefix, candidate.name)
+        try:
+            attempt.wait_first(call.deadline + DEADLINE_GRACE_S, self._clock)
+        except errors.GaprockError as exc:
+            self._note_failure(call, version, attempt, progress, link)
+            link.close(attempt, void=self._is_retried(call, exc))
+            raise
+        return Tried(link, attempt)
+
+    def _note_failure(
+        self,
+        call: entry_call.Call,
+        version: str,
+        attempt: entry_attempt.Attempt,
+        progress: Progress,
+        link: entry_link.AgentLink,
+    ) -> None:
+        end = attempt.outcome
+        if end is not None:
+            self._judge.conclude(call.template, version, end, call.raw, None)
+            progress.note_bill(end.bill, link.address)
+
+    def _message(
+        self,
+        call: entry_call.Call,
+        version: str,
+        candidate: policy_api.Candidate,
+        progress: Progress,
+    ) -> messages.Start:
+        costs = {c.version: c.cost for c in call.template.versions}
+        return messages.Start(
+            attempt=0,
+            request=call.request,
+            workspace=call.workspace,
+            template=call.template.name,
+            version=version,
+            endpoint=candidate.name,
+            revision=self._config.revision,
+            in_session=call.session is not None,
+            deadline=call.deadline,
+            first_part_by=call.first_part_by,
+            priority=call.template.priority,
+            stream=call.stream,
+            repeatable=call.template.repeatable,
+            bill_key=call.bill_key,
+            cost=costs.get(version, 0.0),
+            prior=progress.lines,
+            window=self._cfg.window,
+            path=call.path,
+            body=call.body_for(version),
+        )
+
+    def _is_retried(self, call: entry_call.Call, exc: errors.GaprockError) -> bool:
+        """Whether another try is allowed by the kind of failure."""
+        if exc.not_run:
+            return exc.code in RETRIED
+        lost = exc.code is errorcodes.OUTCOME_UNKNOWN
+        return lost and call.template.repeatable
+
+    def _may_retry(self, call: entry_call.Call, exc: errors.GaprockError) -> bool:
+        in_time = self._clock.now() < call.deadline
+        return in_time and self._is_retried(call, exc) and self.budget.take_second()
+
+    def no_endpoint(self, detail: str) -> errors.GaprockError:
+        retry_at = self._clock.now() + NO_ENDPOINT_RETRY_S * (1 + self._rng.random())
+        return errors.GaprockError(errorcodes.NO_ENDPOINT, detail, retry_at)
+
+
+def _earlier(
+    old: errors.GaprockError | None, new: errors.GaprockError
+) -> errors.GaprockError:
+    """Give the refusal to report: an open outcome, else the earliest time."""
+    if old is None or not new.not_run:
+        return new
+    if not old.not_run:
+        return old
+    if old.retry_at and (not new.retry_at or old.retry_at < new.retry_at):
+        return old
+    return new
--- a/gaprock/entry_main.py
+++ b/gaprock/entry_main.py
@@ -6,10 +6,8 @@
 is open ends, then unwritten bills are written or handed over.
 """
 
-import signal
 import sys
 import threading
-import types
 import typing
 
 from gaprock import (
@@ -18,8 +16,10 @@
     clock,
     config,
     config_store,
+    daemon,
     decisions,
     entry_call,
+    entry_dispatch,
     entry_duties,
     entry_guard,
     entry_http,
@@ -30,7 +30,6 @@
     entry_publish,
     entry_serve,
     entry_sessions,
-    errors,
     eventlog,
     evidence,
     ids,
@@ -95,6 +94,16 @@
         )
         signer = sessions.Signer(cfg.session_keys)
         self.parser = entry_call.Parser(cfg, self.clock, self.config, signer)
+        self.dispatcher = entry_dispatch.Dispatcher(
+            cfg,
+            self.clock,
+            self.config,
+            self.links,
+            self.judge,
+            plugin.find(policy_api.Routing, cfg.routing)(),
+            self.decisions,
+            self.metrics,
+        )
         self.server = entry_serve.Server(
             cfg,
             self.clock,
@@ -104,7 +113,7 @@
             self.bills,
             self.judge,
             cascade,
-            plugin.find(policy_api.Routing, cfg.routing)(),
+            self.dispatcher,
             signer,
             self.decisions,
             self.metrics,
@@ -120,6 +129,7 @@
             self.publisher,
             self.links,
             self.server,
+            self.dispatcher.budget,
             self.decisions,
             self.evidence,
             self.lease,
@@ -228,38 +238,28 @@
             eventlog.warning("claims-left-open")
 
 
-def run(cfg: options.Options) -> None:
-    """Run an entry until it is told to stop."""
-    eventlog.start(cfg.vm, cfg.verbose)
-    entry = Entry(cfg, platform_http.connect(cfg))
-    stopped = threading.Event()
+class EntryProgram:
+    """An entry with its HTTP port."""
 
-    def on_signal(number: int, frame: types.FrameType | None) -> None:
-        stopped.set()
+    __slots__ = ("_entry",)
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    entry.start()
-    entry_http.serve(cfg, entry.root())
-    eventlog.info("started", hall=cfg.hall, port=cfg.http_port)
-    stopped.wait()
-    entry.stop()
-    entry_http.stop()
-    eventlog.info("stopped")
+    def __init__(self, cfg: options.Options) -> None:
+        self._entry = Entry(cfg, platform_http.connect(cfg))
 
+    def start(self) -> None:
+        """Start serving; the port opens last."""
+        self._entry.start()
+        entry_http.serve(self._entry.cfg, self._entry.root())
+
+    def stop(self) -> None:
+        """Carry out a planned stop; the port closes last."""
+        self._entry.stop()
+        entry_http.stop()
 
-def main(argv: list[str] | None = None) -> int:
-    """Run the program.
 
-    :returns: the exit code: 0, or 2 when the settings are wrong.
-    """
-    try:
-        cfg = options_flags.parse(options_flags.ENTRY, DESCRIPTION, argv)
-    except errors.GaprockError as exc:
-        print(f"gaprock-entry: {exc}", file=sys.stderr)
-        return 2
-    run(cfg)
-    return 0
+def main(argv: list[str] | None = None) -> int:
+    """Run the program; give its exit code."""
+    return daemon.main(options_flags.ENTRY, DESCRIPTION, EntryProgram, argv)
 
 
 if __name__ == "__main__":
--- a/gaprock/entry_operator.py
+++ b/gaprock/entry_operator.py
@@ -25,6 +25,7 @@
     config_store,
     decisions,
     documents,
+    entry_budget,
     entry_call,
     entry_links,
     entry_publish,
@@ -109,6 +110,7 @@
         publisher: entry_publish.Publisher,
         links: entry_links.Links,
         server: entry_serve.Server,
+        budget: entry_budget.RetryBudget,
         decisions_: decisions.Decisions,
         evidence_: evidence.EvidenceBook,
         lease_: lease.Lease,
@@ -121,6 +123,7 @@
         self._publisher = publisher
         self._links = links
         self._server = server
+        self._budget = budget
         self._decisions = decisions_
         self._evidence = evidence_
         self._lease = lease_
@@ -148,7 +151,6 @@
 
     def status(self) -> Status:
         """Give what the fleet looks like from here."""
-        budget = self._server.budget
         return Status(
             revision=self._config.revision,
             urgent=self._config.urgent,
@@ -156,8 +158,8 @@
             holds_lease=self._lease.held,
             open_requests=self._server.open_requests,
             unwritten_bills=self._count_bills(),
-            first_tries=budget.first,
-            second_tries=budget.second,
+            first_tries=self._budget.first,
+            second_tries=self._budget.second,
             processes=self._processes(),
             endpoints=self._links.endpoints(),
             rollouts=self._config.rollouts(),
--- a/gaprock/entry_serve.py
+++ b/gaprock/entry_serve.py
@@ -2,8 +2,7 @@
 
 1. ``Server.serve`` takes a checked call, and rules out versions by configuration.
 2. The cascade plug-in orders the rest; a session has just its own version.
-3. Each version is tried on an endpoint that the routing plug-in chooses; a
-   refusal that is *not run* is tried elsewhere within the retry budget.
+3. Each version is tried on an endpoint (``entry_dispatch``).
 4. A whole answer is rated and perhaps climbed over; a stream is relayed as it comes.
 5. The bill is held before the caller has the end of the answer.
 
@@ -23,11 +22,9 @@
     config,
     decisions,
     documents,
-    entry_attempt,
-    entry_budget,
     entry_call,
+    entry_dispatch,
     entry_judge,
-    entry_link,
     entry_links,
     entry_versions,
     errorcodes,
@@ -40,59 +37,13 @@
     sessions,
 )
 
-# Waited beyond a deadline, so that the agent's own word on it comes first, seconds.
-DEADLINE_GRACE_S: typing.Final = 0.25
-NO_ENDPOINT_RETRY_S: typing.Final = 1.0
 OPEN_RETRY_S: typing.Final = 1.0
-# Refusals that are no sign of load; trying elsewhere does not use up the budget.
-FREE_RETRIES: typing.Final = (
-    errorcodes.LEAVING,
-    errorcodes.BEHIND,
-    errorcodes.ENDPOINT_UNREACHABLE,
-)
-MAX_FREE_RETRIES: typing.Final = 8
-# Refusals after which another endpoint may still serve.
-RETRIED: typing.Final = (
-    *FREE_RETRIES,
-    errorcodes.OVERLOADED,
-    errorcodes.ENDPOINT_REFUSED,
-    errorcodes.NO_ENDPOINT,
-    errorcodes.BILLS_FULL,
-    errorcodes.NOT_READY,
-)
 # Parts are acknowledged whenever this part of the window was taken.
 ACK_SHARE: typing.Final = 4
 STREAM_TYPE: typing.Final = "text/event-stream"
 DONE_EVENT: typing.Final = b"data: [DONE]\n\n"
 
 
-class Tried(typing.NamedTuple):
-    """An attempt whose first part or end is there, and its link."""
-
-    link: entry_link.AgentLink
-    attempt: entry_attempt.Attempt
-
-
-class Progress:
-    """What a request has used so far, over all its attempts."""
-
-    __slots__ = ("lines", "owners", "best", "version")
-
-    def __init__(self) -> None:
-        self.lines: list[messages.BillLine] = []
-        # Addresses of the agents that hold a copy of the bill.
-        self.owners: list[str] = []
-        # The last whole answer, and its version.
-        self.best: answers.Answer | None = None
-        self.version = ""
-
-    def note_bill(self, bill: messages.Bill | None, owner: str) -> None:
-        """Take the bill of an attempt; it names the earlier ones too."""
-        if bill is not None:
-            self.lines = bill.lines
-            self.owners.append(owner)
-
-
 class Server:
     """Serves checked calls; one thread each."""
 
@@ -106,7 +57,7 @@
         bills_: bills.BillBook,
         judge: entry_judge.Judge,
         cascade: policy_api.Cascade,
-        routing: policy_api.Routing,
+        dispatcher: entry_dispatch.Dispatcher,
         signer: sessions.Signer,
         decisions_: decisions.Decisions,
         metrics_: metrics.Metrics,
@@ -119,12 +70,11 @@
         self._bills = bills_
         self._judge = judge
         self._cascade = cascade
-        self._routing = routing
+        self._dispatcher = dispatcher
         self._signer = signer
         self._decisions = decisions_
         self._metrics = metrics_
         self._rng = random.Random()
-        self.budget = entry_budget.RetryBudget(cfg.retry_share)
         # Set while the entry refuses new requests because it is being replaced.
         self.leaving = False
         self._open = 0
@@ -246,20 +196,16 @@
             if version not in standing:
                 ruled.out[version] = "no-endpoint"
         if not available:
-            raise self._no_endpoint(",".join(ruled.versions))
+            raise self._dispatcher.no_endpoint(",".join(ruled.versions))
         return available
 
-    def _no_endpoint(self, detail: str) -> errors.GaprockError:
-        retry_at = self._clock.now() + NO_ENDPOINT_RETRY_S * (1 + self._rng.random())
-        return errors.GaprockError(errorcodes.NO_ENDPOINT, detail, retry_at)
-
     # -- Whole answers --
 
     def _serve_whole(
         self, call: entry_call.Call, versions: list[str]
     ) -> answers.Answer:
         """Try the versions in order until an answer is good enough."""
-        progress = Progress()
+        progress = entry_dispatch.Progress()
         try:
             for version in versions:
                 self._try_version(call, version, progress)
@@ -277,10 +223,10 @@
         return progress.best
 
     def _try_version(
-        self, call: entry_call.Call, version: str, progress: Progress
+        self, call: entry_call.Call, version: str, progress: entry_dispatch.Progress
     ) -> None:
         """Get one version's whole answer."""
-        tried = self._start(call, version, progress)
+        tried = self._dispatcher.start(call, version, progress)
         answer = None
         try:
             answer = self._collect(call, tried)
@@ -293,8 +239,10 @@
             tried.link.close(tried.attempt)
         progress.best, progress.version = answer, version
 
-    def _collect(self, call: entry_call.Call, tried: Tried) -> answers.Answer:
-        deadline = call.deadline + DEADLINE_GRACE_S
+    def _collect(
+        self, call: entry_call.Call, tried: entry_dispatch.Tried
+    ) -> answers.Answer:
+        deadline = call.deadline + entry_dispatch.DEADLINE_GRACE_S
         body = b""
         while data := tried.attempt.take(deadline, self._clock):
             body += data
@@ -302,7 +250,11 @@
         return answers.Answer(end.status, end.content_type, body)
 
     def _is_accepted(
-        self, call: entry_call.Call, version: str, progress: Progress, last: bool
+        self,
+        call: entry_call.Call,
+        version: str,
+        progress: entry_dispatch.Progress,
+        last: bool,
     ) -> bool:
         """Whether an answer is given; it is evidence on its version either way."""
         assert progress.best is not None
@@ -325,7 +277,9 @@
         )
         return accepted
 
-    def _hold_bill(self, call: entry_call.Call, progress: Progress) -> None:
+    def _hold_bill(
+        self, call: entry_call.Call, progress: entry_dispatch.Progress
+    ) -> None:
         if not progress.lines:
             return
         bill = messages.Bill(
@@ -367,14 +321,14 @@
 
     def _serve_stream(self, call: entry_call.Call, version: str) -> answers.Answer:
         """Open a stream; the caller's headers wait for the first part."""
-        tried = self._start(call, version, Progress())
+        tried = self._dispatcher.start(call, version, entry_dispatch.Progress())
         answer = answers.Answer(200, STREAM_TYPE, b"")
         answer.parts = self._stream_body(call, version, tried)
         self._add_headers(answer, call, version)
         return answer
 
     def _stream_body(
-        self, call: entry_call.Call, version: str, tried: Tried
+        self, call: entry_call.Call, version: str, tried: entry_dispatch.Tried
     ) -> answers.StreamBody:
         kept: list[bytes] | None = [] if self._judge.wants_rating() else None
 
@@ -390,11 +344,14 @@
         return answers.StreamBody(self._relay(call, tried, kept), closed)
 
     def _relay(
-        self, call: entry_call.Call, tried: Tried, kept: list[bytes] | None
+        self,
+        call: entry_call.Call,
+        tried: entry_dispatch.Tried,
+        kept: list[bytes] | None,
     ) -> typing.Generator[bytes, None, None]:
         """Give the parts as they come, then a mark of the end or an error event."""
         attempt = tried.attempt
-        deadline = call.deadline + DEADLINE_GRACE_S
+        deadline = call.deadline + entry_dispatch.DEADLINE_GRACE_S
         acked = 0
         try:
             while data := attempt.take(deadline, self._clock):
@@ -413,136 +370,14 @@
         self._hold_stream_bill(call, tried)
         yield DONE_EVENT
 
-    def _hold_stream_bill(self, call: entry_call.Call, tried: Tried) -> None:
+    def _hold_stream_bill(
+        self, call: entry_call.Call, tried: entry_dispatch.Tried
+    ) -> None:
         end = tried.attempt.outcome
         if end is not None and end.bill is not None:
             now = self._clock.now()
             self._bills.hold(end.bill, [tried.link.address], now)
 
-    # -- One attempt --
-
-    def _start(self, call: entry_call.Call, version: str, progress: Progress) -> Tried:
-        """Get an endpoint to run the call, trying others after *not run*.
-
-        :raises errors.GaprockError: the last refusal, or a failure that leaves
-            open whether the call ran and does not allow another try.
-        """
-        self.budget.note_first()
-        excluded: set[str] = set()
-        free_retries = 0
-        refusal: errors.GaprockError | None = None
-        while True:
-            candidate = self._route(call, version, excluded, refusal)
-            try:
-                return self._attempt(call, version, candidate, progress)
-            except errors.GaprockError as exc:
-                excluded.add(candidate.name)
-                refusal = _earlier(refusal, exc)
-                if exc.code in FREE_RETRIES and free_retries < MAX_FREE_RETRIES:
-                    free_retries += 1
-                elif not self._may_retry(call, exc):
-                    raise refusal
-                self._metrics.incr("entry.retries")
-
-    def _route(
-        self,
-        call: entry_call.Call,
-        version: str,
-        excluded: set[str],
-        refusal: errors.GaprockError | None,
-    ) -> policy_api.Candidate:
-        candidates = self._links.candidates(version, call.prefix, excluded)
-        chosen = self._routing.choose(candidates, self._rng)
-        self._decisions.log(
-            "route",
-            call.request,
-            version=version,
-            candidates=",".join(c.name for c in candidates),
-            ruled_out=",".join(f"{name}:refused" for name in sorted(excluded)),
-            choice=chosen.name if chosen else "none",
-        )
-        if chosen is None:
-            raise refusal or self._no_endpoint(version)
-        return chosen
-
-    def _attempt(
-        self,
-        call: entry_call.Call,
-        version: str,
-        candidate: policy_api.Candidate,
-        progress: Progress,
-    ) -> Tried:
-        """Send the call to one endpoint and wait for its first part."""
-        link = self._links.get(candidate.agent)
-        if link is None:
-            raise errors.GaprockError(errorcodes.ENDPOINT_UNREACHABLE, candidate.name)
-        # A paused process may wake up here long after it was chosen to run.
-        if call.deadline <= self._clock.now():
-            raise errors.GaprockError(errorcodes.DEADLINE_PAST)
-        attempt = link.open(self._start_message(call, version, candidate, progress))
-        self._links.note_prefix(call.prefix, candidate.name)
-        try:
-            attempt.wait_first(call.deadline + DEADLINE_GRACE_S, self._clock)
-        except errors.GaprockError as exc:
-            self._note_failure(call, version, attempt, progress, link)
-            link.close(attempt, void=self._is_retried(call, exc))
-            raise
-        return Tried(link, attempt)
-
-    def _note_failure(
-        self,
-        call: entry_call.Call,
-        version: str,
-        attempt: entry_attempt.Attempt,
-        progress: Progress,
-        link: entry_link.AgentLink,
-    ) -> None:
-        end = attempt.outcome
-        if end is not None:
-            self._judge.conclude(call.template, version, end, call.raw, None)
-            progress.note_bill(end.bill, link.address)
-
-    def _start_message(
-        self,
-        call: entry_call.Call,
-        version: str,
-        candidate: policy_api.Candidate,
-        progress: Progress,
-    ) -> messages.Start:
-        costs = {c.version: c.cost for c in call.template.versions}
-        return messages.Start(
-            attempt=0,
-            request=call.request,
-            workspace=call.workspace,
-            template=call.template.name,
-            version=version,
-            endpoint=candidate.name,
-            revision=self._config.revision,
-            in_session=call.session is not None,
-            deadline=call.deadline,
-            first_part_by=call.first_part_by,
-            priority=call.template.priority,
-            stream=call.stream,
-            repeatable=call.template.repeatable,
-            bill_key=call.bill_key,
-            cost=costs.get(version, 0.0),
-            prior=progress.lines,
-            window=self._cfg.window,
-            path=call.path,
-            body=call.body_for(version),
-        )
-
-    def _is_retried(self, call: entry_call.Call, exc: errors.GaprockError) -> bool:
-        """Whether another try is allowed by the kind of failure."""
-        if exc.not_run:
-            return exc.code in RETRIED
-        lost = exc.code is errorcodes.OUTCOME_UNKNOWN
-        return lost and call.template.repeatable
-
-    def _may_retry(self, call: entry_call.Call, exc: errors.GaprockError) -> bool:
-        in_time = self._clock.now() < call.deadline
-        return in_time and self._is_retried(call, exc) and self.budget.take_second()
-
     # -- Headers --
 
     def _add_headers(
@@ -557,16 +392,3 @@
                 ids.new_token(), call.workspace, call.template.name, version
             )
         )
-
-
-def _earlier(
-    old: errors.GaprockError | None, new: errors.GaprockError
-) -> errors.GaprockError:
-    """Give the refusal to report: an open outcome, else the earliest time."""
-    if old is None or not new.not_run:
-        return new
-    if not old.not_run:
-        return old
-    if old.retry_at and (not new.retry_at or old.retry_at < new.retry_at):
-        return old
-    return new
--- a/gaprock/test/testclaims.py
+++ b/gaprock/test/testclaims.py
@@ -222,6 +222,7 @@
         # The entry's own clock is behind: only the agent can notice.
         behind = clock.ManualClock(clock.Clock().now() - 100)
         setattr(entry.server, "_clock", behind)
+        setattr(entry.dispatcher, "_clock", behind)
         entry.parser._clock = behind
         with pytest.raises(errors.GaprockError) as caught:
             s.score(site.once_id(), x_gaprock_deadline=str(behind.now() + 50))
--- a/misc/proofs.py
+++ b/misc/proofs.py
@@ -293,7 +293,9 @@
         "_call",
         (
             Edit(
-                "entry_serve.py", "if call.deadline <= self._clock.now():", "if False:"
+                "entry_dispatch.py",
+                "if call.deadline <= self._clock.now():",
+                "if False:",
             ),
             Edit(
                 "agent_gate.py",
