--- a/gaprock/entry_http.py
+++ b/gaprock/entry_http.py
@@ -131,6 +131,11 @@
                 # What was not read would be taken for the next request.
                 answer.headers["Connection"] = "close"
             self._log_refusal(req, exc)
+        except Exception as exc:
+            # A fault of ours: the caller must not take it for "not run".
+            eventlog.warning("handler-failed", path=req.path, error=repr(exc))
+            fault = errors.GaprockError(errorcodes.OUTCOME_UNKNOWN, "an entry's fault")
+            answer = answers.error_answer(fault, time.time())
         took_ms = (time.time() - began_at) * 1000
         self._metrics.timing("entry.first", took_ms)
         self._metrics.incr(f"entry.status.{answer.status}")
--- a/gaprock/test/testserve.py
+++ b/gaprock/test/testserve.py
@@ -1,5 +1,6 @@
 """The whole path inside one process."""
 
+import io
 import json
 
 import pytest
@@ -44,3 +45,24 @@
     part = messages.Part(1, 2, 3, b"data")
     sent = messages.Parts([part])
     assert messages.decode(messages.encode(sent)) == sent
+
+
+def test_a_fault_of_the_entry_is_not_called_not_run() -> None:
+    with site.Site() as s:
+        s.start()
+        entry = s.entries[0]
+        # A fault that no code path knows.
+        setattr(entry.dispatcher, "_routing", None)
+        raw = json.dumps({"model": "explain", "messages": [{}]}).encode()
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/v1/chat/completions",
+            "HTTP_AUTHORIZATION": f"Bearer {site.CALLER_KEY}",
+            "CONTENT_LENGTH": str(len(raw)),
+            "wsgi.input": io.BytesIO(raw),
+        }
+        began: list[str] = []
+        body = entry.root()(environ, lambda status, headers: began.append(status))
+        assert began == ["502 Bad Gateway"]
+        assert json.loads(b"".join(body))["error"]["ran"] == "outcome unknown"
+        assert entry.server.open_requests == 0
