Connect to the platform by a registered connector, and drop dead code

Cause: four platform classes were registered as plug-ins but built by name, so a site with other protocols could not register its own; Config.wait_for, Metrics.gauge and a constant had no caller. Ruled out: a setting for each service (a platform comes as one). Before: the registered classes were never looked up.

--- a/gaprock/agent_main.py
+++ b/gaprock/agent_main.py
@@ -27,7 +27,6 @@
     options_flags,
     periodic,
     platform_api,
-    platform_http,
     wire,
 )
 
@@ -46,7 +45,7 @@
     def __init__(
         self,
         cfg: options.Options,
-        platform: platform_http.Platform,
+        platform: platform_api.Platform,
         clock_: clock.Clock | None = None,
     ) -> None:
         self.cfg = cfg
@@ -141,7 +140,7 @@
 
 def make(cfg: options.Options) -> Agent:
     """Make an agent with the platform's services."""
-    return Agent(cfg, platform_http.connect(cfg))
+    return Agent(cfg, platform_api.connect(cfg))
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/gaprock/claims.py
+++ b/gaprock/claims.py
@@ -28,8 +28,6 @@
 OUTCOME_PATIENCE_S: typing.Final = 1.0
 # A refusal for the table's sake asks the caller back after this, seconds.
 RETRY_AFTER_S: typing.Final = 2.0
-# Between two tries of the background, seconds.
-BACKGROUND_S: typing.Final = 0.5
 
 Value = dict[str, typing.Any]
 
--- a/gaprock/config.py
+++ b/gaprock/config.py
@@ -110,7 +110,6 @@
 
     __slots__ = (
         "_lock",
-        "_changed",
         "revision",
         "ready",
         "_entries",
@@ -122,7 +121,6 @@
 
     def __init__(self) -> None:
         self._lock = threading.RLock()
-        self._changed = threading.Condition(self._lock)
         self.revision = 0
         # False until a first configuration was taken, even an empty one.
         self.ready = False
@@ -149,7 +147,6 @@
             self.revision = max(self.revision, delta.revision)
             self.ready = True
             self._settle_urgent()
-            self._changed.notify_all()
             return True
 
     def delta_since(self, revision: int) -> messages.ConfigDelta:
@@ -171,7 +168,6 @@
                 return False
             self._urgent = self._urgent.union(new)
             self._collect_halts()
-            self._changed.notify_all()
             return True
 
     @property
@@ -179,11 +175,6 @@
         """The keys in force that the table has not accepted yet."""
         return sorted(self._urgent)
 
-    def wait_for(self, revision: int, timeout: float) -> bool:
-        """Wait until ``revision`` is in force here."""
-        with self._lock:
-            return self._changed.wait_for(lambda: self.revision >= revision, timeout)
-
     def entry(self, key: str) -> messages.ConfigEntry | None:
         """Give a key's entry, deleted ones included."""
         return self._entries.get(key)
--- a/gaprock/entry_main.py
+++ b/gaprock/entry_main.py
@@ -40,7 +40,6 @@
     options_flags,
     periodic,
     platform_api,
-    platform_http,
     plugin,
     policy_api,
     sessions,
@@ -61,7 +60,7 @@
     def __init__(
         self,
         cfg: options.Options,
-        platform: platform_http.Platform,
+        platform: platform_api.Platform,
         clock_: clock.Clock | None = None,
     ) -> None:
         self.cfg = cfg
@@ -244,7 +243,7 @@
     __slots__ = ("_entry",)
 
     def __init__(self, cfg: options.Options) -> None:
-        self._entry = Entry(cfg, platform_http.connect(cfg))
+        self._entry = Entry(cfg, platform_api.connect(cfg))
 
     def start(self) -> None:
         """Start serving; the port opens last."""
--- a/gaprock/metrics.py
+++ b/gaprock/metrics.py
@@ -27,8 +27,3 @@
         """Record a time, in milliseconds."""
         if self._client is not None:
             self._client.timing(name, milliseconds)
-
-    def gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        if self._client is not None:
-            self._client.gauge(name, value)
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -41,6 +41,8 @@
         self.host = "127.0.0.1"
         # Base address of the platform's services (table, objects, rating, VM list).
         self.platform = "http://127.0.0.1:8700"
+        # Name of the plug-in that speaks the platform's protocols.
+        self.connector = "http"
         # Bearer token towards the platform; empty for none. Secret.
         self.platform_token = ""
         # Longest wait for one answer of the platform, seconds.
--- a/gaprock/options_flags.py
+++ b/gaprock/options_flags.py
@@ -10,7 +10,8 @@
 
 import configargparse
 
-from gaprock import errorcodes, errors, options, plugin, policy_api
+import gaprock
+from gaprock import errorcodes, errors, options, platform_api, plugin, policy_api
 
 ENTRY: typing.Final = "entry"
 AGENT: typing.Final = "agent"
@@ -134,6 +135,7 @@
     Flag("hall", DAEMONS, "hall this VM stands in", _name),
     Flag("host", DAEMONS, "IP number to listen on", _ip),
     Flag("platform", DAEMONS, "base address of the platform's services", _url),
+    Flag("connector", DAEMONS, "platform plug-in", _plugin(platform_api.Connector)),
     Flag("platform_token", DAEMONS, "bearer token for the platform", _any, True),
     Flag("platform_wait_s", DAEMONS, "longest wait for the platform, s", _positive),
     Flag("beat_s", DAEMONS, "time between heartbeats, s", _positive),
@@ -206,6 +208,8 @@
     parser = configargparse.ArgumentParser(
         description=description, allow_abbrev=False, add_config_file_help=False
     )
+    version = f"gaprock {gaprock.VERSION}"
+    parser.add_argument("--version", action="version", version=version)
     add_flags(parser, program)
     return parser
 
--- a/gaprock/platform_api.py
+++ b/gaprock/platform_api.py
@@ -1,14 +1,14 @@
-"""What gaprock needs of the platform, as plug-in kinds.
+"""What gaprock needs of the platform.
 
 ``platform_http`` speaks to services over HTTP; a site with other protocols
-registers its own classes.
+registers a connector of its own.
 """
 
 import typing
 
 import msgspec
 
-from gaprock import plugin
+from gaprock import options, plugin
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -67,9 +67,11 @@
     """The service may have taken the change: its answer did not come."""
 
 
-class Table(plugin.Plugin):
+class Table:
     """The platform's transactional table."""
 
+    __slots__ = ()
+
     def transact(self, ops: list[Op]) -> TxResult:
         """Carry out all steps or none.
 
@@ -93,9 +95,11 @@
         raise NotImplementedError
 
 
-class Objects(plugin.Plugin):
+class Objects:
     """The platform's object store."""
 
+    __slots__ = ()
+
     def put(self, name: str, data: bytes) -> None:
         """Store an object.
 
@@ -111,9 +115,11 @@
         raise NotImplementedError
 
 
-class Rater(plugin.Plugin):
+class Rater:
     """The platform's rating service."""
 
+    __slots__ = ()
+
     def rate(self, workspace: str, body: bytes, answer: bytes) -> float | None:
         """Rate an answer, 0 to 1; ``None`` when it gives no rating now."""
         raise NotImplementedError
@@ -129,12 +135,43 @@
     state: str
 
 
-class VmList(plugin.Plugin):
+class VmList:
     """The platform's lagging list of VMs."""
 
+    __slots__ = ()
+
     def vms(self) -> list[Vm]:
         """List the VMs.
 
         :raises PlatformError: when it did not answer.
         """
         raise NotImplementedError
+
+
+class Platform:
+    """All of the platform's services, as one process uses them."""
+
+    __slots__ = ("table", "objects", "rater", "vm_list")
+
+    def __init__(
+        self, table: Table, objects: Objects, rater: Rater, vm_list: VmList
+    ) -> None:
+        self.table = table
+        self.objects = objects
+        self.rater = rater
+        self.vm_list = vm_list
+
+
+class Connector(plugin.Plugin):
+    """Makes a process's clients of the platform."""
+
+    __slots__ = ()
+
+    def connect(self, cfg: options.Options) -> Platform:
+        """Make the clients; no call is made yet."""
+        raise NotImplementedError
+
+
+def connect(cfg: options.Options) -> Platform:
+    """Connect by the connector that the settings name."""
+    return plugin.find(Connector, cfg.connector)().connect(cfg)
--- a/gaprock/platform_http.py
+++ b/gaprock/platform_http.py
@@ -110,7 +110,6 @@
     rating: float
 
 
-@plugin.register(platform_api.Table, "http")
 class HttpTable(platform_api.Table):
     """The table service; while it is down, calls fail at once."""
 
@@ -149,7 +148,6 @@
         return _decode(data, list[platform_api.Row])
 
 
-@plugin.register(platform_api.Objects, "http")
 class HttpObjects(platform_api.Objects):
     """The object store."""
 
@@ -165,7 +163,6 @@
         return self._http.call("GET", f"/objects/{name}", None) or None
 
 
-@plugin.register(platform_api.Rater, "http")
 class HttpRater(platform_api.Rater):
     """The rating service."""
 
@@ -187,7 +184,6 @@
             return None
 
 
-@plugin.register(platform_api.VmList, "http")
 class HttpVmList(platform_api.VmList):
     """The VM list."""
 
@@ -200,27 +196,14 @@
         return _decode(self._http.call("GET", "/vms", None), list[platform_api.Vm])
 
 
-class Platform:
-    """All of the platform's services, as one process uses them."""
+@plugin.register(platform_api.Connector, "http")
+class HttpConnector(platform_api.Connector):
+    """Connects to all of the services at one base address."""
 
-    __slots__ = ("table", "objects", "rater", "vm_list")
+    __slots__ = ()
 
-    def __init__(
-        self,
-        table: platform_api.Table,
-        objects: platform_api.Objects,
-        rater: platform_api.Rater,
-        vm_list: platform_api.VmList,
-    ) -> None:
-        self.table = table
-        self.objects = objects
-        self.rater = rater
-        self.vm_list = vm_list
-
-
-def connect(cfg: options.Options) -> Platform:
-    """Make the clients of one process."""
-    http = Http(cfg)
-    return Platform(
-        HttpTable(http), HttpObjects(http), HttpRater(http), HttpVmList(http)
-    )
+    def connect(self, cfg: options.Options) -> platform_api.Platform:
+        http = Http(cfg)
+        return platform_api.Platform(
+            HttpTable(http), HttpObjects(http), HttpRater(http), HttpVmList(http)
+        )
