Hand a message's sender to its handler instead of keeping it aside

Cause: reading as a newcomer: handlers took their sender from self._peer, set just before. Ruled out: nothing else changed. Conclusion: the dependency is in the signature now.

--- a/gaprock/agent_hub.py
+++ b/gaprock/agent_hub.py
@@ -104,7 +104,6 @@
         # The entries' revisions as they were reported last, and reports since.
         self._reported: dict[str, int] = {}
         self._reports_since = 0
-        self._peer: Peer
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="hub", daemon=True)
         self._sock = wire.open_router(self.context, cfg)
@@ -223,9 +222,8 @@
             self._report_at = 0.0
         peer.heard_at = self._clock.now()
         peer.gone = False
-        self._peer = peer
         try:
-            self.handle(msg)
+            self.handle(msg, peer)
         except Exception as exc:
             # One message must not close the port for all entries.
             kind = type(msg).__name__
@@ -304,116 +302,115 @@
         peer.runs.clear()
         peer.new = True
 
-    # -- Arriving messages; ``self._peer`` is their sender --
+    # -- Arriving messages, with their sender --
 
     @functools.singledispatchmethod
-    def handle(self, msg: messages.Message) -> None:
+    def handle(self, msg: messages.Message, peer: Peer) -> None:
         """Take one message from an entry."""
-        eventlog.warning("unexpected", peer=self._peer.name, kind=type(msg).__name__)
+        eventlog.warning("unexpected", peer=peer.name, kind=type(msg).__name__)
 
     @handle.register
-    def _(self, msg: messages.Beat) -> None:
-        self._peer.beat = msg
+    def _(self, msg: messages.Beat, peer: Peer) -> None:
+        peer.beat = msg
         self.orders.note_epoch(msg.epoch)
         self._evidence.merge(msg.evidence)
         if self._config.add_urgent(msg.urgent):
             eventlog.warning("urgent-from-entry", keys=",".join(msg.urgent))
             self._report_at = 0.0
-        self._compare_config(msg.revision)
+        self._compare_config(msg.revision, peer)
 
     @handle.register
-    def _(self, msg: messages.Start) -> None:
-        if not self._peer.note(msg.attempt):
+    def _(self, msg: messages.Start, peer: Peer) -> None:
+        if not peer.note(msg.attempt):
             return
-        run = agent_run.Run(self._peer.identity, msg, self.post, self._clock)
-        self._peer.runs[msg.attempt] = run
+        run = agent_run.Run(peer.identity, msg, self.post, self._clock)
+        peer.runs[msg.attempt] = run
         if msg.revision > self._config.revision:
-            self.post(self._peer.identity, messages.ConfigWanted(self._config.revision))
+            self.post(peer.identity, messages.ConfigWanted(self._config.revision))
         self.gate.take(run)
 
     @handle.register
-    def _(self, msg: messages.Ack) -> None:
-        run = self._peer.runs.get(msg.attempt)
+    def _(self, msg: messages.Ack, peer: Peer) -> None:
+        run = peer.runs.get(msg.attempt)
         if run is None:
             return
         run.ack(msg.upto)
         if run.ended and msg.upto >= run.count:
-            del self._peer.runs[msg.attempt]
+            del peer.runs[msg.attempt]
 
     @handle.register
-    def _(self, msg: messages.Cancel) -> None:
-        run = self._peer.runs.pop(msg.attempt, None)
+    def _(self, msg: messages.Cancel, peer: Peer) -> None:
+        run = peer.runs.pop(msg.attempt, None)
         if run is not None:
             self.gate.cancel(run, msg.void)
 
     @handle.register
-    def _(self, msg: messages.Resume) -> None:
-        run = self._peer.runs.get(msg.attempt)
+    def _(self, msg: messages.Resume, peer: Peer) -> None:
+        run = peer.runs.get(msg.attempt)
         if run is not None:
             run.resend(msg.upto)
             return
-        self._answer_unknown(msg)
+        self._answer_unknown(msg, peer)
 
     @handle.register
-    def _(self, msg: messages.ConfigDelta) -> None:
+    def _(self, msg: messages.ConfigDelta, peer: Peer) -> None:
         if self._config.apply(msg):
             eventlog.info("config-in-force", revision=msg.revision)
             self._report_at = 0.0
 
     @handle.register
-    def _(self, msg: messages.ConfigWanted) -> None:
-        self._send(self._peer.identity, self._config.delta_since(max(0, msg.revision)))
+    def _(self, msg: messages.ConfigWanted, peer: Peer) -> None:
+        self._send(peer.identity, self._config.delta_since(max(0, msg.revision)))
 
     @handle.register
-    def _(self, msg: messages.BillsReleased) -> None:
+    def _(self, msg: messages.BillsReleased, peer: Peer) -> None:
         self._bills.drop(msg.keys)
 
     @handle.register
-    def _(self, msg: messages.BillsHandover) -> None:
+    def _(self, msg: messages.BillsHandover, peer: Peer) -> None:
         for bill in msg.bills:
             self._bills.hold(bill, [], self._clock.now())
         keys = [bill.key for bill in msg.bills]
-        self._send(self._peer.identity, messages.BillsReleased(keys))
+        self._send(peer.identity, messages.BillsReleased(keys))
 
     @handle.register
-    def _(self, msg: messages.Goodbye) -> None:
-        peer = self._peer
+    def _(self, msg: messages.Goodbye, peer: Peer) -> None:
         del self._peers[peer.identity]
         for run in peer.runs.values():
             self.gate.cancel(run)
         self._bills.release_owner(peer.name, self._clock.now())
 
     @handle.register
-    def _(self, msg: messages.Order) -> None:
-        identity = self._peer.identity
+    def _(self, msg: messages.Order, peer: Peer) -> None:
+        identity = peer.identity
         threading.Thread(
             target=lambda: self.post(identity, self.orders.carry_out(msg)),
             name=f"order-{msg.order}",
             daemon=True,
         ).start()
 
-    def _answer_unknown(self, msg: messages.Resume) -> None:
+    def _answer_unknown(self, msg: messages.Resume, peer: Peer) -> None:
         """Answer for an attempt that is not here.
 
         Messages of one connection stay in order, so if this same process has not
         seen the request before its ``Resume``, the request was lost on the way.
         Noting the number makes sure that a straggler is not run after all.
         """
-        never_came = self._peer.note(msg.attempt)
+        never_came = peer.note(msg.attempt)
         if never_came and msg.incarnation == self._incarnation:
             code = errorcodes.ENDPOINT_UNREACHABLE.number
             refused = messages.Refused(msg.attempt, code, "lost on the way", 0.0)
-            self._send(self._peer.identity, refused)
+            self._send(peer.identity, refused)
             return
         code = errorcodes.OUTCOME_UNKNOWN.number
         detail = "its agent no longer knows it"
         end = messages.End(msg.attempt, 0, code, detail, 0, "", -1.0, None)
-        self._send(self._peer.identity, end)
+        self._send(peer.identity, end)
 
-    def _compare_config(self, revision: int) -> None:
+    def _compare_config(self, revision: int, peer: Peer) -> None:
         mine = self._config
         my_revision = mine.revision if mine.ready else -1
         if revision > my_revision:
-            self._send(self._peer.identity, messages.ConfigWanted(my_revision))
+            self._send(peer.identity, messages.ConfigWanted(my_revision))
         elif revision < my_revision:
-            self._send(self._peer.identity, mine.delta_since(max(0, revision)))
+            self._send(peer.identity, mine.delta_since(max(0, revision)))
--- a/misc/proofs.py
+++ b/misc/proofs.py
@@ -255,8 +255,8 @@
         (
             Edit(
                 "agent_hub.py",
-                "never_came = self._peer.note(msg.attempt)",
-                "never_came = msg.attempt not in self._peer.seen",
+                "never_came = peer.note(msg.attempt)",
+                "never_came = msg.attempt not in peer.seen",
             ),
         ),
     ),
