Post an answer's end again while it is not acknowledged

Ruled out: acknowledging twice (both may be lost with the connection). The entry answers an end that it no longer waits for.

--- a/gaprock/agent_hub.py
+++ b/gaprock/agent_hub.py
@@ -287,6 +287,7 @@
         """Cancel what silent entries had asked for, and write their bills."""
         for peer in list(self._peers.values()):
             silent_s = now - peer.heard_at
+            self._remind(peer, now)
             if silent_s > self._cfg.stream_silent_s and not peer.gone:
                 peer.gone = True
                 self._peer_gone(peer)
@@ -295,6 +296,11 @@
             if silent_s > FORGET_S and not peer.runs:
                 del self._peers[peer.identity]
 
+    def _remind(self, peer: Peer, now: float) -> None:
+        """Post ends again that were not acknowledged: the word may be lost."""
+        for run in list(peer.runs.values()):
+            run.remind(now - self._cfg.silent_s)
+
     def _peer_gone(self, peer: Peer) -> None:
         eventlog.warning("entry-silent", entry=peer.name, runs=len(peer.runs))
         for run in peer.runs.values():
--- a/gaprock/agent_run.py
+++ b/gaprock/agent_run.py
@@ -49,6 +49,7 @@
         "_acked",
         "_next",
         "_end",
+        "ended_at",
         "cancelled",
         "void",
         "called_at",
@@ -69,6 +70,8 @@
         self._acked = 0
         self._next = 0
         self._end: messages.End | messages.Refused | None = None
+        # When the end was posted last; 0 before.
+        self.ended_at = 0.0
         self.cancelled = False
         # Another attempt took this one's place: it is not billed.
         self.void = False
@@ -115,6 +118,7 @@
         with self._cond:
             if self._end is None:
                 self._end = end
+                self.ended_at = self._clock.now()
                 self._post(self.peer, end)
 
     def ack(self, upto: int) -> None:
@@ -137,6 +141,13 @@
             if self._end is not None:
                 self._post(self.peer, self._end)
 
+    def remind(self, before: float) -> None:
+        """Post the end again if that was last done before a time."""
+        with self._cond:
+            if self._end is not None and self.ended_at < before:
+                self.ended_at = self._clock.now()
+                self._post(self.peer, self._end)
+
     def cancel(self) -> None:
         """Nobody waits any more."""
         with self._cond:
--- a/gaprock/entry_link.py
+++ b/gaprock/entry_link.py
@@ -332,6 +332,8 @@
         if msg.bill is not None:
             self._hold_bill(attempt, msg.bill, msg.attempt)
         if attempt is None:
+            # Our last word on it was lost, or crosses this one.
+            self._mailbox.put(messages.Cancel(msg.attempt))
             return
         attempt.asked_at = self.heard_at
         if not attempt.finish(msg):
--- a/gaprock/test/testleaving.py
+++ b/gaprock/test/testleaving.py
@@ -152,3 +152,22 @@
         assert caught.value.code is errorcodes.LEAVING
         assert caught.value.retry_at > 0
         assert s.ran() == 0
+
+
+def test_a_lost_acknowledgement_does_not_hold_up_a_planned_stop() -> None:
+    with site.Site() as s:
+        s.start()
+        link = s.entries[0].links.all()[0]
+        send = link._send
+        lost: list[messages.Message] = []
+
+        def lose_first_ack(sock: typing.Any, msg: messages.Message) -> None:
+            if isinstance(msg, messages.Ack) and not lost:
+                lost.append(msg)
+            else:
+                send(sock, msg)
+
+        setattr(link, "_send", lose_first_ack)
+        s.chat()
+        hub = s.agents["a"].hub
+        site.wait_until(lambda: lost and not hub.open_runs, "acknowledged after all")
--- a/misc/proofs.py
+++ b/misc/proofs.py
@@ -415,6 +415,12 @@
             ),
         ),
     ),
+    Proof(
+        9,
+        "an end that was not acknowledged is posted again",
+        "testleaving.py::test_a_lost_acknowledgement_does_not_hold_up_a_planned_stop",
+        (Edit("agent_hub.py", "            self._remind(peer, now)\n", ""),),
+    ),
     Proof(
         10,
         "a publication is conditional on the head",
