Claim a single call's id before anything is chosen for it

Cause: read in review: versions and endpoints were chosen before the claim, so an id that had run got "not run" once its version was withdrawn or no endpoint was left; the caller who believes that and sends a new id runs the call twice. Ruled out: reading the row first without a claim (two sends at once would race). Before: the new test fails with code 1007, not run. After: it gets the stored answer, and a fresh id that cannot be served is marked not run; 29 tests of claims, serving and pages pass. Conclusion: RESULT-CODES says that a refusal speaks of the request just sent.

--- a/gaprock/entry_serve.py
+++ b/gaprock/entry_serve.py
@@ -145,9 +145,9 @@
 
     def _serve_open(self, call: entry_call.Call) -> answers.Answer:
         self._metrics.incr("entry.requests")
-        choice = self._choose(call)
         if not call.template.repeatable:
-            return self._serve_once(call, choice)
+            return self._serve_once(call)
+        choice = self._choose(call)
         if call.stream:
             return self._serve_stream(call, choice.versions[0])
         return self._serve_whole(call, choice.versions)
@@ -294,10 +294,12 @@
 
     # -- Calls that may not be repeated --
 
-    def _serve_once(
-        self, call: entry_call.Call, choice: policy_api.Choice
-    ) -> answers.Answer:
-        """Run a call at most once, over all entries and all time."""
+    def _serve_once(self, call: entry_call.Call) -> answers.Answer:
+        """Run a call at most once, over all entries and all time.
+
+        The claim comes before any choice: an id that ran gives its outcome, also
+        when nothing could run it now.
+        """
         claim = self._claims.take(
             call.workspace, call.request, call.digest, call.deadline
         )
@@ -306,6 +308,7 @@
             answer.headers["X-Gaprock-Replayed"] = "true"
             return answer
         try:
+            choice = self._choose(call)
             answer = self._serve_whole(call, choice.versions[:1])
         except errors.GaprockError as exc:
             state = claims.NOT_RUN if exc.not_run else claims.UNKNOWN
--- a/gaprock/test/testclaims.py
+++ b/gaprock/test/testclaims.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import strategies
 
-from gaprock import claims, clock, errorcodes, errors, table_batch
+from gaprock import claims, clock, documents, errorcodes, errors, table_batch
 from gaprock.test import site
 from gaprock.test.fakes import tables
 
@@ -131,6 +131,21 @@
         assert s.engines["svc"].ran[request] == 1
 
 
+def test_an_id_that_ran_gives_its_answer_also_when_no_endpoint_is_left() -> None:
+    with site.Site() as s:
+        start_service(s)
+        request = site.once_id()
+        first = s.score(request)
+        s.entries[0].publisher.urge(documents.Withdrawal("scores@1"))
+        assert s.score(request).body == first.body
+        fresh = site.once_id()
+        with pytest.raises(errors.GaprockError) as caught:
+            s.score(fresh)
+        assert caught.value.not_run
+        row = s.platform.value(f"claim/demo/{fresh}")
+        assert row["state"] == claims.NOT_RUN
+
+
 def test_the_tables_lost_answer_to_a_claim_does_not_double_the_run() -> None:
     with site.Site() as s:
         start_service(s)
