Wait in the slow reader's test until the other answer is done with

After: the test waits for that event, a bounded time, and asserts the same of the slow answer. Conclusion: a race of the test, not of the product.

--- a/gaprock/test/teststreams.py
+++ b/gaprock/test/teststreams.py
@@ -114,6 +114,7 @@
         # The slow one takes nothing more; another caller's answer passes it.
         assert site.collect(s.chat(stream=True)) == site.whole("small@1", parts)
         (peer,) = s.agents["a"].hub._peers.values()
+        site.wait_until(lambda: len(peer.runs) == 1, "the other one is done with")
         (run,) = peer.runs.values()
         assert run.count <= 2 * window
         assert first + site.collect(slow) == site.whole("small@1", parts)
