--- a/gaprock/agent_main.py
+++ b/gaprock/agent_main.py
@@ -26,7 +26,7 @@
     options,
     options_flags,
     periodic,
-    platform_api,
+    services_api,
     wire,
 )
 
@@ -45,7 +45,7 @@
     def __init__(
         self,
         cfg: options.Options,
-        platform: platform_api.Platform,
+        platform: services_api.Platform,
         clock_: clock.Clock | None = None,
     ) -> None:
         self.cfg = cfg
@@ -130,7 +130,7 @@
             self.bills.release_owner(owner, self.clock.now())
         try:
             self._write_bills()
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             eventlog.warning("platform-down", task="last-bills", error=exc)
         held = self.bills.take_all()
         if held and self.hub.hand_over(held):
@@ -140,7 +140,7 @@
 
 def make(cfg: options.Options) -> Agent:
     """Make an agent with the platform's services."""
-    return Agent(cfg, platform_api.connect(cfg))
+    return Agent(cfg, services_api.connect(cfg))
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/gaprock/agent_orders.py
+++ b/gaprock/agent_orders.py
@@ -16,7 +16,7 @@
     eventlog,
     lease,
     messages,
-    platform_api,
+    services_api,
 )
 
 ACTIONS: typing.Final = ("load", "unload")
@@ -27,7 +27,7 @@
 
     __slots__ = ("_table", "_gate", "_lock", "epoch", "_confirmed")
 
-    def __init__(self, table: platform_api.Table, gate: agent_gate.Gate) -> None:
+    def __init__(self, table: services_api.Table, gate: agent_gate.Gate) -> None:
         self._table = table
         self._gate = gate
         self._lock = threading.Lock()
@@ -77,7 +77,7 @@
     def _ask_table(self) -> None:
         try:
             row = self._table.read([lease.KEY])[0]
-        except platform_api.PlatformError:
+        except services_api.PlatformError:
             return
         with self._lock:
             self._confirmed = True
--- a/gaprock/bills.py
+++ b/gaprock/bills.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from gaprock import clock, eventlog, messages, platform_api
+from gaprock import clock, eventlog, messages, services_api
 
 KEY: typing.Final = "bill/"
 BATCH: typing.Final = 100
@@ -64,7 +64,7 @@
 
     def __init__(
         self,
-        table: platform_api.Table,
+        table: services_api.Table,
         by: str,
         capacity: int,
         clock_: clock.Clock,
@@ -130,7 +130,7 @@
         """Write one batch of due bills.
 
         :returns: the number of bills settled.
-        :raises platform_api.PlatformError: when the table did not answer; the
+        :raises services_api.PlatformError: when the table did not answer; the
             bills stay held, and writing them again is safe.
         """
         now = self._clock.now()
@@ -145,11 +145,11 @@
     def _write(self, due: list[Held]) -> None:
         """Insert the bills that are absent, and replace those that rank lower."""
         wanted = {KEY + held.bill.key: held.bill for held in due}
-        versions = dict.fromkeys(wanted, platform_api.ABSENT)
+        versions = dict.fromkeys(wanted, services_api.ABSENT)
         while wanted:
             result = self._table.transact(
                 [
-                    platform_api.Op(key, versions[key], self._value(bill))
+                    services_api.Op(key, versions[key], self._value(bill))
                     for key, bill in wanted.items()
                 ]
             )
@@ -176,7 +176,7 @@
             "lines": lines,
         }
 
-    def _outranks(self, bill: messages.Bill, row: platform_api.Row) -> bool:
+    def _outranks(self, bill: messages.Bill, row: services_api.Row) -> bool:
         """Whether our bill replaces the one in the table."""
         if row.value is None or row.value["by"] != AGENT:
             return False
--- a/gaprock/claims.py
+++ b/gaprock/claims.py
@@ -12,7 +12,7 @@
 import threading
 import typing
 
-from gaprock import clock, errorcodes, errors, eventlog, ids, platform_api, table_batch
+from gaprock import clock, errorcodes, errors, eventlog, ids, services_api, table_batch
 
 KEY: typing.Final = "claim/"
 OBJECT: typing.Final = "claims/"
@@ -67,8 +67,8 @@
 
     def __init__(
         self,
-        table: platform_api.Table,
-        objects: platform_api.Objects,
+        table: services_api.Table,
+        objects: services_api.Objects,
         batcher: table_batch.Batcher,
         clock_: clock.Clock,
         holder: str,
@@ -102,7 +102,7 @@
             "state": CLAIMED,
             "deadline": deadline,
         }
-        expect = platform_api.ABSENT
+        expect = services_api.ABSENT
         while True:
             row = self._write(key, expect, value, deadline)
             if row is None:
@@ -151,21 +151,21 @@
 
     def _write(
         self, key: str, expect: int, value: Value, deadline: float
-    ) -> platform_api.Row | None:
+    ) -> services_api.Row | None:
         """Write the claim's row; give the row in its way, if there is one."""
         now = self._clock.now()
         patience = min(deadline, now + CLAIM_PATIENCE_S)
-        fut = self._batcher.submit(platform_api.Op(key, expect, value), patience)
+        fut = self._batcher.submit(services_api.Op(key, expect, value), patience)
         try:
             return fut.result()
-        except platform_api.AnswerLost as exc:
+        except services_api.AnswerLost as exc:
             # The row may be there, or come yet; it must not stay a claim.
             self._remember(Claim(key, expect, {**value, "state": NOT_RUN}))
             raise self._table_down(exc) from exc
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             raise self._table_down(exc) from exc
 
-    def _table_down(self, exc: platform_api.PlatformError) -> errors.GaprockError:
+    def _table_down(self, exc: services_api.PlatformError) -> errors.GaprockError:
         retry_at = max(exc.retry_at, self._clock.now() + RETRY_AFTER_S)
         return errors.GaprockError(
             errorcodes.TABLE_DOWN, "the request id could not be claimed", retry_at
@@ -191,7 +191,7 @@
         if value["object"]:
             try:
                 body = self._objects.get(key.replace(KEY, OBJECT, 1))
-            except platform_api.PlatformError as exc:
+            except services_api.PlatformError as exc:
                 eventlog.warning("claim-answer-unread", key=key, error=exc)
         # Without its body the outcome still says that it ran, and how it ended.
         return Stored(status, content_type, body or b"{}")
@@ -199,7 +199,7 @@
     def _store_body(self, key: str, body: bytes) -> bool:
         try:
             self._objects.put(key.replace(KEY, OBJECT, 1), body)
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             eventlog.warning("claim-answer-unstored", key=key, error=exc)
             return False
         return True
@@ -208,11 +208,11 @@
         outcome = Claim(claim.key, claim.version, value)
         patience = self._clock.now() + OUTCOME_PATIENCE_S
         fut = self._batcher.submit(
-            platform_api.Op(claim.key, claim.version, value), patience
+            services_api.Op(claim.key, claim.version, value), patience
         )
         try:
             fut.result()
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             eventlog.warning("claim-outcome-open", key=claim.key, error=exc)
             self._remember(outcome)
 
@@ -229,12 +229,12 @@
             row = self._table.read([claim.key])[0]
             if not self._needs_write(claim, row):
                 return True
-            op = platform_api.Op(claim.key, row.version, claim.value)
+            op = services_api.Op(claim.key, row.version, claim.value)
             return self._table.transact([op]).ok
-        except platform_api.PlatformError:
+        except services_api.PlatformError:
             return False
 
-    def _needs_write(self, claim: Claim, row: platform_api.Row) -> bool:
+    def _needs_write(self, claim: Claim, row: services_api.Row) -> bool:
         """Whether the outcome is still missing from the row."""
         if row.value is not None and row.value["claim"] == claim.value["claim"]:
             return bool(row.value["state"] == CLAIMED)
--- a/gaprock/clock.py
+++ b/gaprock/clock.py
@@ -44,3 +44,19 @@
 def remaining(deadline: float, clock: Clock) -> float:
     """Give the seconds left until ``deadline``, never below zero."""
     return max(0.0, deadline - clock.now())
+
+
+class MonotonicClock(Clock):
+    """A clock that no change of the time of day moves.
+
+    For a process whose deadlines stay inside it.
+    """
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Give the time.
+
+        :returns: seconds since an arbitrary point.
+        """
+        return time.monotonic()
--- a/gaprock/config_store.py
+++ b/gaprock/config_store.py
@@ -14,7 +14,7 @@
 
 import tenacity
 
-from gaprock import errorcodes, errors, ids, messages, platform_api
+from gaprock import errorcodes, errors, ids, messages, services_api
 
 HEAD: typing.Final = "config/head"
 DOC: typing.Final = "config/doc/"
@@ -33,7 +33,7 @@
     return f"{LOG}{revision:012d}"
 
 
-def revision_of(row: platform_api.Row) -> int:
+def revision_of(row: services_api.Row) -> int:
     """Give the revision in the head's row."""
     return int(row.value["revision"]) if row.value else 0
 
@@ -47,7 +47,7 @@
 
     __slots__ = ("_table",)
 
-    def __init__(self, table: platform_api.Table) -> None:
+    def __init__(self, table: services_api.Table) -> None:
         self._table = table
 
     def read_since(self, revision: int, ready: bool) -> messages.ConfigDelta | None:
@@ -55,7 +55,7 @@
 
         :param ready: false when the reader has nothing yet and needs all.
         :returns: ``None`` when there is nothing new.
-        :raises platform_api.PlatformError: when the table did not answer.
+        :raises services_api.PlatformError: when the table did not answer.
         """
         head = revision_of(self._table.read([HEAD])[0])
         if ready and head <= revision:
@@ -71,7 +71,7 @@
         key: str,
         document: Value | None,
         expected: int,
-        conditions: typing.Sequence[platform_api.Op] = (),
+        conditions: typing.Sequence[services_api.Op] = (),
     ) -> int:
         """Publish one change on condition that ``expected`` is the newest revision.
 
@@ -83,7 +83,7 @@
         txid = ids.new_token()
         try:
             head = self._table.read([HEAD])[0]
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             raise errors.GaprockError(
                 errorcodes.TABLE_DOWN, str(exc), exc.retry_at
             ) from exc
@@ -91,15 +91,15 @@
             raise _conflict(revision_of(head))
         revision = expected + 1
         ops = [
-            platform_api.Op(HEAD, head.version, {"revision": revision, "txid": txid}),
-            platform_api.Op(
+            services_api.Op(HEAD, head.version, {"revision": revision, "txid": txid}),
+            services_api.Op(
                 DOC + key,
-                platform_api.ANY_VERSION,
+                services_api.ANY_VERSION,
                 {"revision": revision, "document": document},
             ),
-            platform_api.Op(
+            services_api.Op(
                 log_key(revision),
-                platform_api.ABSENT,
+                services_api.ABSENT,
                 {"revision": revision, "key": key, "document": document, "txid": txid},
             ),
             *conditions,
@@ -111,18 +111,18 @@
         """Delete old log rows.
 
         :returns: the number of rows deleted.
-        :raises platform_api.PlatformError: when the table did not answer.
+        :raises services_api.PlatformError: when the table did not answer.
         """
         last = log_key(max(0, head - LOG_LENGTH))
         rows = self._table.scan(LOG, "", PAGE)
         old = [row for row in rows if row.key < last]
         if old:
             self._table.transact(
-                [platform_api.Op(row.key, row.version, delete=True) for row in old]
+                [services_api.Op(row.key, row.version, delete=True) for row in old]
             )
         return len(old)
 
-    def _commit(self, ops: list[platform_api.Op], revision: int, txid: str) -> None:
+    def _commit(self, ops: list[services_api.Op], revision: int, txid: str) -> None:
         """Carry out a publication, and settle it when an answer is lost.
 
         The steps may be sent again: their conditions hold for one time only, and
@@ -131,7 +131,7 @@
         retrying = tenacity.Retrying(
             stop=tenacity.stop_after_attempt(SETTLE_TRIES),
             wait=tenacity.wait_random_exponential(0.05, max=0.5),
-            retry=tenacity.retry_if_exception_type(platform_api.PlatformError),
+            retry=tenacity.retry_if_exception_type(services_api.PlatformError),
             reraise=True,
         )
         sent = False
@@ -142,16 +142,16 @@
                         return
                     try:
                         result = self._table.transact(ops)
-                    except platform_api.AnswerLost:
+                    except services_api.AnswerLost:
                         sent = True
                         raise
                     self._judge(result, sent, revision, txid)
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             code = errorcodes.CHANGE_UNKNOWN if sent else errorcodes.TABLE_DOWN
             raise errors.GaprockError(code, str(exc), exc.retry_at) from exc
 
     def _judge(
-        self, result: platform_api.TxResult, sent: bool, revision: int, txid: str
+        self, result: services_api.TxResult, sent: bool, revision: int, txid: str
     ) -> None:
         if result.ok or (sent and self._is_ours(revision, txid)):
             return
--- /dev/null
+++ b/gaprock/directory.py
@@ -0,0 +1,280 @@
+"""The endpoints that a gateway knows, and how they fare.
+
+Membership comes from the shared store: an endpoint is ready, leaving, or gone.  Load is
+counted by ourselves and told by other gateways.  Health is learned from our own
+requests only: an endpoint that takes no connection, falls silent or fails more than its
+peers is set aside for a while, then tried with one request that may be repeated.
+"""
+
+import random
+import threading
+import typing
+
+from gaprock import clock, eventlog, gateway_api
+
+# A leaving endpoint is used for this share of the time that it may still be sent to.
+LEAVING_SHARE: typing.Final = 0.5
+# Pauses of an endpoint that took no connection, first and longest, seconds.
+FIRST_PAUSE_S: typing.Final = 0.5
+LONGEST_PAUSE_S: typing.Final = 4.0
+# Weight of a new observation in the running means.
+MEAN_WEIGHT: typing.Final = 0.15
+# An endpoint whose share of failures is this far above its service's is set aside.
+FAILURE_EXCESS: typing.Final = 0.25
+# Answers before the share of failures counts.
+MIN_ANSWERS: typing.Final = 4
+# An endpoint is as good as silent when nothing came for this long while it has
+# requests of ours, seconds.
+SILENT_S: typing.Final = 0.6
+
+
+class Endpoint:
+    """One endpoint; its numbers are guarded by the directory's lock."""
+
+    __slots__ = (
+        "name",
+        "row",
+        "leave_at",
+        "row_gone",
+        "running",
+        "others",
+        "heard_at",
+        "sent_at",
+        "paused_until",
+        "pause_s",
+        "on_trial",
+        "answers",
+        "failure_rate",
+    )
+
+    def __init__(self, name: str, row: gateway_api.EndpointRow) -> None:
+        self.name = name
+        self.row = row
+        # When it stops being used; ``NEVER`` while it is not leaving.
+        self.leave_at = clock.NEVER
+        # Whether its row is missing from the store.
+        self.row_gone = False
+        # Requests of ours, and of other gateways by their names.
+        self.running = 0
+        self.others: dict[str, int] = {}
+        # When bytes last came from it, and when the oldest unanswered send was.
+        self.heard_at = 0.0
+        self.sent_at = 0.0
+        # Set aside until then; the next pause, and whether a trial request is out.
+        self.paused_until = 0.0
+        self.pause_s = FIRST_PAUSE_S
+        self.on_trial = False
+        self.answers = 0
+        self.failure_rate = 0.0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port."""
+        return self.row.host, self.row.port
+
+    @property
+    def load(self) -> int:
+        """Requests that all gateways together have there."""
+        return self.running + sum(self.others.values())
+
+    def silent(self, now: float) -> bool:
+        """Whether it has requests of ours and says nothing."""
+        return self.running > 0 and now - max(self.heard_at, self.sent_at) > SILENT_S
+
+
+class Directory:
+    """All endpoints; safe for all threads."""
+
+    def __init__(self, clock_: clock.Clock, drain_s: float) -> None:
+        self._clock = clock_
+        self._drain_s = drain_s
+        self._lock = threading.Lock()
+        self._endpoints: dict[str, Endpoint] = {}
+        self._rng = random.Random()
+        # Share of failures over all answers of a service.
+        self._service_rate: dict[str, float] = {}
+
+    # -- Membership --
+
+    def replace(self, rows: dict[str, gateway_api.EndpointRow]) -> None:
+        """Take a whole reading of the table."""
+        with self._lock:
+            for name in list(self._endpoints):
+                if name not in rows:
+                    self._row_gone(self._endpoints[name])
+            for name, row in rows.items():
+                self._update(name, row)
+
+    def update(self, name: str, row: gateway_api.EndpointRow | None) -> None:
+        """Take one change; ``None`` says that the row is gone."""
+        with self._lock:
+            if row is not None:
+                self._update(name, row)
+            elif name in self._endpoints:
+                self._row_gone(self._endpoints[name])
+
+    def forget_gone(self) -> None:
+        """Drop the endpoints that are gone and have nothing of ours."""
+        now = self._clock.now()
+        with self._lock:
+            for name, endpoint in list(self._endpoints.items()):
+                idle = endpoint.row_gone and not endpoint.running
+                if idle and now > endpoint.leave_at + self._drain_s:
+                    del self._endpoints[name]
+
+    def _update(self, name: str, row: gateway_api.EndpointRow) -> None:
+        endpoint = self._endpoints.get(name)
+        if endpoint is None:
+            endpoint = self._endpoints[name] = Endpoint(name, row)
+            eventlog.info(
+                "endpoint-new",
+                endpoint=name,
+                service=row.service,
+                version=row.version,
+                hall=row.hall,
+                address=f"{row.host}:{row.port}",
+                slots=row.slots,
+                draining=row.draining,
+            )
+        endpoint.row = row
+        endpoint.row_gone = False
+        if row.draining:
+            self._leave(endpoint, "draining")
+        elif endpoint.leave_at != clock.NEVER:
+            # A row that lapsed while the store was away is back.
+            endpoint.leave_at = clock.NEVER
+            eventlog.info("endpoint-back", endpoint=name)
+
+    def _row_gone(self, endpoint: Endpoint) -> None:
+        if not endpoint.row_gone:
+            endpoint.row_gone = True
+            self._leave(endpoint, "row-gone")
+
+    def _leave(self, endpoint: Endpoint, reason: str) -> None:
+        if endpoint.leave_at != clock.NEVER:
+            return
+        endpoint.leave_at = self._clock.now() + LEAVING_SHARE * self._drain_s
+        eventlog.info("endpoint-leaving", endpoint=endpoint.name, reason=reason)
+
+    # -- Choice --
+
+    def usable(self, service: str, excluded: set[str]) -> list[Endpoint]:
+        """Give the endpoints of a service that may get a request now.
+
+        Those that are leaving come in only when there is no other.
+        """
+        now = self._clock.now()
+        with self._lock:
+            live = [
+                e
+                for e in self._endpoints.values()
+                if e.row.service == service
+                and e.name not in excluded
+                and now < e.leave_at
+            ]
+        staying = [e for e in live if e.leave_at == clock.NEVER]
+        return staying or live
+
+    def versions(self, service: str) -> set[str]:
+        """Give the versions that a service's staying endpoints have."""
+        with self._lock:
+            return {
+                e.row.version
+                for e in self._endpoints.values()
+                if e.row.service == service and e.leave_at == clock.NEVER
+            }
+
+    def is_set_aside(self, endpoint: Endpoint, now: float) -> bool:
+        """Whether an endpoint is paused, or its trial request is not back yet."""
+        if now < endpoint.paused_until or endpoint.on_trial:
+            return True
+        return endpoint.silent(now) or self.fails_often(endpoint)
+
+    def fails_often(self, endpoint: Endpoint) -> bool:
+        """Whether it fails clearly more often than its service."""
+        usual = self._service_rate.get(endpoint.row.service, 0.0)
+        excess = endpoint.failure_rate - usual
+        return endpoint.answers >= MIN_ANSWERS and excess > FAILURE_EXCESS
+
+    # -- What our requests tell --
+
+    def begin(self, endpoint: Endpoint) -> None:
+        """Count a request that is about to be sent."""
+        now = self._clock.now()
+        with self._lock:
+            if not endpoint.running:
+                endpoint.sent_at = now
+            endpoint.running += 1
+            if endpoint.paused_until and now >= endpoint.paused_until:
+                endpoint.on_trial = True
+
+    def end(self, endpoint: Endpoint) -> None:
+        """Count a request that is done with."""
+        with self._lock:
+            endpoint.running -= 1
+            if not endpoint.running:
+                # A trial request that ended without a word on the endpoint.
+                endpoint.on_trial = False
+
+    def heard(self, endpoint: Endpoint) -> None:
+        """Note bytes from an endpoint."""
+        endpoint.heard_at = self._clock.now()
+
+    def answered(self, endpoint: Endpoint, failed: bool) -> None:
+        """Note an answer, or the lack of one that the endpoint is to blame for."""
+        with self._lock:
+            endpoint.answers += 1
+            change = MEAN_WEIGHT * (failed - endpoint.failure_rate)
+            endpoint.failure_rate += change
+            service = endpoint.row.service
+            usual = self._service_rate.get(service, 0.0)
+            self._service_rate[service] = usual + MEAN_WEIGHT * (failed - usual) / 4
+            if not failed:
+                self._resume(endpoint)
+
+    def unreachable(self, endpoint: Endpoint, reason: str) -> None:
+        """Set an endpoint aside, longer each time."""
+        with self._lock:
+            now = self._clock.now()
+            endpoint.on_trial = False
+            if now < endpoint.paused_until:
+                return
+            pause_s = endpoint.pause_s * self._rng.uniform(0.8, 1.2)
+            endpoint.paused_until = now + pause_s
+            endpoint.pause_s = min(LONGEST_PAUSE_S, endpoint.pause_s * 2)
+        eventlog.info(
+            "endpoint-paused", endpoint=endpoint.name, reason=reason, pause_s=pause_s
+        )
+
+    def _resume(self, endpoint: Endpoint) -> None:
+        endpoint.on_trial = False
+        if endpoint.paused_until:
+            endpoint.paused_until = 0.0
+            endpoint.pause_s = FIRST_PAUSE_S
+            eventlog.info("endpoint-resumed", endpoint=endpoint.name)
+
+    def running_besides(self, service: str, version: str) -> int:
+        """Give our requests at a service's endpoints of other versions."""
+        with self._lock:
+            return sum(
+                e.running
+                for e in self._endpoints.values()
+                if e.row.service == service and e.row.version != version
+            )
+
+    # -- What other gateways tell --
+
+    def own_loads(self) -> dict[str, int]:
+        """Give our requests by endpoint."""
+        with self._lock:
+            return {e.name: e.running for e in self._endpoints.values() if e.running}
+
+    def take_loads(self, gateway: str, loads: dict[str, int]) -> None:
+        """Take another gateway's requests by endpoint."""
+        with self._lock:
+            for endpoint in self._endpoints.values():
+                count = loads.get(endpoint.name, 0)
+                if count:
+                    endpoint.others[gateway] = count
+                else:
+                    endpoint.others.pop(gateway, None)
--- a/gaprock/entry_duties.py
+++ b/gaprock/entry_duties.py
@@ -29,8 +29,8 @@
     ids,
     lease,
     messages,
-    platform_api,
     policy_api,
+    services_api,
 )
 
 # A planned start is prepared this long before, seconds.
@@ -52,7 +52,7 @@
         self,
         clock_: clock.Clock,
         config_: config.Config,
-        table: platform_api.Table,
+        table: services_api.Table,
         store: config_store.ConfigStore,
         lease_: lease.Lease,
         publisher: entry_publish.Publisher,
@@ -77,7 +77,7 @@
     def step(self) -> None:
         """Do one round.
 
-        :raises platform_api.PlatformError: when the table did not answer.
+        :raises services_api.PlatformError: when the table did not answer.
         """
         had_epoch = self._lease.epoch if self._lease.held else 0
         held = self._lease.refresh()
@@ -193,7 +193,7 @@
         self._collect_after = rows[-1].key if len(rows) == COLLECT_PAGE else ""
         horizon = self._clock.now() - 2 * ids.RETENTION_S
         old = [
-            platform_api.Op(row.key, row.version, delete=True)
+            services_api.Op(row.key, row.version, delete=True)
             for row in rows
             if row.value is not None and float(row.value["deadline"]) < horizon
         ]
--- a/gaprock/entry_judge.py
+++ b/gaprock/entry_judge.py
@@ -18,8 +18,8 @@
     evidence,
     messages,
     options,
-    platform_api,
     policy_api,
+    services_api,
 )
 
 WORKERS: typing.Final = 4
@@ -52,7 +52,7 @@
     def __init__(
         self,
         cfg: options.Options,
-        rater: platform_api.Rater,
+        rater: services_api.Rater,
         cascade: policy_api.Cascade,
         config_: config.Config,
         evidence_: evidence.EvidenceBook,
--- a/gaprock/entry_links.py
+++ b/gaprock/entry_links.py
@@ -4,7 +4,7 @@
 import threading
 import typing
 
-from gaprock import entry_link, eventlog, messages, platform_api, policy_api
+from gaprock import entry_link, eventlog, messages, policy_api, services_api
 
 AGENT_ROLE: typing.Final = "agent"
 LIVE: typing.Final = "live"
@@ -46,7 +46,7 @@
         """Find the link to an address."""
         return self._links.get(address)
 
-    def follow(self, vms: list[platform_api.Vm]) -> None:
+    def follow(self, vms: list[services_api.Vm]) -> None:
         """Take a reading of the VM list."""
         listed = {vm.address: vm for vm in vms if vm.role == AGENT_ROLE}
         for address, vm in listed.items():
--- a/gaprock/entry_main.py
+++ b/gaprock/entry_main.py
@@ -39,9 +39,9 @@
     options,
     options_flags,
     periodic,
-    platform_api,
     plugin,
     policy_api,
+    services_api,
     sessions,
     table_batch,
 )
@@ -60,7 +60,7 @@
     def __init__(
         self,
         cfg: options.Options,
-        platform: platform_api.Platform,
+        platform: services_api.Platform,
         clock_: clock.Clock | None = None,
     ) -> None:
         self.cfg = cfg
@@ -221,7 +221,7 @@
         """Write the last bills, or hand them to an agent while the table is down."""
         try:
             self._write_bills()
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             eventlog.warning("platform-down", task="last-bills", error=exc)
         held = self.bills.take_all()
         usable = [link for link in self.links.all() if link.usable]
@@ -243,7 +243,7 @@
     __slots__ = ("_entry",)
 
     def __init__(self, cfg: options.Options) -> None:
-        self._entry = Entry(cfg, platform_api.connect(cfg))
+        self._entry = Entry(cfg, services_api.connect(cfg))
 
     def start(self) -> None:
         """Start serving; the port opens last."""
--- a/gaprock/entry_operator.py
+++ b/gaprock/entry_operator.py
@@ -36,7 +36,7 @@
     lease,
     messages,
     options,
-    platform_api,
+    services_api,
 )
 
 HISTORY_PAGE: typing.Final = 500
@@ -106,7 +106,7 @@
         cfg: options.Options,
         clock_: clock.Clock,
         config_: config.Config,
-        table: platform_api.Table,
+        table: services_api.Table,
         publisher: entry_publish.Publisher,
         links: entry_links.Links,
         server: entry_serve.Server,
@@ -212,7 +212,7 @@
                         revision = int(row.value["revision"])
                         found.append(Stored(key, revision, row.value["document"]))
                 after = rows[-1].key
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             raise errors.GaprockError(
                 errorcodes.TABLE_DOWN, str(exc), exc.retry_at
             ) from exc
--- a/gaprock/entry_publish.py
+++ b/gaprock/entry_publish.py
@@ -17,7 +17,7 @@
     errorcodes,
     errors,
     eventlog,
-    platform_api,
+    services_api,
 )
 
 # Tries of an urgent change against others that are accepted meanwhile.
@@ -52,7 +52,7 @@
         self,
         document: documents.Document,
         expected: int,
-        conditions: typing.Sequence[platform_api.Op] = (),
+        conditions: typing.Sequence[services_api.Op] = (),
     ) -> Published:
         """Publish a document on condition of the newest revision.
 
@@ -104,7 +104,7 @@
     def refresh(self) -> bool:
         """Read on in the table, and spread what is new.
 
-        :raises platform_api.PlatformError: when the table did not answer.
+        :raises services_api.PlatformError: when the table did not answer.
         """
         mine = self._config
         delta = self._store.read_since(mine.revision, mine.ready)
@@ -129,7 +129,7 @@
                 if exc.code is errorcodes.CONFLICT:
                     continue
                 return 0
-            except platform_api.PlatformError:
+            except services_api.PlatformError:
                 return 0
             self._spread(key, revision)
             return revision
@@ -140,7 +140,7 @@
         eventlog.info("config-accepted", key=key, revision=revision)
         try:
             self.refresh()
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             # It is accepted; the next reading brings it into force.
             eventlog.warning("platform-down", task="refresh", error=exc)
 
--- a/gaprock/entry_sessions.py
+++ b/gaprock/entry_sessions.py
@@ -15,7 +15,7 @@
     errorcodes,
     errors,
     ids,
-    platform_api,
+    services_api,
     sessions,
     table_batch,
 )
@@ -68,13 +68,13 @@
             "version": session.version,
             "txid": ids.new_token(),
         }
-        op = platform_api.Op(
-            f"{KEY}{session.workspace}/{session.session}", platform_api.ABSENT, value
+        op = services_api.Op(
+            f"{KEY}{session.workspace}/{session.session}", services_api.ABSENT, value
         )
         now = self._clock.now()
         try:
             row = self._batcher.submit(op, now + PATIENCE_S).result()
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             raise errors.GaprockError(
                 errorcodes.TABLE_DOWN,
                 "the session's name could not be claimed",
--- a/gaprock/eventlog.py
+++ b/gaprock/eventlog.py
@@ -4,9 +4,12 @@
 or a line.  The lines go through ``absl.logging`` to standard error.
 """
 
+import io
 import json
 import logging as std_logging
+import os
 import re
+import sys
 import time
 import typing
 
@@ -20,12 +23,71 @@
 )
 TIME_FORMAT: typing.Final = "%Y-%m-%dT%H:%M:%S"
 
+# Lines a second that a bounded log takes, and that it may take at once.
+LINES_PER_S: typing.Final = 1500.0
+BURST_LINES: typing.Final = 3000.0
+
 _process_name = "gaprock"
 
 
-def start(process_name: str, verbose: bool = False) -> None:
-    """Set the name that opens each line of this process."""
-    global _process_name
+class BoundedStream(io.TextIOBase):
+    """Standard output that never blocks its writer.
+
+    A line that the pipe has no room for, or beyond the rate, is dropped and counted;
+    the count is written with the next line that fits.
+    """
+
+    def __init__(self, fileno: int) -> None:
+        super().__init__()
+        self._fileno = fileno
+        self._room = BURST_LINES
+        self._filled_at = time.monotonic()
+        self._untold = 0
+        self.dropped = 0
+        os.set_blocking(fileno, False)
+
+    def write(self, text: str) -> int:
+        """Write a line or drop it."""
+        now = time.monotonic()
+        grown = self._room + (now - self._filled_at) * LINES_PER_S
+        self._room = min(BURST_LINES, grown)
+        self._filled_at = now
+        if self._room < 1.0:
+            self._drop()
+            return len(text)
+        self._room -= 1.0
+        if self._untold:
+            text = f"{text.rstrip()} dropped_before={self._untold}\n"
+        try:
+            os.write(self._fileno, text.encode())
+            self._untold = 0
+        except OSError:
+            # No room, or no reader: the count tells.
+            self._drop()
+        return len(text)
+
+    def flush(self) -> None:
+        """Nothing is held back."""
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self._untold += 1
+
+
+_bounded: BoundedStream | None = None
+
+
+def dropped_lines() -> int:
+    """Give the lines that were dropped so far."""
+    return _bounded.dropped if _bounded is not None else 0
+
+
+def start(process_name: str, verbose: bool = False, bounded: bool = False) -> None:
+    """Set the name that opens each line of this process.
+
+    :param bounded: write to standard output without ever blocking.
+    """
+    global _process_name, _bounded
     _process_name = process_name
     # The settings come from ``options``; absl's own flags keep their defaults.
     flags.FLAGS.mark_as_parsed()
@@ -36,6 +98,9 @@
     std_logging.logProcesses = False
     std_logging.logMultiprocessing = False
     setattr(std_logging, "_srcfile", None)
+    if bounded:
+        _bounded = BoundedStream(sys.stdout.fileno())
+        logging.get_absl_handler().python_handler.stream = _bounded
     formatter = std_logging.Formatter(LINE_FORMAT, TIME_FORMAT)
     formatter.converter = time.gmtime
     logging.get_absl_handler().setFormatter(formatter)
@@ -50,6 +115,11 @@
     return text if BARE_VALUE.match(text) else json.dumps(text)
 
 
+def json_text(text: str) -> str:
+    """Write a text as a JSON string."""
+    return json.dumps(text)
+
+
 def line(event: str, fields: dict[str, object]) -> str:
     """Build the line of an event."""
     pairs = " ".join(f"{key}={quote(value)}" for key, value in fields.items())
--- a/gaprock/evidence.py
+++ b/gaprock/evidence.py
@@ -46,6 +46,11 @@
         self._records: dict[Key, Record] = {}
         self._tick = 0
 
+    @property
+    def source(self) -> str:
+        """The name that this process counts under."""
+        return self._source
+
     def count(self, version: str, bad: bool, rated: bool) -> None:
         """Count one judged answer of this process."""
         with self._lock:
--- /dev/null
+++ b/gaprock/gateway_attempt.py
@@ -0,0 +1,222 @@
+"""One send of a call to one endpoint, up to the head of its answer.
+
+What can go wrong is sorted into two exceptions, by what it means for another send:
+``NotRun`` leaves the call as if it had not been sent, ``Failed`` does not.
+"""
+
+import typing
+
+from gaprock import (
+    clock,
+    directory,
+    eventlog,
+    gateway_api,
+    gateway_call,
+    gateway_metrics,
+    http_exchange,
+)
+
+# Longest wait for a connection, seconds: some round trips and one lost packet.
+CONNECT_S: typing.Final = 0.45
+# Pause between two looks at an endpoint that has not answered, seconds.
+LOOK_S: typing.Final = 0.1
+# An endpoint that has not answered may be given up after this share of the goal,
+# but never before so many seconds.
+PATIENCE_SHARE: typing.Final = 0.6
+MIN_PATIENCE_S: typing.Final = 0.25
+# Only an endpoint with free slots is given up for being late: elsewhere the request
+# waits its turn.
+FREE_FILL: typing.Final = 0.8
+
+
+class NotRun(Exception):
+    """The endpoint did not run the call, and never will."""
+
+
+class Failed(Exception):
+    """The endpoint may have run the call, and there is no whole answer."""
+
+
+class Attempt:
+    """A send whose answer's head is there."""
+
+    __slots__ = ("endpoint", "model", "exchange", "head", "sent_at", "_done")
+
+    def __init__(
+        self, endpoint: directory.Endpoint, model: str, exchange: http_exchange.Exchange
+    ) -> None:
+        self.endpoint = endpoint
+        self.model = model
+        self.exchange = exchange
+        self.head: gateway_api.AnswerHead
+        self.sent_at = 0.0
+        self._done = False
+
+    def finish(self, directory_: directory.Directory) -> None:
+        """Close the connection and count the request out; again does nothing."""
+        if self._done:
+            return
+        self._done = True
+        self.exchange.close()
+        directory_.end(self.endpoint)
+
+
+class Sender:
+    """Sends calls to endpoints; safe for all threads."""
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        dialect: gateway_api.Dialect,
+        directory_: directory.Directory,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._clock = clock_
+        self._dialect = dialect
+        self._directory = directory_
+        self._metrics = metrics
+
+    def send(
+        self,
+        call: gateway_call.Call,
+        reply: gateway_call.Reply,
+        endpoint: directory.Endpoint,
+        model: str,
+        resume_after: int | None,
+        may_give_up: typing.Callable[[], bool],
+    ) -> Attempt:
+        """Send a call and wait for the head of its answer.
+
+        :param may_give_up: whether the call could be sent elsewhere.
+        :raises NotRun: when the endpoint did not run it.
+        :raises Failed: when it may have.
+        :raises http_exchange.CallerGone: when the caller left.
+        """
+        reply.caller.check()
+        exchange = http_exchange.Exchange(endpoint.address, reply.caller, self._clock)
+        attempt = Attempt(endpoint, model, exchange)
+        self._directory.begin(endpoint)
+        try:
+            self._connect(call, attempt)
+            self._hand_over(call, attempt, resume_after)
+            self._await_head(call, attempt, may_give_up)
+        except (NotRun, Failed) as exc:
+            attempt.finish(self._directory)
+            self._log(call, attempt, str(exc), isinstance(exc, NotRun))
+            raise
+        except BaseException:
+            attempt.finish(self._directory)
+            raise
+        return attempt
+
+    def _connect(self, call: gateway_call.Call, attempt: Attempt) -> None:
+        now = self._clock.now()
+        if now >= call.deadline:
+            raise NotRun("deadline")
+        try:
+            attempt.exchange.connect(min(call.deadline, now + CONNECT_S))
+        except http_exchange.Unreachable as exc:
+            self._directory.unreachable(attempt.endpoint, str(exc))
+            call.excluded.add(attempt.endpoint.name)
+            raise NotRun(f"unreachable: {exc}") from exc
+
+    def _hand_over(
+        self, call: gateway_call.Call, attempt: Attempt, resume_after: int | None
+    ) -> None:
+        now = self._clock.now()
+        info = gateway_api.SendInfo(
+            attempt.endpoint.name,
+            call.workspace.name if call.workspace else "",
+            max(0.001, call.deadline - now),
+            call.urgency,
+            attempt.model,
+            resume_after,
+        )
+        headers = self._dialect.send_headers(call.inbound.headers, info)
+        body = call.inbound.body
+        if body or call.inbound.method in (b"POST", b"PUT", b"PATCH"):
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        call.sends += 1
+        attempt.sent_at = now
+        attempt.exchange.send(call.inbound.method, call.inbound.target, headers, body)
+
+    def _await_head(
+        self,
+        call: gateway_call.Call,
+        attempt: Attempt,
+        may_give_up: typing.Callable[[], bool],
+    ) -> None:
+        endpoint = attempt.endpoint
+        while True:
+            now = self._clock.now()
+            try:
+                raw = attempt.exchange.read_head(min(call.deadline, now + LOOK_S))
+                break
+            except http_exchange.TimedOut:
+                self._look(call, attempt, may_give_up)
+            except http_exchange.Broken as exc:
+                call.has_run = True
+                call.excluded.add(endpoint.name)
+                self._directory.answered(endpoint, failed=True)
+                raise Failed(str(exc)) from exc
+        self._directory.heard(endpoint)
+        attempt.head = self._dialect.read_answer(raw.status, raw.headers)
+        self._check_head(call, attempt)
+
+    def _look(
+        self,
+        call: gateway_call.Call,
+        attempt: Attempt,
+        may_give_up: typing.Callable[[], bool],
+    ) -> None:
+        """Decide whether to wait on for an endpoint that has not answered."""
+        now = self._clock.now()
+        endpoint = attempt.endpoint
+        if now >= call.deadline:
+            call.has_run = True
+            self._directory.answered(endpoint, failed=True)
+            raise Failed("deadline")
+        waited_s = now - attempt.sent_at
+        patience_s = max(MIN_PATIENCE_S, PATIENCE_SHARE * call.route.goal_s)
+        silent = endpoint.silent(now)
+        if silent:
+            patience_s = min(patience_s, directory.SILENT_S)
+        idle = endpoint.load <= FREE_FILL * endpoint.row.slots
+        if waited_s >= patience_s and (silent or idle) and may_give_up():
+            call.has_run = True
+            call.excluded.add(endpoint.name)
+            self._directory.answered(endpoint, failed=True)
+            if silent:
+                self._directory.unreachable(endpoint, "silent")
+            raise Failed(f"no answer for {waited_s:.2f} s")
+
+    def _check_head(self, call: gateway_call.Call, attempt: Attempt) -> None:
+        """Sort out answers that are refusals, or not answers to this call."""
+        head, endpoint = attempt.head, attempt.endpoint
+        if head.not_run:
+            call.excluded.add(endpoint.name)
+            if head.wrong_endpoint:
+                self._directory.unreachable(endpoint, "another endpoint answers")
+            raise NotRun(f"refused with status {head.status}")
+        call.has_run = True
+        wrong = head.echo and head.echo != call.info.request
+        unsigned = head.status < 300 and not head.signed
+        if wrong or unsigned or head.encoded:
+            call.excluded.add(endpoint.name)
+            self._directory.answered(endpoint, failed=True)
+            raise Failed("not an answer to this request")
+
+    def _log(
+        self, call: gateway_call.Call, attempt: Attempt, detail: str, not_run: bool
+    ) -> None:
+        outcome = "not-run" if not_run else "failed"
+        self._metrics.sends.labels(call.service, outcome).inc()
+        eventlog.info(
+            "send-failed",
+            request=call.info.request,
+            endpoint=attempt.endpoint.name,
+            model=attempt.model or "none",
+            send=call.sends,
+            outcome=outcome,
+            detail=detail,
+        )
--- /dev/null
+++ b/gaprock/gateway_call.py
@@ -0,0 +1,143 @@
+"""A request on its way through a gateway, and the way back to its caller."""
+
+import typing
+
+from gaprock import errorcodes, gateway_api, http_exchange, routes
+
+Headers = gateway_api.Headers
+
+
+class Inbound:
+    """A request as it was read from the caller.
+
+    :param target: path and query as the caller wrote them.
+    :param arrived_at: when its head was read.
+    """
+
+    __slots__ = ("method", "target", "headers", "body", "arrived_at")
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        arrived_at: float,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.arrived_at = arrived_at
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+class Reply(typing.Protocol):
+    """The way back to the caller.
+
+    Every method raises ``http_exchange.CallerGone`` when the caller left.
+    """
+
+    caller: http_exchange.Caller
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Give a whole answer."""
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Give the head of a stream."""
+
+    def write(self, data: bytes) -> None:
+        """Give a piece of a stream."""
+
+    def end(self) -> None:
+        """Mark a stream as whole."""
+
+    def cut(self) -> None:
+        """Break a stream off, so that it cannot be taken for whole."""
+
+
+class Call:
+    """A checked request and what was done for it so far.
+
+    :param deadline: when its final answer is due.
+    :param wait_until: until when the caller waits.
+    :param session: requests with the same text stay on one version.
+    """
+
+    __slots__ = (
+        "inbound",
+        "info",
+        "route",
+        "workspace",
+        "config_number",
+        "deadline",
+        "wait_until",
+        "session",
+        "urgency",
+        "sends",
+        "excluded",
+        "has_run",
+        "service",
+    )
+
+    def __init__(
+        self,
+        inbound: Inbound,
+        info: gateway_api.RequestInfo,
+        route: routes.Route,
+        workspace: routes.Workspace | None,
+        config_number: int,
+        service: str,
+    ) -> None:
+        self.inbound = inbound
+        self.info = info
+        self.route = route
+        self.workspace = workspace
+        self.config_number = config_number
+        self.service = service
+        now = inbound.arrived_at
+        wait_s = route.timeout_s if info.wait_s is None else info.wait_s
+        self.wait_until = now + wait_s
+        self.deadline = now + min(wait_s, route.timeout_s)
+        self.session = info.session or _last_part(info) or info.request
+        own = workspace.priority if workspace else None
+        self.urgency = route.priority if own is None else own
+        # Endpoints that it was sent to, and those that are not asked again.
+        self.sends = 0
+        self.excluded: set[str] = set()
+        # Whether an endpoint may have begun to run it.
+        self.has_run = False
+
+    @property
+    def sends_left(self) -> int:
+        """Endpoints that it may still be sent to."""
+        return self.route.attempts - self.sends
+
+    @property
+    def goal_at(self) -> float:
+        """Until when an answer has its full value."""
+        return self.inbound.arrived_at + self.route.goal_s
+
+
+class GivenUp(Exception):
+    """A call gets a final answer of our own.
+
+    :param code: the registered result code.
+    :param retry_s: seconds after which to come back, for one that was not run.
+    """
+
+    def __init__(
+        self, code: errorcodes.ErrorCode, detail: str, retry_s: float | None = None
+    ) -> None:
+        super().__init__(code, detail, retry_s)
+        self.code = code
+        self.detail = detail
+        self.retry_s = retry_s
+
+
+def _last_part(info: gateway_api.RequestInfo) -> str:
+    return info.parts[-1][0] if info.parts else ""
--- /dev/null
+++ b/gaprock/gateway_choose.py
@@ -0,0 +1,104 @@
+"""Chooses where a call goes: the service of its route, and the endpoint of a send."""
+
+import random
+import typing
+
+from gaprock import (
+    clock,
+    directory,
+    eventlog,
+    gateway_call,
+    messages,
+    policy_api,
+    rollouts,
+    routes,
+)
+
+# One in so many requests that may be repeated goes to an endpoint that fails often,
+# so that its recovery is noticed.
+TRIAL_CHANCE: typing.Final = 0.05
+
+
+class Chooser:
+    """The choice of services and endpoints; safe for all threads.
+
+    :param hall: the hall that this gateway stands in.
+    """
+
+    def __init__(
+        self,
+        hall: str,
+        clock_: clock.Clock,
+        directory_: directory.Directory,
+        rollouts_: rollouts.Rollouts,
+        routing: policy_api.Routing,
+    ) -> None:
+        self._hall = hall
+        self._clock = clock_
+        self._directory = directory_
+        self._rollouts = rollouts_
+        self._routing = routing
+        self._rng = random.Random()
+
+    def service(self, route: routes.Route) -> str:
+        """Choose the service of a request by the weights of its route."""
+        pools = [pool for pool in route.pools if pool.weight > 0]
+        if len(pools) <= 1:
+            return (pools or route.pools)[0].service
+        weights = [pool.weight for pool in pools]
+        return self._rng.choices(pools, weights)[0].service
+
+    def endpoint(self, call: gateway_call.Call) -> directory.Endpoint | None:
+        """Choose the endpoint of the next send; ``None`` when there is none."""
+        now = self._clock.now()
+        usable = self._directory.usable(call.service, call.excluded)
+        fitting = [
+            e
+            for e in usable
+            if self._rollouts.fits(call.service, e.row.version, call.session)
+        ]
+        good = [e for e in fitting if not self._is_avoided(call, e, now)]
+        chosen = self._best(good or fitting)
+        if chosen is None:
+            return None
+        eventlog.info(
+            "route",
+            request=call.info.request,
+            service=call.service,
+            config=call.config_number,
+            usable=len(usable),
+            fitting=len(fitting),
+            good=len(good),
+            choice=chosen.name,
+            load=chosen.load,
+            heard_s=now - chosen.heard_at,
+        )
+        return chosen
+
+    def _is_avoided(
+        self, call: gateway_call.Call, endpoint: directory.Endpoint, now: float
+    ) -> bool:
+        if not self._directory.is_set_aside(endpoint, now):
+            # The first request after a pause is a trial; not with one that may not
+            # be repeated.
+            return bool(endpoint.paused_until) and not call.route.repeatable
+        if now < endpoint.paused_until or endpoint.on_trial or endpoint.silent(now):
+            return True
+        return not (call.route.repeatable and self._rng.random() < TRIAL_CHANCE)
+
+    def _best(self, endpoints: list[directory.Endpoint]) -> directory.Endpoint | None:
+        by_name = {e.name: e for e in endpoints}
+        candidates = [
+            policy_api.Candidate(
+                "",
+                messages.EndpointLoad(
+                    e.name, "", [], e.load, 0, e.row.slots, e.load, 0.0
+                ),
+                0,
+                e.row.hall == self._hall,
+                False,
+            )
+            for e in endpoints
+        ]
+        chosen = self._routing.choose(candidates, self._rng)
+        return None if chosen is None else by_name[chosen.name]
--- /dev/null
+++ b/gaprock/gateway_http.py
@@ -0,0 +1,337 @@
+"""The gateway's HTTP port: CherryPy's server, with a gateway class of ours behind it.
+
+The server (``cheroot``) reads heads and bodies, keeps connections and brings the
+threads.  CherryPy's bus and tree stay out: their import is a large part of a start on a
+small machine, and the bus checks a port by connecting to it.  A request is served on its
+connection directly instead of through WSGI, because a router needs what WSGI hides: the
+target as the caller wrote it, the headers as they came, the caller's socket to notice
+that it left, and a way to break a stream off.
+"""
+
+import collections
+import http
+import sys
+import threading
+import traceback as traceback_
+import typing
+
+import cheroot.errors
+import cheroot.server
+
+from gaprock import clock, eventlog, gateway_api, gateway_call, http_exchange
+
+MAX_HEADER_BYTES: typing.Final = 64 * 1024
+LISTEN_BACKLOG: typing.Final = 1024
+# Connections that may rest, at most; the descriptors limit them further.
+MAX_RESTING: typing.Final = 4000
+# Connections rest this much longer than promised, so that a caller that comes at the
+# last moment, or a jump of the time of day, does not meet a closed one, seconds.
+REST_SLACK_S: typing.Final = 5.0
+# A caller that takes nothing of its answer for this long is cut off, seconds.
+CALLER_SILENT_S: typing.Final = 20.0
+READY_THREADS: typing.Final = 2
+BODILESS: typing.Final = (204, 304)
+REASONS: typing.Final = {int(s): s.phrase for s in http.HTTPStatus}
+
+Serve = typing.Callable[[gateway_call.Inbound, gateway_call.Reply], None]
+
+
+class HeaderReader(cheroot.server.HeaderReader):
+    """Keeps all headers as they came, and refuses what could be read in two ways."""
+
+    def __call__(
+        self, rfile: typing.Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        """Read headers.
+
+        :raises ValueError: when they are not well formed.
+        """
+        found: dict[bytes, bytes] = {} if hdict is None else hdict
+        raw: gateway_api.Headers = []
+        while (line := rfile.readline()) != b"\r\n":
+            raw.append(_split_header(line))
+        _check_framing(raw)
+        for name, value in raw:
+            key = name.title()
+            both = [found[key], value] if key in found else [value]
+            found[key] = b", ".join(both)
+        # The server hands the dictionary to the request; ours travels in it.
+        found[RAW] = typing.cast("bytes", raw)
+        return found
+
+
+RAW: typing.Final = b"\0raw"
+
+
+def _split_header(line: bytes) -> tuple[bytes, bytes]:
+    if not line.endswith(b"\r\n"):
+        raise ValueError("A header line has no end.")
+    name, colon, value = line[:-2].partition(b":")
+    if not colon or not name or name != name.strip() or b" " in name:
+        raise ValueError("Illegal header line.")
+    if b"\0" in value or b"\r" in value or b"\n" in value:
+        raise ValueError("Illegal header value.")
+    return name, value.strip()
+
+
+def _check_framing(raw: gateway_api.Headers) -> None:
+    """Refuse a request whose end could be taken for another place."""
+    hosts = [v for n, v in raw if n.lower() == b"host"]
+    if len(hosts) > 1:
+        raise ValueError("The host is given twice.")
+    lengths = [v for n, v in raw if n.lower() == b"content-length"]
+    codings = [v for n, v in raw if n.lower() == b"transfer-encoding"]
+    if len(lengths) > 1 or len(codings) > 1 or (lengths and codings):
+        raise ValueError("The length of the body is given twice.")
+    if lengths and not lengths[0].isdigit():
+        raise ValueError("Malformed Content-Length.")
+    if codings and codings[0].strip().lower() != b"chunked":
+        raise ValueError("Unknown Transfer-Encoding.")
+
+
+class Request(cheroot.server.HTTPRequest):
+    """A request whose headers are kept as they came."""
+
+    header_reader = HeaderReader()
+
+
+class Connection(cheroot.server.HTTPConnection):
+    """A caller's connection."""
+
+    RequestHandlerClass = Request
+
+
+class HttpReply:
+    """The way back to a caller, on the server's connection."""
+
+    __slots__ = ("_req", "caller", "_closing", "begun")
+
+    def __init__(self, req: typing.Any, closing: bool) -> None:
+        self._req = req
+        self.caller = http_exchange.Caller(req.conn.socket)
+        self._closing = closing
+        self.begun = False
+
+    def whole(self, status: int, headers: gateway_api.Headers, body: bytes) -> None:
+        """Give a whole answer."""
+        self._head(status, headers)
+        if status not in BODILESS:
+            self._req.outheaders.append((b"Content-Length", b"%d" % len(body)))
+        self._send(body, with_head=True)
+
+    def begin(self, status: int, headers: gateway_api.Headers) -> None:
+        """Give the head of a stream; without a length, the server sends chunks."""
+        self._head(status, headers)
+
+    def write(self, data: bytes) -> None:
+        """Give a piece of a stream; the head goes with the first one."""
+        self._send(data, with_head=not self._req.sent_headers)
+
+    def end(self) -> None:
+        """Mark a stream as whole; the server writes the mark."""
+
+    def cut(self) -> None:
+        """Break a stream off: no mark of the end, and a closed connection."""
+        self._req.chunked_write = False
+        self._req.close_connection = True
+
+    def abandon(self) -> None:
+        """Leave a caller that left."""
+        self._req.sent_headers = True
+        self.cut()
+
+    def _head(self, status: int, headers: gateway_api.Headers) -> None:
+        self.begun = True
+        self._req.status = f"{status} {http_reason(status)}".encode()
+        self._req.outheaders = list(headers)
+        if self._closing:
+            self._req.close_connection = True
+
+    def _send(self, data: bytes, with_head: bool) -> None:
+        try:
+            if with_head:
+                self._req.ensure_headers_sent()
+            if data:
+                self._req.write(data)
+        except OSError as exc:
+            self.abandon()
+            raise http_exchange.CallerGone from exc
+
+
+def http_reason(status: int) -> str:
+    """Give the phrase of a status."""
+    return REASONS.get(status, "Other")
+
+
+class Port:
+    """The port for callers.
+
+    :param is_closing: whether answers should ask callers to connect anew.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        threads: int,
+        serve: Serve,
+        clock_: clock.Clock,
+        is_closing: typing.Callable[[], bool],
+    ) -> None:
+        self._serve = serve
+        self._clock = clock_
+        self._is_closing = is_closing
+        self.max_body = 0
+        self._server = _server(address, threads, self._handle)
+        self._server.ConnectionClass = Connection
+        self._server.keep_alive_conn_limit = MAX_RESTING
+
+    def start(self) -> None:
+        """Begin to listen."""
+        _start(self._server)
+
+    def stop(self) -> None:
+        """Stop to listen, and close what rests."""
+        self._server.stop()
+
+    def set_limits(self, body_bytes: int, idle_s: float) -> None:
+        """Take the limits of the configuration in force."""
+        self.max_body = body_bytes
+        self._server.timeout = idle_s + REST_SLACK_S
+
+    def _handle(self, req: typing.Any) -> None:
+        arrived_at = self._clock.now()
+        reply = HttpReply(req, self._is_closing())
+        raw = typing.cast("gateway_api.Headers", req.inheaders.pop(RAW))
+        body = self._read_body(req, reply)
+        if body is None:
+            return
+        inbound = gateway_call.Inbound(req.method, req.uri, raw, body, arrived_at)
+        try:
+            self._serve(inbound, reply)
+        except Exception as exc:
+            # A fault of ours: the caller must not take it for "not run".
+            eventlog.warning("handler-failed", error=repr(exc))
+            if reply.begun:
+                reply.cut()
+            else:
+                reply.whole(500, [], b"")
+            return
+        if not reply.begun:
+            reply.abandon()
+
+    def _read_body(self, req: typing.Any, reply: HttpReply) -> bytes | None:
+        """Read a body; ``None`` after a refusal."""
+        limit = self.max_body or None
+        length = int(req.inheaders.get(b"Content-Length", 0))
+        if limit is not None and length > limit:
+            req.close_connection = True
+            reply.whole(413, [], b"")
+            return None
+        try:
+            body = bytes(req.rfile.read())
+            if req.chunked_read:
+                # What follows the last chunk must not be taken for a request.
+                collections.deque(req.rfile.read_trailer_lines(), maxlen=0)
+        except (ValueError, cheroot.errors.MaxSizeExceeded):
+            req.close_connection = True
+            reply.whole(400, [], b"")
+            return None
+        if len(body) < length:
+            reply.abandon()
+            return None
+        return body
+
+
+class ReadyPort:
+    """The port that says whether new callers may come.
+
+    :param path: the path that is asked for.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        path: str,
+        is_ready: typing.Callable[[], bool],
+    ) -> None:
+        self._path = path.encode()
+        self._is_ready = is_ready
+        self._server = _server(address, READY_THREADS, self._handle)
+
+    def start(self) -> None:
+        """Begin to listen."""
+        _start(self._server)
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop()
+
+    def _handle(self, req: typing.Any) -> None:
+        known = req.uri.partition(b"?")[0] == self._path
+        status = 404 if not known else 200 if self._is_ready() else 503
+        HttpReply(req, closing=False).whole(status, [], b"")
+
+
+class MetricsPort:
+    """The port that serves metrics as text."""
+
+    def __init__(
+        self, address: tuple[str, int], render: typing.Callable[[], bytes]
+    ) -> None:
+        self._render = render
+        self._server = _server(address, READY_THREADS, self._handle)
+
+    def start(self) -> None:
+        """Begin to listen."""
+        _start(self._server)
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop()
+
+    def _handle(self, req: typing.Any) -> None:
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        HttpReply(req, closing=False).whole(200, headers, self._render())
+
+
+def _server(
+    address: tuple[str, int],
+    threads: int,
+    handle: typing.Callable[[typing.Any], None],
+) -> typing.Any:
+    """Make one of CherryPy's HTTP servers with a handler of ours."""
+
+    class Gateway(cheroot.server.Gateway):
+        def respond(self) -> None:
+            handle(self.req)
+
+    # The server's attributes are set one by one; its types know only the defaults.
+    server: typing.Any = cheroot.server.HTTPServer(
+        address, Gateway, minthreads=threads, maxthreads=threads
+    )
+    server.request_queue_size = LISTEN_BACKLOG
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.timeout = CALLER_SILENT_S
+    server.shutdown_timeout = 0.2
+    server.error_log = _log_server_error
+    return server
+
+
+def _log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    where = sys.exc_info()[2]
+    frames = traceback_.extract_tb(where)[-3:] if traceback else []
+    place = " < ".join(f"{f.name}:{f.lineno}" for f in reversed(frames))
+    eventlog.warning("http-server", detail=msg, place=place or "none")
+
+
+def _start(server: typing.Any) -> None:
+    """Open the port, and serve on threads."""
+    server.prepare()
+    name = f"http-{server.bind_addr[1]}"
+    threading.Thread(target=server.serve, name=name, daemon=True).start()
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split ``IP:PORT``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/gaprock/gateway_main.py
@@ -0,0 +1,411 @@
+"""``gaprock-gateway``: an entry that sends to endpoints itself.
+
+The process starts in this order: settings, ports, then the rows of the shared store.
+It is ready when it knows the configuration, the endpoints and the outcomes of rollouts.
+
+A planned stop: the readiness check fails at once; what still comes is served while it
+can end in time, later requests are told to come back elsewhere, and the process ends
+when nothing is open, or just before it would be killed.
+"""
+
+import argparse
+import gc
+import os
+import signal
+import sys
+import threading
+import types
+import typing
+
+import msgspec
+
+from gaprock import (
+    clock,
+    directory,
+    errors,
+    eventlog,
+    evidence,
+    followers,
+    gateway_api,
+    gateway_attempt,
+    gateway_choose,
+    gateway_http,
+    gateway_metrics,
+    gateway_relay,
+    gateway_rows,
+    gateway_serve,
+    ids,
+    mesh,
+    options,
+    periodic,
+    plugin,
+    policy_api,
+    retry_window,
+    rollout_writer,
+    rollouts,
+)
+
+DESCRIPTION: typing.Final = (
+    "Serves callers on a platform that writes a settings file, and sends their "
+    "requests to endpoints directly."
+)
+EXIT_DONE: typing.Final = 0
+EXIT_SETTINGS: typing.Final = 2
+SETTINGS_VARIABLE: typing.Final = "GAPROCK_SETTINGS"
+# Each open call has a thread; some more answer those that are refused.
+SPARE_THREADS: typing.Final = 24
+# Calls that a megabyte of memory carries, from the measured growth of about 0.25 MB a
+# call, with half of the memory left for everything else.
+CALLS_PER_MB: typing.Final = 1.1
+MAX_CALLS: typing.Final = 320
+# A thread's stack, bytes; the deepest path takes a fraction of it.
+STACK_BYTES: typing.Final = 256 * 1024
+# Periods of the background tasks, seconds.
+ROLLOUT_STEP_S: typing.Final = 0.2
+HOUSEKEEPING_S: typing.Final = 1.0
+# The store is taken as away when it has not answered for this long, seconds.
+STALE_S: typing.Final = 1.0
+# A planned stop, by the share of the time until the process is killed: streams are
+# taken until, all calls until, and the process ends at the latest at.
+STREAMS_UNTIL: typing.Final = 0.25
+CALLS_UNTIL: typing.Final = 0.7
+END_AT: typing.Final = 0.93
+# Callers that the balancer still sends come within this time, seconds.
+LINGER_S: typing.Final = 3.5
+OWN_ROWS_PAUSE_S: typing.Final = 0.5
+# Peers that start with us have their rows in the store by then, seconds.
+PEERS_AGAIN_S: typing.Final = 2.0
+
+
+class Gateway:
+    """One gateway process: its parts and its background tasks."""
+
+    def __init__(
+        self,
+        cfg: options.Options,
+        clock_: clock.Clock,
+        store: gateway_api.SharedStore,
+        dialect: gateway_api.Dialect,
+    ) -> None:
+        self.cfg = cfg
+        self.clock = clock_
+        self.store = store
+        self.dialect = dialect
+        self.metrics = gateway_metrics.GatewayMetrics()
+        bounds = cfg.bounds
+        evidence_ = evidence.EvidenceBook(f"{cfg.vm}/{ids.new_token()}")
+        self.directory = directory.Directory(clock_, bounds.drain_s)
+        self.rollouts = rollouts.Rollouts(
+            clock_,
+            bounds.canary_share,
+            plugin.find(policy_api.Guard, cfg.guard)(),
+            evidence_,
+        )
+        address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
+        self.mesh = mesh.Mesh(
+            cfg.vm, address, clock_, self.directory, self.rollouts, evidence_
+        )
+        self.mesh.on_old_here = self._on_old
+        self.writer = rollout_writer.RolloutWriter(
+            cfg.vm, clock_, store, dialect, self.rollouts, self.mesh
+        )
+        self.orders = gateway_rows.OrderRows(clock_, dialect, self.rollouts)
+        self.followers = self._make_followers()
+        self.mesh.source = followers.RowExchange(self.followers, clock_)
+        self.budget = retry_window.RetryWindow(
+            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
+        )
+        self.server = self._make_server()
+        self.leaving = False
+        threads = self._max_calls() + SPARE_THREADS
+        self.port = gateway_http.Port(
+            gateway_http.parse_address(cfg.listen),
+            threads,
+            self.server.serve,
+            clock_,
+            lambda: self.leaving,
+        )
+        self.ready_port = gateway_http.ReadyPort(
+            gateway_http.parse_address(cfg.ready_listen),
+            dialect.ready_path,
+            lambda: self.is_ready and not self.leaving,
+        )
+        self.metrics_port = None
+        if cfg.metrics_port:
+            self.metrics_port = gateway_http.MetricsPort(
+                (cfg.host, cfg.metrics_port), self._render_metrics
+            )
+        self._tasks = [
+            periodic.Periodic("rollouts", ROLLOUT_STEP_S, self._step_rollouts),
+            periodic.Periodic("housekeeping", HOUSEKEEPING_S, self._keep_house),
+        ]
+        self._limits_of = -1
+
+    # -- Start and stop --
+
+    def start(self) -> None:
+        """Open the ports and begin to follow the store."""
+        self.port.start()
+        self.ready_port.start()
+        if self.metrics_port is not None:
+            self.metrics_port.start()
+        self.mesh.start()
+        threading.Thread(target=self._read_own, name="own-rows", daemon=True).start()
+        for task in self._tasks:
+            task.start()
+
+    def stop(self) -> None:
+        """Carry out a planned stop; no request in flight is cut before its time."""
+        now = self.clock.now()
+        grace_s = self.cfg.bounds.grace_s
+        self.leaving = True
+        self.mesh.leaving = True
+        self.server.no_streams_after = now + STREAMS_UNTIL * grace_s
+        self.server.no_calls_after = now + CALLS_UNTIL * grace_s
+        eventlog.info("leaving", open=self.server.open_calls, grace_s=grace_s)
+        # Callers come until the balancer has noticed, and longer on kept connections.
+        threading.Event().wait(min(LINGER_S, 0.5 * grace_s))
+        drained = self.server.wait_idle(now + END_AT * grace_s)
+        eventlog.info("drained", whole=drained, open=self.server.open_calls)
+        self.mesh.stop()
+
+    def reload(self, cfg: options.Options) -> None:
+        """Take what a changed settings file may change while we run."""
+        bounds = cfg.bounds
+        self.cfg.bounds = bounds
+        self.budget.set_bounds(
+            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
+        )
+        eventlog.info("reloaded", grace_s=bounds.grace_s)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether all that a request needs is known."""
+        known = all(follower.version >= 0 for follower in self.followers)
+        return known and self.orders.table is not None
+
+    # -- Parts --
+
+    def _make_followers(self) -> list[followers.Follower]:
+        tables = self.dialect.tables
+        endpoint_rows = gateway_rows.EndpointRows(self.dialect, self.directory)
+        outcome_rows = gateway_rows.OutcomeRows(
+            self.dialect, self.rollouts, self.writer
+        )
+        sinks: list[tuple[str, followers.Sink]] = [
+            (tables.orders, self.orders),
+            (tables.endpoints, endpoint_rows),
+            (tables.outcomes, outcome_rows),
+        ]
+        return [
+            followers.Follower(name, self.store, self.clock, sink)
+            for name, sink in sinks
+        ]
+
+    def _make_server(self) -> gateway_serve.Server:
+        cfg = self.cfg
+        chooser = gateway_choose.Chooser(
+            cfg.hall,
+            self.clock,
+            self.directory,
+            self.rollouts,
+            plugin.find(policy_api.Routing, cfg.gateway_routing)(),
+        )
+        sender = gateway_attempt.Sender(
+            self.clock, self.dialect, self.directory, self.metrics
+        )
+        relay = gateway_relay.Relay(
+            self.clock,
+            self.directory,
+            self.rollouts,
+            plugin.find(policy_api.ModelChoice, cfg.model_choice)(),
+            self.budget,
+            self.metrics,
+            lambda: self.orders.table.services if self.orders.table else {},
+        )
+        return gateway_serve.Server(
+            self.clock,
+            self.dialect,
+            self.orders,
+            chooser,
+            sender,
+            relay,
+            self.budget,
+            self.rollouts,
+            self.metrics,
+            self._max_calls(),
+            self._is_stale,
+            lambda: self.is_ready,
+        )
+
+    def _max_calls(self) -> int:
+        if self.cfg.max_calls:
+            return self.cfg.max_calls
+        return min(MAX_CALLS, int(CALLS_PER_MB * self.cfg.memory_mb))
+
+    def _on_old(self, service: str) -> int:
+        """Give our requests on the old version of a service."""
+        for rollout in self.rollouts.all():
+            if rollout.order.service == service:
+                return self.directory.running_besides(service, rollout.order.to_version)
+        return 0
+
+    def _is_stale(self) -> bool:
+        orders = self.followers[0]
+        return not orders.connected and self.clock.now() > orders.lost_at + STALE_S
+
+    # -- Tasks --
+
+    def _read_own(self) -> None:
+        """Read peers and starts of rollouts, then follow the tables.
+
+        The tables are followed at once when the store does not answer: peers' copies
+        may come before it does.
+        """
+        page = self._try_own()
+        self._take_own(page)
+        for follower in self.followers:
+            follower.start()
+        while page is None:
+            threading.Event().wait(OWN_ROWS_PAUSE_S)
+            page = self._try_own()
+            self._take_own(page)
+        self._announce()
+        threading.Event().wait(PEERS_AGAIN_S)
+        self._take_own(self._try_own())
+
+    def _try_own(self) -> gateway_api.Page | None:
+        try:
+            return self.store.read(self.dialect.tables.own)
+        except gateway_api.StoreError as exc:
+            eventlog.warning("own-rows", error=exc)
+            return None
+
+    def _take_own(self, page: gateway_api.Page | None) -> None:
+        if page is None:
+            return
+        own = gateway_rows.OwnRows(page, self.clock.now())
+        self.writer.store_offset = page.store_now - self.clock.now()
+        self.mesh.found(own.peers)
+        self.orders.starts.update(own.starts)
+        for (service, revision), started_at in own.starts.items():
+            self.rollouts.backdate(service, revision, started_at)
+
+    def _announce(self) -> None:
+        """Write where we take messages, for gateways that start later."""
+        if not self.mesh.address:
+            return
+        key = gateway_rows.PEER_PREFIX + self.cfg.vm
+        value = msgspec.json.encode(gateway_rows.PeerRow(self.mesh.address))
+        table = self.dialect.tables.own
+        try:
+            self.store.commit([gateway_api.Write(table, key, value)])
+        except gateway_api.StoreError as exc:
+            # Peers that are in the store hear of us by our beats.
+            eventlog.warning("announce", error=exc)
+
+    def _step_rollouts(self) -> None:
+        self.rollouts.look()
+        if not self.leaving:
+            self.writer.step()
+
+    def _keep_house(self) -> None:
+        self.directory.forget_gone()
+        self.budget.members = 1 + len(self.mesh.living())
+        table = self.orders.table
+        if table is not None and table.number != self._limits_of:
+            self._limits_of = table.number
+            self.port.set_limits(table.limits.body_bytes, table.limits.idle_s)
+
+    def _render_metrics(self) -> bytes:
+        table = self.orders.table
+        self.metrics.config_number.set(table.number if table else 0)
+        self.metrics.log_lines_dropped.set(eventlog.dropped_lines())
+        for follower in self.followers:
+            gauge = self.metrics.store_connected.labels(follower.table)
+            gauge.set(follower.connected)
+        return self.metrics.render()
+
+
+def load_options(path: str) -> options.Options:
+    """Read a settings file.
+
+    :raises errors.GaprockError: when it is not valid.
+    """
+    # The only module that knows the file's form; a connector of another platform
+    # would bring its own.
+    from gaprock.platform import settings
+
+    cfg = options.Options()
+    cfg.settings = path
+    settings.load(path, cfg)
+    return cfg
+
+
+def run(cfg: options.Options) -> None:
+    """Run a gateway until SIGTERM or SIGINT; SIGHUP reads the settings again."""
+    eventlog.start(cfg.vm, cfg.verbose, bounded=True)
+    threading.stack_size(STACK_BYTES)
+    plugin.load_all(plugin.GATEWAY_MODULES)
+    wanted: list[int] = []
+    wake = threading.Event()
+
+    def on_signal(number: int, frame: types.FrameType | None) -> None:
+        wanted.append(number)
+        wake.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, on_signal)
+    store = plugin.find(gateway_api.SharedStore, cfg.shared_store)
+    gateway = Gateway(
+        cfg,
+        clock.MonotonicClock(),
+        store(cfg.store_address),  # type: ignore[call-arg]
+        plugin.find(gateway_api.Dialect, cfg.dialect)(),
+    )
+    gateway.start()
+    # What the start made lives as long as the process; the collector need not look.
+    gc.freeze()
+    eventlog.info("started", hall=cfg.hall, listen=cfg.listen)
+    while True:
+        wake.wait()
+        wake.clear()
+        stop = any(n != signal.SIGHUP for n in wanted)
+        wanted.clear()
+        if stop:
+            break
+        _reload(gateway, cfg.settings)
+    gateway.stop()
+    eventlog.info("stopped")
+
+
+def _reload(gateway: Gateway, path: str) -> None:
+    try:
+        gateway.reload(load_options(path))
+    except errors.GaprockError as exc:
+        # What was in force stays in force.
+        eventlog.warning("reload-refused", error=exc)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program; give its exit code."""
+    parser = argparse.ArgumentParser("gaprock-gateway", description=DESCRIPTION)
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        help=f"path of the settings file; default ${SETTINGS_VARIABLE}",
+    )
+    args = parser.parse_args(argv)
+    try:
+        cfg = load_options(args.settings)
+    except errors.GaprockError as exc:
+        print(f"gaprock-gateway: {exc}", file=sys.stderr)
+        return EXIT_SETTINGS
+    run(cfg)
+    # Threads of callers that are cut off do not hold up the end.
+    sys.stdout.flush()
+    os._exit(EXIT_DONE)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gaprock/gateway_metrics.py
@@ -0,0 +1,85 @@
+"""Counters and histograms of a gateway, served as Prometheus text.
+
+``docs/OPERATIONS.md`` lists the names and what each one means.
+"""
+
+import typing
+
+import prometheus_client
+
+# Bounds of the latency histograms, seconds.
+BUCKETS: typing.Final = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0)
+
+
+class GatewayMetrics:
+    """All metrics of one process, in a registry of their own."""
+
+    __slots__ = (
+        "registry",
+        "requests",
+        "sends",
+        "repeats",
+        "first_byte",
+        "whole",
+        "open_calls",
+        "log_lines_dropped",
+        "config_number",
+        "store_connected",
+    )
+
+    def __init__(self) -> None:
+        registry = prometheus_client.CollectorRegistry()
+        self.registry = registry
+        self.requests = prometheus_client.Counter(
+            "gaprock_requests_total",
+            "Requests by route and what became of them",
+            ["route", "result"],
+            registry=registry,
+        )
+        self.sends = prometheus_client.Counter(
+            "gaprock_sends_total",
+            "Sends to endpoints by service and outcome",
+            ["service", "outcome"],
+            registry=registry,
+        )
+        self.repeats = prometheus_client.Counter(
+            "gaprock_repeats_total",
+            "Sends beyond the first of a request, by service and reason",
+            ["service", "reason"],
+            registry=registry,
+        )
+        self.first_byte = prometheus_client.Histogram(
+            "gaprock_first_byte_seconds",
+            "Time to the first byte for the caller, by route",
+            ["route"],
+            buckets=BUCKETS,
+            registry=registry,
+        )
+        self.whole = prometheus_client.Histogram(
+            "gaprock_whole_seconds",
+            "Time to the end of the answer, by route",
+            ["route"],
+            buckets=BUCKETS,
+            registry=registry,
+        )
+        self.open_calls = prometheus_client.Gauge(
+            "gaprock_open_calls", "Requests open now", registry=registry
+        )
+        self.log_lines_dropped = prometheus_client.Gauge(
+            "gaprock_log_lines_dropped",
+            "Log lines that the full pipe or the rate limit dropped",
+            registry=registry,
+        )
+        self.config_number = prometheus_client.Gauge(
+            "gaprock_config_number", "Configuration in force", registry=registry
+        )
+        self.store_connected = prometheus_client.Gauge(
+            "gaprock_store_connected",
+            "Whether the shared store answers, by table",
+            ["table"],
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        """Give the text of all metrics."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/gaprock/gateway_rows.py
@@ -0,0 +1,172 @@
+"""Takes the rows of the shared store into force: routes, endpoints, rollouts.
+
+A row that cannot be decoded is logged with the reason and changes nothing.
+"""
+
+import typing
+
+import msgspec
+
+from gaprock import (
+    clock,
+    directory,
+    eventlog,
+    gateway_api,
+    rollout_writer,
+    rollouts,
+    routes,
+)
+
+
+class OrderRows:
+    """The operator's rows: the routing configuration and rollout orders."""
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        dialect: gateway_api.Dialect,
+        rollouts_: rollouts.Rollouts,
+    ) -> None:
+        self._clock = clock_
+        self._dialect = dialect
+        self._rollouts = rollouts_
+        # The configuration in force; ``None`` before the first one.
+        self.table: routes.RouteTable | None = None
+        # Starts of rollouts that were found in the store, by (service, revision).
+        self.starts: dict[tuple[str, int], float] = {}
+
+    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
+        """Take changed rows."""
+        for row in page.rows:
+            if row.value is None:
+                continue
+            try:
+                self._take(row, row.value)
+            except gateway_api.InvalidDocument as exc:
+                eventlog.warning("invalid-row", key=row.key, error=exc)
+
+    def _take(self, row: gateway_api.Row, value: bytes) -> None:
+        table = self._dialect.route_table(row.key, value)
+        if table is not None:
+            self._take_table(table, row.version)
+            return
+        order = self._dialect.order(row.key, value)
+        if order is not None:
+            found = self.starts.get((order.service, row.version))
+            started_at = self._clock.now() if found is None else found
+            self._rollouts.take_order(order, row.version, started_at)
+
+    def _take_table(self, table: routes.RouteTable, revision: int) -> None:
+        old = self.table
+        if old is not None and table.number <= old.number:
+            if table.number < old.number:
+                eventlog.warning(
+                    "config-older", number=table.number, in_force=old.number
+                )
+            return
+        self.table = table
+        eventlog.info(
+            "config-in-force",
+            number=table.number,
+            revision=revision,
+            old="none" if old is None else old.number,
+        )
+
+
+class EndpointRows:
+    """The endpoints' rows."""
+
+    __slots__ = ("_dialect", "_directory")
+
+    def __init__(
+        self, dialect: gateway_api.Dialect, directory_: directory.Directory
+    ) -> None:
+        self._dialect = dialect
+        self._directory = directory_
+
+    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
+        """Take changed rows, or the whole table."""
+        found = {}
+        for row in page.rows:
+            if row.value is None:
+                self._directory.update(row.key, None)
+                continue
+            try:
+                found[row.key] = self._dialect.endpoint(row.key, row.value)
+            except gateway_api.InvalidDocument as exc:
+                eventlog.warning("invalid-row", key=row.key, error=exc)
+        if whole:
+            self._directory.replace(found)
+            return
+        for name, endpoint in found.items():
+            self._directory.update(name, endpoint)
+
+
+class OutcomeRows:
+    """The rows that tell what became of rollouts."""
+
+    __slots__ = ("_dialect", "_rollouts", "_writer")
+
+    def __init__(
+        self,
+        dialect: gateway_api.Dialect,
+        rollouts_: rollouts.Rollouts,
+        writer: rollout_writer.RolloutWriter,
+    ) -> None:
+        self._dialect = dialect
+        self._rollouts = rollouts_
+        self._writer = writer
+
+    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
+        """Take changed rows."""
+        for row in page.rows:
+            if row.value is None:
+                continue
+            try:
+                self._take(row, row.value)
+            except (gateway_api.InvalidDocument, ValueError) as exc:
+                eventlog.warning("invalid-row", key=row.key, error=exc)
+
+    def _take(self, row: gateway_api.Row, value: bytes) -> None:
+        found = self._dialect.outcome(row.key, value)
+        if found is None:
+            return
+        service, version, state = found
+        known = self._writer.row_versions.get(service, 0)
+        self._writer.row_versions[service] = max(known, row.version)
+        outcome = rollouts.Outcome(version, rollouts.State(state), row.version)
+        self._rollouts.take_outcome(service, outcome)
+
+
+PEER_PREFIX: typing.Final = "peer/"
+
+
+class PeerRow(msgspec.Struct):
+    """Where a gateway takes messages."""
+
+    address: str
+
+
+class OwnRows:
+    """The gateway's own rows, read once at the start: peers and starts of rollouts."""
+
+    __slots__ = ("peers", "starts")
+
+    def __init__(self, page: gateway_api.Page, now: float) -> None:
+        self.peers: list[str] = []
+        self.starts: dict[tuple[str, int], float] = {}
+        for row in page.rows:
+            if row.value is None:
+                continue
+            try:
+                self._take(row.key, row.value, now - page.store_now)
+            except msgspec.DecodeError as exc:
+                eventlog.warning("invalid-row", key=row.key, error=exc)
+
+    def _take(self, key: str, value: bytes, offset: float) -> None:
+        if key.startswith(PEER_PREFIX):
+            self.peers.append(msgspec.json.decode(value, type=PeerRow).address)
+        elif key.startswith(rollout_writer.START_PREFIX):
+            start = msgspec.json.decode(value, type=rollout_writer.StartRow)
+            service = key[len(rollout_writer.START_PREFIX) :]
+            self.starts[(service, start.revision)] = start.started + offset
--- /dev/null
+++ b/gaprock/gateway_serve.py
@@ -0,0 +1,364 @@
+"""The way of a request through a gateway.
+
+1. ``Server.serve`` finds route and workspace; what is not allowed is refused.
+2. The route's kind decides (``_run``): whole answers are collected, streams relayed.
+3. Each send goes to the endpoint that ``gateway_choose`` picks (``gateway_attempt``).
+4. A send that was not run, or a failed one of a call that may be repeated, goes
+   elsewhere, within the route's number of sends and the fleet's retry budget.
+5. The caller gets the endpoint's answer, or a final answer of ours at once: *not run*
+   with a time to come back, or *outcome unknown*.
+"""
+
+import random
+import threading
+import typing
+
+from gaprock import (
+    clock,
+    errorcodes,
+    errors,
+    eventlog,
+    gateway_api,
+    gateway_attempt,
+    gateway_call,
+    gateway_choose,
+    gateway_metrics,
+    gateway_relay,
+    http_exchange,
+    retry_window,
+    rollouts,
+    routes,
+)
+
+# When to come back after a refusal, shortest and longest, seconds: another gateway
+# serves at once; an endpoint needs a moment.
+COME_BACK_LEAVING_S: typing.Final = (0.02, 0.1)
+COME_BACK_BUSY_S: typing.Final = (0.15, 0.6)
+COME_BACK_UNREADY_S: typing.Final = (0.2, 0.6)
+# A call for which no endpoint is usable is looked at again after this long, and
+# refused after this share of its goal.
+WAIT_LOOK_S: typing.Final = 0.03
+WAIT_SHARE: typing.Final = 0.2
+MAX_BODY: typing.Final = 16 * 1024 * 1024
+JSON: typing.Final = (b"Content-Type", b"application/json")
+SERVER_ERROR: typing.Final = 500
+
+
+class ConfigSource(typing.Protocol):
+    """Where the configuration in force comes from."""
+
+    table: routes.RouteTable | None
+
+
+class Server:
+    """Serves requests; one thread each.
+
+    :param is_stale: whether the store has not answered for a while.
+    """
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        dialect: gateway_api.Dialect,
+        source: ConfigSource,
+        chooser: gateway_choose.Chooser,
+        sender: gateway_attempt.Sender,
+        relay: gateway_relay.Relay,
+        budget: retry_window.RetryWindow,
+        rollouts_: rollouts.Rollouts,
+        metrics: gateway_metrics.GatewayMetrics,
+        max_calls: int,
+        is_stale: typing.Callable[[], bool],
+        is_ready: typing.Callable[[], bool],
+    ) -> None:
+        self._clock = clock_
+        self._dialect = dialect
+        self._source = source
+        self._chooser = chooser
+        self._sender = sender
+        self._relay = relay
+        self._budget = budget
+        self._rollouts = rollouts_
+        self._metrics = metrics
+        self._max_calls = max_calls
+        self._is_stale = is_stale
+        self._is_ready = is_ready
+        self._rng = random.Random()
+        self._open = 0
+        self._idle = threading.Condition()
+        # From when on new streams, and then all requests, are refused because the
+        # process is being replaced.
+        self.no_streams_after = clock.NEVER
+        self.no_calls_after = clock.NEVER
+
+    @property
+    def open_calls(self) -> int:
+        """Requests that are being served."""
+        return self._open
+
+    def wait_idle(self, deadline: float) -> bool:
+        """Wait until no request is open.
+
+        :returns: whether all ended before the deadline.
+        """
+        left = max(0.0, deadline - self._clock.now())
+        with self._idle:
+            return self._idle.wait_for(lambda: not self._open, left)
+
+    def serve(self, inbound: gateway_call.Inbound, reply: gateway_call.Reply) -> None:
+        """Serve one request; its caller has a final answer afterwards, or left."""
+        with self._idle:
+            self._open += 1
+        self._metrics.open_calls.set(self._open)
+        result, call = "answered", None
+        try:
+            call = self._check(inbound)
+            self._run(call, reply)
+        except http_exchange.CallerGone:
+            result = "caller-gone"
+        except gateway_call.GivenUp as exc:
+            result = exc.code.name
+            self._give_up(reply, exc)
+        finally:
+            with self._idle:
+                self._open -= 1
+                self._idle.notify_all()
+            self._log_end(inbound, call, result)
+
+    # -- Checks --
+
+    def _check(self, inbound: gateway_call.Inbound) -> gateway_call.Call:
+        """Find the route and the workspace of a request.
+
+        :raises gateway_call.GivenUp: when it is not allowed, or not now.
+        """
+        table = self._source.table
+        if table is None or not self._is_ready():
+            raise self._come_back(errorcodes.NOT_READY, COME_BACK_UNREADY_S)
+        try:
+            info = self._dialect.read_request(inbound.headers)
+        except gateway_api.InvalidDocument as exc:
+            raise gateway_call.GivenUp(errorcodes.BAD_REQUEST, str(exc)) from exc
+        route = table.match(info.host, inbound.path)
+        if route is None:
+            raise self._not_allowed(errorcodes.NOT_FOUND, table)
+        workspace = table.workspace_of(info.key) if info.key else None
+        if table.keyed and not route.public and workspace is None:
+            raise self._not_allowed(errorcodes.UNAUTHORIZED, table)
+        if not info.request:
+            raise gateway_call.GivenUp(errorcodes.BAD_REQUEST, "no request id")
+        self._check_room(route)
+        service = self._chooser.service(route)
+        return gateway_call.Call(inbound, info, route, workspace, table.number, service)
+
+    def _check_room(self, route: routes.Route) -> None:
+        now = self._clock.now()
+        limit = self.no_calls_after
+        if route.kind is routes.RouteKind.STREAM:
+            limit = self.no_streams_after
+        if now >= limit:
+            raise self._come_back(errorcodes.LEAVING, COME_BACK_LEAVING_S)
+        if self._open > self._max_calls:
+            raise self._come_back(errorcodes.OVERLOADED, COME_BACK_BUSY_S)
+
+    def _not_allowed(
+        self, code: errorcodes.ErrorCode, table: routes.RouteTable
+    ) -> gateway_call.GivenUp:
+        """Refuse for good, unless a newer configuration may say otherwise."""
+        if self._is_stale():
+            return self._come_back(errorcodes.BEHIND, COME_BACK_BUSY_S)
+        return gateway_call.GivenUp(code, f"configuration {table.number}")
+
+    def _come_back(
+        self, code: errorcodes.ErrorCode, span_s: tuple[float, float], detail: str = ""
+    ) -> gateway_call.GivenUp:
+        return gateway_call.GivenUp(code, detail, self._rng.uniform(*span_s))
+
+    # -- Sends --
+
+    def _run(self, call: gateway_call.Call, reply: gateway_call.Reply) -> None:
+        self._budget.note_first(call.service, self._clock.now())
+        if call.route.kind is routes.RouteKind.STREAM:
+            self._relay.run(call, reply, self)
+        else:
+            self._run_whole(call, reply)
+
+    def _run_whole(self, call: gateway_call.Call, reply: gateway_call.Reply) -> None:
+        """Get a whole answer; a failure of a repeatable call is tried elsewhere."""
+        kept: tuple[gateway_api.AnswerHead, bytes] | None = None
+        while True:
+            try:
+                attempt = self.send(call, reply, "", call.info.resume_after)
+                body = self._collect(call, attempt)
+            except gateway_attempt.Failed as exc:
+                if self.may_repeat(call):
+                    self.take_repeat(call, str(exc))
+                    continue
+                if kept is None:
+                    raise self.unknown(call, str(exc)) from exc
+            except gateway_call.GivenUp:
+                # An endpoint's own failure goes before a refusal of ours.
+                if kept is None:
+                    raise
+            else:
+                kept = (attempt.head, body)
+                bad = attempt.head.status >= SERVER_ERROR
+                if bad and self.may_repeat(call):
+                    call.excluded.add(attempt.endpoint.name)
+                    self.take_repeat(call, f"status {attempt.head.status}")
+                    continue
+            head, body = kept
+            self._observe_first(call)
+            reply.whole(head.status, head.headers, body)
+            return
+
+    def send(
+        self,
+        call: gateway_call.Call,
+        reply: gateway_call.Reply,
+        model: str,
+        resume_after: int | None,
+    ) -> gateway_attempt.Attempt:
+        """Send a call until an endpoint runs it.
+
+        :raises gateway_attempt.Failed: when the last endpoint may have run it.
+        :raises gateway_call.GivenUp: when no endpoint would.
+        """
+        while True:
+            endpoint = self._find_endpoint(call, reply)
+            sends = call.sends
+            try:
+                attempt = self._sender.send(
+                    call,
+                    reply,
+                    endpoint,
+                    model,
+                    resume_after,
+                    lambda: self.may_repeat(call),
+                )
+            except gateway_attempt.NotRun as exc:
+                # Nothing was sent to an endpoint that took no connection.
+                if call.sends == sends:
+                    continue
+                if not self._may_send_again(call):
+                    raise self._refused(call, str(exc)) from exc
+                self.take_repeat(call, str(exc))
+                continue
+            self._metrics.sends.labels(call.service, "answered").inc()
+            return attempt
+
+    def may_repeat(self, call: gateway_call.Call) -> bool:
+        """Whether a call that may have run may be sent again."""
+        return call.route.repeatable and self._may_send_again(call)
+
+    def take_repeat(self, call: gateway_call.Call, reason: str) -> None:
+        """Take a repeat out of the budget, which had one left just now."""
+        now = self._clock.now()
+        self._budget.take(call.service, now)
+        word = reason.partition(":")[0].partition(" ")[0]
+        self._metrics.repeats.labels(call.service, word).inc()
+        eventlog.info(
+            "repeat",
+            request=call.info.request,
+            sends=call.sends,
+            reason=reason,
+            budget_left=self._budget.left(call.service, now),
+        )
+
+    def _may_send_again(self, call: gateway_call.Call) -> bool:
+        now = self._clock.now()
+        if call.sends_left <= 0 or now >= call.deadline:
+            return False
+        return self._budget.left(call.service, now) >= 1.0
+
+    def _find_endpoint(
+        self, call: gateway_call.Call, reply: gateway_call.Reply
+    ) -> typing.Any:
+        """Choose an endpoint, waiting a moment for one when there is none."""
+        give_up_at = self._clock.now() + WAIT_SHARE * call.route.goal_s
+        give_up_at = min(give_up_at, call.deadline)
+        while True:
+            endpoint = self._chooser.endpoint(call)
+            if endpoint is not None:
+                return endpoint
+            now = self._clock.now()
+            if now >= give_up_at:
+                raise self._refused(call, "no usable endpoint")
+            reply.caller.check()
+            if call.excluded and not call.has_run and now + WAIT_LOOK_S >= give_up_at:
+                # All were asked once: ask again rather than refuse.
+                call.excluded.clear()
+            threading.Event().wait(WAIT_LOOK_S)
+
+    def _refused(self, call: gateway_call.Call, detail: str) -> gateway_call.GivenUp:
+        """Give a call up that no endpoint took."""
+        if call.has_run:
+            return self.unknown(call, detail)
+        if self._clock.now() >= call.deadline:
+            return gateway_call.GivenUp(errorcodes.DEADLINE_PAST, detail, 0.0)
+        return self._come_back(errorcodes.OVERLOADED, COME_BACK_BUSY_S, detail)
+
+    def unknown(self, call: gateway_call.Call, detail: str) -> gateway_call.GivenUp:
+        """Give a call up that may have run."""
+        if self._clock.now() >= call.deadline:
+            return gateway_call.GivenUp(errorcodes.DEADLINE_RUNNING, detail)
+        return gateway_call.GivenUp(errorcodes.OUTCOME_UNKNOWN, detail)
+
+    def _collect(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
+    ) -> bytes:
+        """Read a whole answer.
+
+        :raises gateway_attempt.Failed: when it broke off or took too long.
+        """
+        pieces: list[bytes] = []
+        try:
+            while (data := attempt.exchange.read_data(call.deadline)) is not None:
+                pieces.append(data)
+        except (http_exchange.Broken, http_exchange.TimedOut) as exc:
+            call.excluded.add(attempt.endpoint.name)
+            self._relay.note_answer(call, attempt, failed=True, blame_version=False)
+            detail = str(exc) or "deadline"
+            raise gateway_attempt.Failed(f"body: {detail}") from exc
+        finally:
+            attempt.finish(self._relay.directory)
+        failed = attempt.head.status >= SERVER_ERROR
+        self._relay.note_answer(call, attempt, failed, blame_version=True)
+        return b"".join(pieces)
+
+    # -- Ends --
+
+    def _give_up(self, reply: gateway_call.Reply, exc: gateway_call.GivenUp) -> None:
+        text = errors.explain(exc.code, exc.detail)
+        body = f'{{"code": {exc.code.number}, "message": {eventlog.json_text(text)}}}'
+        headers = [JSON, *self._dialect.refusal_headers(exc.retry_s)]
+        try:
+            reply.whole(exc.code.http_status, headers, body.encode())
+        except http_exchange.CallerGone:
+            eventlog.info("caller-gone", code=exc.code.number)
+
+    def _observe_first(self, call: gateway_call.Call) -> None:
+        took_s = self._clock.now() - call.inbound.arrived_at
+        self._metrics.first_byte.labels(call.route.name).observe(took_s)
+
+    def _log_end(
+        self,
+        inbound: gateway_call.Inbound,
+        call: gateway_call.Call | None,
+        result: str,
+    ) -> None:
+        took_s = self._clock.now() - inbound.arrived_at
+        name = call.route.name if call else "none"
+        self._metrics.requests.labels(name, result).inc()
+        if call is not None and result == "answered":
+            self._metrics.whole.labels(name).observe(took_s)
+        eventlog.info(
+            "request",
+            request=call.info.request if call else "unchecked",
+            route=name,
+            workspace=call.workspace.name if call and call.workspace else "none",
+            config=call.config_number if call else 0,
+            sends=call.sends if call else 0,
+            result=result,
+            took_s=took_s,
+        )
--- /dev/null
+++ b/gaprock/http_exchange.py
@@ -0,0 +1,257 @@
+"""One request to one endpoint, on a connection of its own.
+
+The bytes are parsed by ``h11``; the waiting is ours, because a thread that waits for an
+endpoint has to notice two more things at once: that the caller went away, and that
+a deadline passed.  A new connection for each request costs a round trip, and no answer
+of another request can ever turn up on it.
+"""
+
+import errno
+import select
+import socket
+import typing
+
+import h11
+
+from gaprock import clock
+
+READ_BYTES: typing.Final = 64 * 1024
+# A peer that acknowledges nothing for this long is taken as gone, milliseconds; a
+# lossy link resends several times within it.
+USER_TIMEOUT_MS: typing.Final = 3000
+# Probes on a connection that rests: first after, and then every, so many seconds.
+PROBE_EVERY_S: typing.Final = 1
+PROBES: typing.Final = 3
+HUNG_UP: typing.Final = select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallerGone(Exception):
+    """The caller closed its connection."""
+
+
+class Unreachable(Exception):
+    """The endpoint took no connection; not a byte was sent."""
+
+
+class Broken(Exception):
+    """The connection ended, or carried no answer, before the answer was whole."""
+
+
+class TimedOut(Exception):
+    """The deadline of a wait passed."""
+
+
+class Caller:
+    """The caller's side of a request, as far as waiting needs it.
+
+    :param sock: the caller's connection; ``None`` is a caller that never leaves.
+    """
+
+    __slots__ = ("_sock", "_may_read")
+
+    def __init__(self, sock: socket.socket | None) -> None:
+        self._sock = sock
+        # False once the caller sent bytes of its next request.
+        self._may_read = True
+
+    def watch(self, poller: select.poll) -> int:
+        """Register with a poller.
+
+        :returns: the file number, -1 without a connection.
+        """
+        if self._sock is None or self._sock.fileno() < 0:
+            return -1
+        mask = select.POLLRDHUP
+        if self._may_read:
+            mask |= select.POLLIN
+        poller.register(self._sock.fileno(), mask)
+        return self._sock.fileno()
+
+    def check(self) -> None:
+        """Look whether the caller is still there.
+
+        :raises CallerGone: when it closed its connection.
+        """
+        if self._sock is None:
+            return
+        # A socket with a timeout waits in ``recv`` whatever its flags say.
+        poller = select.poll()
+        poller.register(self._sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        if not poller.poll(0):
+            return
+        try:
+            data = self._sock.recv(1, socket.MSG_PEEK)
+        except OSError as exc:
+            raise CallerGone from exc
+        if not data:
+            raise CallerGone
+        self._may_read = False
+
+
+class Head(typing.NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+class Exchange:
+    """One request and its answer.
+
+    :param address: IP number and port of the endpoint.
+    :param caller: watched during every wait.
+    """
+
+    __slots__ = ("_address", "_caller", "_clock", "_sock", "_conn", "_out", "sent")
+
+    def __init__(
+        self, address: tuple[str, int], caller: Caller, clock_: clock.Clock
+    ) -> None:
+        self._address = address
+        self._caller = caller
+        self._clock = clock_
+        self._sock: socket.socket | None = None
+        self._conn = h11.Connection(h11.CLIENT)
+        self._out = b""
+        # Whether any byte of the request may have reached the endpoint.
+        self.sent = False
+
+    def connect(self, deadline: float) -> None:
+        """Open the connection.
+
+        :raises Unreachable: when that fails or takes too long.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock = sock
+        sock.setblocking(False)
+        _set_options(sock)
+        error = sock.connect_ex(self._address)
+        if error == errno.EINPROGRESS:
+            try:
+                self._wait(select.POLLOUT, deadline)
+            except TimedOut as exc:
+                raise Unreachable("no connection in time") from exc
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise Unreachable(errno.errorcode.get(error, str(error)))
+
+    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+        """Hand over the request; ``read_head`` goes on sending what is left."""
+        conn = self._conn
+        req = h11.Request(method=method, target=target, headers=headers)
+        out = conn.send(req) or b""
+        if body:
+            out += conn.send(h11.Data(data=body)) or b""
+        out += conn.send(h11.EndOfMessage()) or b""
+        self._out = out
+        self.sent = True
+        self._send_some()
+
+    def read_head(self, deadline: float) -> Head:
+        """Wait for the answer's head.
+
+        :raises Broken: when no answer came.
+        :raises TimedOut: when the deadline passed.
+        """
+        while True:
+            event = self._next_event(deadline)
+            if isinstance(event, h11.Response):
+                return Head(event.status_code, list(event.headers.raw_items()))
+            if not isinstance(event, h11.InformationalResponse):
+                raise Broken("no answer")
+
+    def read_data(self, deadline: float) -> bytes | None:
+        """Wait for bytes of the answer's body; ``None`` is its whole end.
+
+        :raises Broken: when the answer broke off.
+        :raises TimedOut: when the deadline passed.
+        """
+        event = self._next_event(deadline)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise Broken("the answer broke off")
+
+    def close(self) -> None:
+        """Close the connection; an endpoint that still runs the request stops."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+    def _next_event(self, deadline: float) -> typing.Any:
+        while True:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise Broken(str(exc)) from exc
+            if event is not h11.NEED_DATA:
+                return event
+            self._receive(deadline)
+
+    def _receive(self, deadline: float) -> None:
+        """Wait for bytes and give them to the parser; send what is left meanwhile."""
+        assert self._sock is not None
+        while True:
+            wanted = select.POLLIN | (select.POLLOUT if self._out else 0)
+            got = self._wait(wanted, deadline)
+            if got & select.POLLOUT and self._out:
+                self._send_some()
+            if not got & (select.POLLIN | HUNG_UP):
+                continue
+            try:
+                data = self._sock.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as exc:
+                raise Broken(f"connection failed: {exc}") from exc
+            self._conn.receive_data(data)
+            return
+
+    def _send_some(self) -> None:
+        assert self._sock is not None
+        try:
+            count = self._sock.send(self._out)
+        except BlockingIOError:
+            return
+        except OSError:
+            # The endpoint may have answered before it closed; reading tells.
+            self._out = b""
+            return
+        self._out = self._out[count:]
+
+    def _wait(self, wanted: int, deadline: float) -> int:
+        """Wait until the connection is ready.
+
+        :raises CallerGone: when the caller left meanwhile.
+        :raises TimedOut: when the deadline passed.
+        """
+        assert self._sock is not None
+        own = self._sock.fileno()
+        while True:
+            poller = select.poll()
+            poller.register(own, wanted)
+            self._caller.watch(poller)
+            left = deadline - self._clock.now()
+            if left <= 0:
+                raise TimedOut
+            ready = dict(poller.poll(left * 1000))
+            if own in ready:
+                return ready[own]
+            if ready:
+                mask = next(iter(ready.values()))
+                if mask & (select.POLLRDHUP | HUNG_UP):
+                    raise CallerGone
+                self._caller.check()
+
+
+def _set_options(sock: socket.socket) -> None:
+    """Send small writes at once, and notice a peer that went silent."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_EVERY_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/gaprock/lease.py
+++ b/gaprock/lease.py
@@ -7,7 +7,7 @@
 
 import typing
 
-from gaprock import clock, ids, platform_api
+from gaprock import clock, ids, services_api
 
 KEY: typing.Final = "lease/control"
 
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        table: platform_api.Table,
+        table: services_api.Table,
         holder: str,
         clock_: clock.Clock,
         lease_s: float,
@@ -47,15 +47,15 @@
         """Whether we hold the lease, as far as we know."""
         return self._clock.now() < self.until
 
-    def condition(self) -> platform_api.Op:
+    def condition(self) -> services_api.Op:
         """Give the condition that our lease is still the one in the table."""
-        return platform_api.Op(KEY, self._version, check_only=True)
+        return services_api.Op(KEY, self._version, check_only=True)
 
     def refresh(self) -> bool:
         """Take or renew the lease if that is possible.
 
         :returns: whether we hold it.
-        :raises platform_api.PlatformError: when the table did not answer.
+        :raises services_api.PlatformError: when the table did not answer.
         """
         asked_at = self._clock.now()
         row = self._table.read([KEY])[0]
@@ -78,18 +78,18 @@
         value = {"holder": "", "epoch": self.epoch, "until": 0.0}
         self.until = 0.0
         try:
-            self._table.transact([platform_api.Op(KEY, self._version, value)])
-        except platform_api.PlatformError:
+            self._table.transact([services_api.Op(KEY, self._version, value)])
+        except services_api.PlatformError:
             # It lapses by itself.
             return
 
-    def _write(self, row: platform_api.Row, epoch: int, asked_at: float) -> bool:
+    def _write(self, row: services_api.Row, epoch: int, asked_at: float) -> bool:
         txid = ids.new_token()
         until = asked_at + self._lease_s
         value = {"holder": self._holder, "epoch": epoch, "until": until, "txid": txid}
         try:
-            done = self._table.transact([platform_api.Op(KEY, row.version, value)]).ok
-        except platform_api.AnswerLost:
+            done = self._table.transact([services_api.Op(KEY, row.version, value)]).ok
+        except services_api.AnswerLost:
             found = self._table.read([KEY])[0]
             done = found.value is not None and found.value.get("txid") == txid
         if not done:
--- /dev/null
+++ b/gaprock/mesh.py
@@ -0,0 +1,302 @@
+"""What gateways tell each other, directly: beats, and copies of the store's rows.
+
+Every gateway takes messages on one socket and has one more for each peer.  Beats carry
+loads, evidence and halts, so that these spread in a fraction of a second without a call
+to the store.  They also tell how new a gateway's rows are: one that the store does not
+answer asks a peer that is ahead for a copy.
+
+Peers are found once, through rows in the shared store; a gateway that starts later
+tells the ones that it finds there, and they answer with beats of their own.
+"""
+
+import threading
+import typing
+
+import msgspec
+import zmq
+
+from gaprock import clock, directory, eventlog, evidence, ids, mesh_messages, rollouts
+
+# Pause between beats while something changes, and otherwise, seconds.
+BUSY_BEAT_S: typing.Final = 0.2
+IDLE_BEAT_S: typing.Final = 1.0
+# A peer that is silent for this long counts no more, and is forgotten, seconds.
+SILENT_S: typing.Final = 2.5
+FORGET_S: typing.Final = 30.0
+# Messages that may wait for a peer; more are dropped, since the next beat has it all.
+HIGH_WATER: typing.Final = 20
+# Pauses before a lost connection is opened again, milliseconds.
+RECONNECT_MS: typing.Final = 200
+RECONNECT_MAX_MS: typing.Final = 2000
+# Pause before rows are asked for again, seconds.
+ASK_PAUSE_S: typing.Final = 0.5
+
+
+class Peer:
+    """Another gateway."""
+
+    __slots__ = ("name", "address", "sock", "heard_at", "tick", "beat", "asked_at")
+
+    def __init__(self, name: str, address: str, sock: typing.Any, now: float) -> None:
+        self.name = name
+        self.address = address
+        self.sock = sock
+        self.heard_at = now
+        # The evidence that it has been sent.
+        self.tick = 0
+        self.beat: mesh_messages.Beat | None = None
+        self.asked_at = 0.0
+
+
+class RowSource(typing.Protocol):
+    """The followers' side: rows to copy, and where copies go."""
+
+    def versions(self) -> list[int]:
+        """Give what each table is up to date with."""
+
+    def behind(self, table: int, version: int) -> bool:
+        """Whether a peer's copy would help."""
+
+    def copy(self, table: int) -> mesh_messages.Rows:
+        """Give a table."""
+
+    def take_copy(self, rows: mesh_messages.Rows) -> None:
+        """Take a table from a peer."""
+
+
+class Mesh:
+    """Our side of the talk between gateways; one thread, besides the readers."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        clock_: clock.Clock,
+        directory_: directory.Directory,
+        rollouts_: rollouts.Rollouts,
+        evidence_: evidence.EvidenceBook,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self._clock = clock_
+        self._directory = directory_
+        self._rollouts = rollouts_
+        self._evidence = evidence_
+        self._incarnation = ids.new_token()
+        self._lock = threading.Lock()
+        self._peers: dict[str, Peer] = {}
+        # Addresses to say hello to, filled by other threads.
+        self._found: list[str] = []
+        self._stopped = False
+        self.leaving = False
+        self.source: RowSource | None = None
+        # Our requests on the old version, by service; given by the server.
+        self.on_old_here: typing.Callable[[str], int] = lambda service: 0
+        self._thread: threading.Thread | None = None
+        self._handlers: dict[type, typing.Callable[[typing.Any], None]] = {
+            mesh_messages.Beat: self._on_beat,
+            mesh_messages.RowsWanted: self._on_wanted,
+            mesh_messages.Rows: self._on_rows,
+        }
+
+    # -- For other threads --
+
+    def start(self) -> None:
+        """Begin to listen and to beat; without an address there is no mesh."""
+        if not self.address:
+            return
+        self._thread = threading.Thread(target=self._run, name="mesh", daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Say that we leave, and end."""
+        self.leaving = True
+        self._stopped = True
+        if self._thread is not None:
+            self._thread.join(timeout=1.0)
+
+    def found(self, addresses: list[str]) -> None:
+        """Take addresses of gateways from the store."""
+        with self._lock:
+            self._found += [a for a in addresses if a != self.address]
+
+    def living(self) -> list[str]:
+        """Give the names of the peers that were heard lately and stay."""
+        since = self._clock.now() - SILENT_S
+        with self._lock:
+            return [
+                peer.name
+                for peer in self._peers.values()
+                if peer.heard_at >= since and peer.beat and not peer.beat.leaving
+            ]
+
+    def on_old_version(self, service: str) -> int:
+        """Give the requests on a service's old version, over all living gateways."""
+        since = self._clock.now() - SILENT_S
+        with self._lock:
+            beats = [p.beat for p in self._peers.values() if p.heard_at >= since]
+        news = [n for beat in beats if beat for n in beat.rollouts]
+        others = sum(n.on_old for n in news if n.service == service)
+        return self.on_old_here(service) + others
+
+    # -- The thread --
+
+    def _run(self) -> None:
+        context = zmq.Context()
+        inbox = context.socket(zmq.PULL)
+        inbox.setsockopt(zmq.LINGER, 0)
+        inbox.bind(self.address)
+        beat_at = -IDLE_BEAT_S
+        last_news: object = None
+        while not self._stopped:
+            self._connect_found(context)
+            now = self._clock.now()
+            if now >= beat_at + BUSY_BEAT_S:
+                news = self._news()
+                if news != last_news or now >= beat_at + IDLE_BEAT_S:
+                    last_news, beat_at = news, now
+                    self._beat()
+                    self._forget_silent()
+            if inbox.poll(int(BUSY_BEAT_S * 1000)):
+                self._read_all(inbox)
+        self._beat()
+        for peer in self._peers.values():
+            peer.sock.close(linger=100)
+        inbox.close()
+        context.term()
+
+    def _connect_found(self, context: typing.Any) -> None:
+        with self._lock:
+            found, self._found = self._found, []
+        for address in found:
+            if address not in self._peers:
+                self._add(context, address)
+
+    def _add(self, context: typing.Any, address: str) -> None:
+        sock = context.socket(zmq.PUSH)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.SNDHWM, HIGH_WATER)
+        # Without a connection nothing is kept: a beat is old when it comes late.
+        sock.setsockopt(zmq.IMMEDIATE, 1)
+        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.connect(address)
+        peer = Peer("", address, sock, self._clock.now())
+        with self._lock:
+            self._peers[address] = peer
+
+    def _news(self) -> object:
+        """Give what is worth a beat before the idle one is due."""
+        rolls = [
+            (n.service, n.revision, n.halted, n.on_old) for n in self._rollout_news()
+        ]
+        tick, _ = self._evidence.since(1 << 60)
+        versions = self.source.versions() if self.source else []
+        return self._directory.own_loads(), rolls, tick, versions
+
+    def _rollout_news(self) -> list[mesh_messages.RolloutNews]:
+        now = self._clock.now()
+        return [
+            mesh_messages.RolloutNews(
+                r.order.service,
+                r.revision,
+                now - r.started_at,
+                r.halted,
+                self.on_old_here(r.order.service),
+            )
+            for r in self._rollouts.all()
+        ]
+
+    def _beat(self) -> None:
+        versions = self.source.versions() if self.source else []
+        loads = self._directory.own_loads()
+        rolls = self._rollout_news()
+        for peer in list(self._peers.values()):
+            tick, counters = self._evidence.since(peer.tick)
+            own = [c for c in counters if c.source == self._evidence.source]
+            beat = mesh_messages.Beat(
+                self.name,
+                self.address,
+                self._incarnation,
+                versions,
+                loads,
+                rolls,
+                own,
+                self.leaving,
+            )
+            if self._send(peer, beat):
+                peer.tick = tick
+
+    def _send(self, peer: Peer, message: mesh_messages.Message) -> bool:
+        try:
+            peer.sock.send(mesh_messages.encode(message), zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        return True
+
+    def _read_all(self, inbox: typing.Any) -> None:
+        while True:
+            try:
+                data = inbox.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            try:
+                message = mesh_messages.decode(data)
+            except msgspec.DecodeError as exc:
+                eventlog.warning("mesh-undecodable", error=exc)
+                continue
+            self._handlers[type(message)](message)
+
+    def _on_beat(self, beat: mesh_messages.Beat) -> None:
+        peer = self._peers.get(beat.address)
+        if peer is None:
+            with self._lock:
+                self._found.append(beat.address)
+            return
+        if peer.beat is None or peer.beat.incarnation != beat.incarnation:
+            # A new process knows nothing of what the old one was told.
+            peer.tick = 0
+            eventlog.info("peer-heard", peer=beat.sender, address=beat.address)
+        now = self._clock.now()
+        peer.name, peer.beat, peer.heard_at = beat.sender, beat, now
+        self._directory.take_loads(beat.sender, beat.loads)
+        for news in beat.rollouts:
+            self._rollouts.backdate(news.service, news.revision, now - news.age_s)
+            if news.halted:
+                reason = f"told by {beat.sender}"
+                self._rollouts.halt(news.service, news.revision, reason)
+        if beat.evidence and self._evidence.merge(beat.evidence):
+            self._rollouts.note_routes(beat.evidence)
+            self._rollouts.look()
+        self._ask_for_rows(peer, now)
+
+    def _ask_for_rows(self, peer: Peer, now: float) -> None:
+        assert peer.beat is not None
+        if self.source is None or now < peer.asked_at + ASK_PAUSE_S:
+            return
+        for table, version in enumerate(peer.beat.versions):
+            if self.source.behind(table, version):
+                peer.asked_at = now
+                self._send(peer, mesh_messages.RowsWanted(self.address, table))
+
+    def _on_wanted(self, wanted: mesh_messages.RowsWanted) -> None:
+        peer = self._peers.get(wanted.address)
+        if peer is not None and self.source is not None:
+            self._send(peer, self.source.copy(wanted.table))
+
+    def _on_rows(self, rows: mesh_messages.Rows) -> None:
+        if self.source is not None:
+            self.source.take_copy(rows)
+
+    def _forget_silent(self) -> None:
+        now = self._clock.now()
+        for peer in list(self._peers.values()):
+            silent_s = now - peer.heard_at
+            if silent_s > SILENT_S and peer.beat is not None:
+                eventlog.warning("peer-silent", peer=peer.name, silent_s=silent_s)
+                self._directory.take_loads(peer.name, {})
+                peer.beat = None
+            if silent_s > FORGET_S:
+                peer.sock.close(linger=0)
+                with self._lock:
+                    del self._peers[peer.address]
--- /dev/null
+++ b/gaprock/mesh_messages.py
@@ -0,0 +1,83 @@
+"""What gateways tell each other, as MessagePack."""
+
+import typing
+
+import msgspec
+
+from gaprock import messages
+
+# Row tables that a beat gives versions of, in this order.
+TABLES: typing.Final = ("orders", "endpoints", "outcomes")
+
+
+class RolloutNews(msgspec.Struct, array_like=True, frozen=True):
+    """A rollout as the sender sees it.
+
+    :param age_s: seconds since the order, by the sender's clock.
+    :param on_old: the sender's requests that run on the old version.
+    """
+
+    service: str
+    revision: int
+    age_s: float
+    halted: bool
+    on_old: int
+
+
+class Beat(msgspec.Struct, tag="b", array_like=True, frozen=True):
+    """Sent every beat to every peer.
+
+    :param address: where the sender takes messages.
+    :param versions: what its tables are up to date with, in the order of ``TABLES``.
+    :param loads: its requests by endpoint.
+    :param evidence: counters that changed since the last beat to this peer.
+    """
+
+    sender: str
+    address: str
+    incarnation: str
+    versions: list[int]
+    loads: dict[str, int]
+    rollouts: list[RolloutNews]
+    evidence: list[messages.Evidence]
+    leaving: bool
+
+
+class RowsWanted(msgspec.Struct, tag="w", array_like=True, frozen=True):
+    """Asks for a whole table, because the store does not answer."""
+
+    address: str
+    table: int
+
+
+class RowCopy(msgspec.Struct, array_like=True, frozen=True):
+    """A row as the store gave it."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+class Rows(msgspec.Struct, tag="r", array_like=True, frozen=True):
+    """A whole table as of a version of the store."""
+
+    table: int
+    version: int
+    rows: list[RowCopy]
+
+
+Message = Beat | RowsWanted | Rows
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Decode a message.
+
+    :raises msgspec.DecodeError: when it is none.
+    """
+    return _decoder.decode(data)
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -27,6 +27,36 @@
         self.versions = versions
 
 
+class SiteBounds:
+    """What a site promises its users; a gateway reads them from its settings file."""
+
+    __slots__ = (
+        "drain_s",
+        "grace_s",
+        "budget_ratio",
+        "budget_window_s",
+        "budget_allowance",
+        "canary_share",
+        "session_s",
+    )
+
+    def __init__(self) -> None:
+        # A leaving endpoint gets nothing more after this time, seconds.
+        self.drain_s = 2.0
+        # A process told to stop is killed after this time, seconds.
+        self.grace_s = 8.0
+        # Sends beyond the first of each request, as a share of the requests.
+        self.budget_ratio = 0.5
+        # The window over which that share is counted, seconds.
+        self.budget_window_s = 10.0
+        # Sends beyond the first that the whole fleet may make besides, per window.
+        self.budget_allowance = 10.0
+        # Share of a service's requests that an unproved version may get.
+        self.canary_share = 0.1
+        # Requests of one session follow each other within this time, seconds.
+        self.session_s = 5.0
+
+
 class Options:
     """The settings, with their defaults."""
 
@@ -128,6 +158,30 @@
         # Times a stream that an endpoint cut is taken up again.
         self.max_resumes = 3
 
+        # -- Gateway --
+
+        # Path of the settings file that the platform writes.
+        self.settings = ""
+        # Names of the plug-ins that translate the platform's wire, and keep its rows.
+        self.dialect = "platform"
+        self.shared_store = "platform"
+        # Addresses, IP:PORT: for callers, for the readiness check, of the shared store.
+        self.listen = ""
+        self.ready_listen = ""
+        self.store_address = ""
+        # Port for what gateways tell each other, and for metrics; 0 turns either off.
+        self.mesh_port = 0
+        self.metrics_port = 9464
+        # Memory and file descriptors that this process may use, MB and number.
+        self.memory_mb = 256
+        self.max_fds = 1024
+        # Requests open at once; 0 works it out from the memory.
+        self.max_calls = 0
+        # Names of the plug-ins that choose an endpoint and a model.
+        self.gateway_routing = "least-filled"
+        self.model_choice = "confidence"
+        self.bounds = SiteBounds()
+
         # -- Command line --
 
         # Address of any entry, with scheme.
--- a/gaprock/options_flags.py
+++ b/gaprock/options_flags.py
@@ -11,7 +11,7 @@
 import configargparse
 
 import gaprock
-from gaprock import errorcodes, errors, options, platform_api, plugin, policy_api
+from gaprock import errorcodes, errors, options, plugin, policy_api, services_api
 
 ENTRY: typing.Final = "entry"
 AGENT: typing.Final = "agent"
@@ -135,7 +135,7 @@
     Flag("hall", DAEMONS, "hall this VM stands in", _name),
     Flag("host", DAEMONS, "IP number to listen on", _ip),
     Flag("platform", DAEMONS, "base address of the platform's services", _url),
-    Flag("connector", DAEMONS, "platform plug-in", _plugin(platform_api.Connector)),
+    Flag("connector", DAEMONS, "platform plug-in", _plugin(services_api.Connector)),
     Flag("platform_token", DAEMONS, "bearer token for the platform", _any, True),
     Flag("platform_wait_s", DAEMONS, "longest wait for the platform, s", _positive),
     Flag("beat_s", DAEMONS, "time between heartbeats, s", _positive),
--- a/gaprock/periodic.py
+++ b/gaprock/periodic.py
@@ -4,7 +4,7 @@
 import threading
 import typing
 
-from gaprock import eventlog, platform_api
+from gaprock import eventlog, services_api
 
 # Periods vary by this share, so that many processes do not act in step.
 JITTER: typing.Final = 0.2
@@ -57,7 +57,7 @@
     def _call_once(self) -> None:
         try:
             self._call()
-        except platform_api.PlatformError as exc:
+        except services_api.PlatformError as exc:
             if not self._was_down:
                 eventlog.warning("platform-down", task=self._name, error=exc)
             self._was_down = True
--- /dev/null
+++ b/gaprock/platform/settings.py
@@ -0,0 +1,89 @@
+"""Reads the settings file that the platform writes, into ``Options``.
+
+Fields that we do not know are ignored; a missing or wrong one is named in the error.
+"""
+
+import tomllib
+
+import msgspec
+
+from gaprock import errorcodes, errors, options
+
+
+class ListenDoc(msgspec.Struct, frozen=True):
+    Front: str = ""
+    Ready: str = ""
+
+
+class LimitsDoc(msgspec.Struct, frozen=True):
+    MemoryMb: float = 256
+    MaxFds: int = 1024
+
+
+class BoundsDoc(msgspec.Struct, frozen=True):
+    """What the site promises; times in milliseconds or, with ``S``, in seconds."""
+
+    DrainMs: float = 2000
+    GraceS: float = 8
+    BudgetRatio: float = 0.5
+    BudgetWindowS: float = 10
+    # Repeats that are allowed beyond the ratio, in a window.
+    RetrySlack: float = 10
+    CanaryShare: float = 0.1
+    SessionS: float = 5
+
+
+class ProviderDoc(msgspec.Struct, frozen=True):
+    """The platform's store."""
+
+    Addr: str
+
+
+class SettingsDoc(msgspec.Struct, frozen=True):
+    Node: str
+    Ip: str
+    Zone: str
+    Listen: ListenDoc
+    Provider: ProviderDoc
+    # First and last port for what our processes say to each other.
+    PortRange: list[int] = []
+    Limits: LimitsDoc = LimitsDoc()
+    TimingBounds: BoundsDoc = BoundsDoc()
+
+
+def load(path: str, cfg: options.Options) -> None:
+    """Fill the options from a settings file.
+
+    :raises errors.GaprockError: ``SETTINGS``, naming the file and the field.
+    """
+    try:
+        with open(path, "rb") as file:
+            doc = msgspec.convert(tomllib.load(file), SettingsDoc)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as exc:
+        raise errors.GaprockError(errorcodes.SETTINGS, f"{path}: {exc}") from exc
+    for name in ("Front", "Ready"):
+        _check_address(path, f"Listen.{name}", getattr(doc.Listen, name))
+    _check_address(path, "Provider.Addr", doc.Provider.Addr)
+    cfg.vm, cfg.hall, cfg.host = doc.Node, doc.Zone, doc.Ip
+    cfg.listen, cfg.ready_listen = doc.Listen.Front, doc.Listen.Ready
+    cfg.store_address = doc.Provider.Addr
+    cfg.mesh_port = doc.PortRange[0] if doc.PortRange else 0
+    cfg.memory_mb, cfg.max_fds = int(doc.Limits.MemoryMb), doc.Limits.MaxFds
+    _fill_bounds(cfg.bounds, doc.TimingBounds)
+
+
+def _fill_bounds(bounds: options.SiteBounds, doc: BoundsDoc) -> None:
+    bounds.drain_s = doc.DrainMs / 1000
+    bounds.grace_s = doc.GraceS
+    bounds.budget_ratio = doc.BudgetRatio
+    bounds.budget_window_s = doc.BudgetWindowS
+    bounds.budget_allowance = doc.RetrySlack
+    bounds.canary_share = doc.CanaryShare
+    bounds.session_s = doc.SessionS
+
+
+def _check_address(path: str, field: str, text: str) -> None:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        detail = f"{path}: {field} takes IP:PORT, not {text!r}"
+        raise errors.GaprockError(errorcodes.SETTINGS, detail)
--- /dev/null
+++ b/gaprock/platform/wire.py
@@ -0,0 +1,216 @@
+"""The platform's header and table names, decoded once into the gateway's types."""
+
+import typing
+
+import msgspec
+
+from gaprock import gateway_api, plugin, routes
+from gaprock.platform import documents
+
+# Headers that concern one connection only.
+CONNECTION_HEADERS: typing.Final = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+# Headers that only the system may set, or that must not go on.
+SYSTEM_HEADERS: typing.Final = frozenset(
+    (
+        b"authorization",
+        b"x-tenant",
+        b"x-expect-instance",
+        b"x-expect-version",
+        b"x-deadline-ms",
+        b"x-request-urgency",
+        b"x-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"last-event-id",
+    )
+)
+# Headers of answers that are meant for the system.
+INNER_ANSWER_HEADERS: typing.Final = frozenset(
+    (b"x-not-run", b"x-instance-id", b"x-server-load")
+)
+WRONG_ENDPOINT: typing.Final = 421
+ANY_MODEL: typing.Final = b"*"
+BEARER: typing.Final = b"bearer "
+MAX_URGENCY: typing.Final = 9
+
+Lowered = dict[bytes, bytes]
+
+
+@plugin.register(gateway_api.Dialect, "platform")
+class PlatformDialect(gateway_api.Dialect):
+    """The platform's wire."""
+
+    __slots__ = ()
+
+    tables = gateway_api.Tables("op", "servers", "status", "gaprock")
+    ready_path = "/-/readiness"
+
+    def read_request(self, headers: gateway_api.Headers) -> gateway_api.RequestInfo:
+        by_name = _lowered(headers)
+        tokens_in, tokens_out = _counts(by_name.get(b"x-token-counts", b""))
+        return gateway_api.RequestInfo(
+            by_name.get(b"x-request-id", b"").decode("latin-1"),
+            _host(by_name.get(b"host", b"")),
+            _key(by_name.get(b"authorization", b"")),
+            _wait(by_name.get(b"x-deadline-ms")),
+            by_name.get(b"x-model", b"").strip() == ANY_MODEL,
+            tokens_in,
+            tokens_out,
+            _parts(by_name.get(b"x-prompt-prefix", b"")),
+            by_name.get(b"session", b"").decode("latin-1"),
+            _number(by_name.get(b"last-event-id", b"")),
+        )
+
+    def send_headers(
+        self, headers: gateway_api.Headers, info: gateway_api.SendInfo
+    ) -> gateway_api.Headers:
+        dropped = CONNECTION_HEADERS | SYSTEM_HEADERS | _named_by_connection(headers)
+        if info.model:
+            dropped |= {b"x-model"}
+        sent = [(n, v) for n, v in headers if n.lower() not in dropped]
+        sent.append((b"X-Deadline-Ms", b"%d" % max(1, int(info.left_s * 1000))))
+        sent.append((b"X-Expect-Instance", info.endpoint.encode("latin-1")))
+        if info.workspace:
+            sent.append((b"X-Tenant", info.workspace.encode("latin-1")))
+        if info.model:
+            sent.append((b"X-Model", info.model.encode("latin-1")))
+        if info.resume_after is not None:
+            sent.append((b"Last-Event-Id", b"%d" % info.resume_after))
+        urgency = min(MAX_URGENCY, max(0, info.urgency))
+        sent.append((b"X-Request-Urgency", b"%d" % urgency))
+        return sent
+
+    def read_answer(
+        self, status: int, headers: gateway_api.Headers
+    ) -> gateway_api.AnswerHead:
+        by_name = _lowered(headers)
+        dropped = CONNECTION_HEADERS | INNER_ANSWER_HEADERS
+        dropped |= _named_by_connection(headers)
+        wrong = status == WRONG_ENDPOINT
+        return gateway_api.AnswerHead(
+            status,
+            [(n, v) for n, v in headers if n.lower() not in dropped],
+            b"x-server-stamp" in by_name,
+            wrong or b"x-not-run" in by_name,
+            wrong,
+            by_name.get(b"x-request-id", b"").decode("latin-1"),
+            _float(by_name.get(b"x-confidence")),
+            _load(by_name.get(b"x-server-load", b"")),
+            by_name.get(b"content-encoding", b"identity").lower() != b"identity",
+            _number(by_name.get(b"content-length", b"")),
+        )
+
+    def refusal_headers(self, retry_s: float | None) -> gateway_api.Headers:
+        if retry_s is None:
+            return []
+        return [(b"Retry-After", b"%.3f" % retry_s)]
+
+    def route_table(self, key: str, value: bytes) -> routes.RouteTable | None:
+        return documents.route_table(value) if key == documents.CONFIG_KEY else None
+
+    def order(self, key: str, value: bytes) -> gateway_api.RolloutOrder | None:
+        if not key.startswith(documents.ROLLOUT_PREFIX):
+            return None
+        doc = documents.decode(documents.RolloutDoc, value)
+        return gateway_api.RolloutOrder(doc.Service, doc.ToVersion, doc.FinishByS)
+
+    def endpoint(self, key: str, value: bytes) -> gateway_api.EndpointRow:
+        return documents.endpoint(value)
+
+    def outcome_key(self, service: str) -> str:
+        return documents.ROLLOUT_PREFIX + service
+
+    def outcome(self, key: str, value: bytes) -> tuple[str, str, str] | None:
+        if not key.startswith(documents.ROLLOUT_PREFIX):
+            return None
+        doc = documents.decode(documents.OutcomeDoc, value)
+        return key[len(documents.ROLLOUT_PREFIX) :], doc.ToVersion, doc.State
+
+    def outcome_value(self, to_version: str, state: str) -> bytes:
+        return msgspec.json.encode(documents.OutcomeDoc(to_version, state))
+
+
+def _lowered(headers: gateway_api.Headers) -> Lowered:
+    return {name.lower(): value for name, value in headers}
+
+
+def _named_by_connection(headers: gateway_api.Headers) -> frozenset[bytes]:
+    """Give the headers that ``Connection`` says are for one connection only."""
+    named = _lowered(headers).get(b"connection", b"")
+    return frozenset(item.strip().lower() for item in named.split(b","))
+
+
+def _host(value: bytes) -> str:
+    return value.decode("latin-1").partition(":")[0].strip()
+
+
+def _key(value: bytes) -> str:
+    if value[: len(BEARER)].lower() != BEARER:
+        return ""
+    return value[len(BEARER) :].strip().decode("latin-1")
+
+
+def _float(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return None
+
+
+def _wait(value: bytes | None) -> float | None:
+    number = _float(value)
+    if value is not None and number is None:
+        raise gateway_api.InvalidDocument("X-Deadline-Ms is not a number")
+    return None if number is None else number / 1000
+
+
+def _number(value: bytes) -> int | None:
+    text = value.strip()
+    return int(text) if text.isdigit() else None
+
+
+def _counts(value: bytes) -> tuple[int, int]:
+    """Read the tokens of the prompt, and the most to go out."""
+    fields = [_number(item) for item in value.split(b",")]
+    if len(fields) != 2 or fields[0] is None or fields[1] is None:
+        return 0, 0
+    return fields[0], fields[1]
+
+
+def _parts(value: bytes) -> list[tuple[str, int]]:
+    """Read ``ID:TOKENS,ID:TOKENS``; what is not well formed is left out."""
+    found = []
+    for item in value.split(b","):
+        name, _, tokens = item.strip().partition(b":")
+        count = _number(tokens)
+        if name and count is not None:
+            found.append((name.decode("latin-1"), count))
+    return found
+
+
+def _load(value: bytes) -> tuple[int, int, int] | None:
+    fields = [_number(item) for item in value.split(b",")]
+    if len(fields) != 3:
+        return None
+    running, waiting, slots = fields
+    if running is None or waiting is None or slots is None:
+        return None
+    return running, waiting, slots
--- a/gaprock/plugin.py
+++ b/gaprock/plugin.py
@@ -14,12 +14,21 @@
 
 # Modules whose import registers plug-ins.
 BUILTIN_MODULES: typing.Final = (
-    "gaprock.platform_http",
     "gaprock.policy_admission",
     "gaprock.policy_cascade",
     "gaprock.policy_guard",
+    "gaprock.policy_models",
     "gaprock.policy_placement",
     "gaprock.policy_routing",
+    "gaprock.services_http",
+)
+# What a gateway needs of them; it starts on small machines.
+GATEWAY_MODULES: typing.Final = (
+    "gaprock.policy_guard",
+    "gaprock.policy_models",
+    "gaprock.policy_routing",
+    "gaprock.platform.store",
+    "gaprock.platform.wire",
 )
 
 
@@ -57,7 +66,7 @@
     return sorted(name for owner, name in _classes if owner is kind)
 
 
-def load_all() -> None:
-    """Import the built-in plug-in modules."""
-    for module in BUILTIN_MODULES:
+def load_all(modules: tuple[str, ...] = BUILTIN_MODULES) -> None:
+    """Import plug-in modules, the built-in ones unless told otherwise."""
+    for module in modules:
         importlib.import_module(module)
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from gaprock import documents, messages, plugin
+from gaprock import documents, messages, plugin, routes
 
 
 class Ticket:
@@ -160,6 +160,44 @@
         raise NotImplementedError
 
 
+class ModelAsk(typing.NamedTuple):
+    """What is known when the model of a request is chosen.
+
+    :param models: the models that may answer, the smallest first.
+    :param tokens_in: length of the prompt.
+    :param tokens_out: the most that is made.
+    :param left_s: seconds left to the goal.
+    :param climbs_left: further sends that the request and the budget allow.
+    """
+
+    models: list[routes.ModelCost]
+    tokens_in: int
+    tokens_out: int
+    left_s: float
+    climbs_left: int
+
+
+class ModelChoice(plugin.Plugin):
+    """Chooses the model of a request, and whether to ask another one after it.
+
+    A model answers with its own opinion of the answer; the caller has nothing of the
+    answer yet when ``climb`` is asked.
+    """
+
+    __slots__ = ()
+
+    def first(self, ask: ModelAsk) -> str | None:
+        """Choose the model to ask; ``None`` means "not mine"."""
+        raise NotImplementedError
+
+    def climb(self, ask: ModelAsk, model: str, confidence: float | None) -> str | None:
+        """Choose a model to ask instead; ``None`` keeps the answer.
+
+        :param confidence: the model's opinion of its answer, 0 to 100.
+        """
+        raise NotImplementedError
+
+
 class Choice(typing.NamedTuple):
     """The versions to try for a request, in order, with the reason.
 
--- a/gaprock/policy_routing.py
+++ b/gaprock/policy_routing.py
@@ -12,6 +12,11 @@
 # An endpoint that likely holds the prompt's prefix may be this much more loaded.
 PREFIX_TOLERANCE: typing.Final = 1.25
 MIN_SERVICE_S: typing.Final = 0.001
+# An endpoint in another hall is used when the own hall's are this much fuller: bytes
+# between halls are priced, and they take longer.
+HALL_FILL: typing.Final = 0.35
+# An endpoint that holds the prompt's prefix may be this much fuller.
+PREFIX_FILL: typing.Final = 0.1
 
 
 def expected_wait(candidate: policy_api.Candidate) -> float:
@@ -61,6 +66,32 @@
         return best
 
 
+@plugin.register(policy_api.Routing, "least-filled")
+class LeastFilled(policy_api.Routing):
+    """The emptiest endpoint, where the own hall and a kept prefix count as room.
+
+    For gateways, which tell each other their loads several times a second, so that
+    the best of all is better than the better of two.
+    """
+
+    __slots__ = ()
+
+    def choose(
+        self, candidates: list[policy_api.Candidate], rng: random.Random
+    ) -> policy_api.Candidate | None:
+        if not candidates:
+            return None
+        return min(candidates, key=lambda c: (self._cost(c), rng.random()))
+
+    def _cost(self, candidate: policy_api.Candidate) -> float:
+        fill = expected_fill(candidate)
+        if not candidate.same_hall:
+            fill += HALL_FILL
+        if candidate.holds_prefix:
+            fill -= PREFIX_FILL
+        return fill
+
+
 @plugin.register(policy_api.Routing, "random")
 class Random(policy_api.Routing):
     """Baseline: any live endpoint."""
--- /dev/null
+++ b/gaprock/rollout_writer.py
@@ -0,0 +1,126 @@
+"""Writes what became of rollouts into the shared store.
+
+Any gateway may write: each write is on condition that the outcome's row is as it was
+read, so two that write at once do no harm.  To save calls the living gateways take
+turns: the one that a hash puts first writes at once, the next one a little later.
+"""
+
+import typing
+import zlib
+
+import msgspec
+
+from gaprock import clock, eventlog, gateway_api, mesh, rollouts
+
+# Each further gateway waits this much longer before it writes, seconds.
+TURN_S: typing.Final = 0.6
+# Pause after a write whose outcome is not known, seconds.
+AFTER_ERROR_S: typing.Final = 0.5
+START_PREFIX: typing.Final = "rollout/"
+
+
+class StartRow(msgspec.Struct):
+    """When a rollout began, by the store's clock, for gateways that start later."""
+
+    revision: int
+    started: float
+
+
+class RolloutWriter:
+    """The duty of one gateway; called from one thread."""
+
+    def __init__(
+        self,
+        name: str,
+        clock_: clock.Clock,
+        store: gateway_api.SharedStore,
+        dialect: gateway_api.Dialect,
+        rollouts_: rollouts.Rollouts,
+        mesh_: mesh.Mesh,
+    ) -> None:
+        self._name = name
+        self._clock = clock_
+        self._store = store
+        self._dialect = dialect
+        self._rollouts = rollouts_
+        self._mesh = mesh_
+        # Difference between the store's clock and ours; set with each page.
+        self.store_offset = 0.0
+        # Versions of the outcome rows, by service.
+        self.row_versions: dict[str, int] = {}
+        # When a state was first due, by (revision, state).
+        self._due: dict[tuple[int, rollouts.State], float] = {}
+        # When all traffic had moved, by revision.
+        self._moved: dict[int, float] = {}
+        self._quiet_until = 0.0
+
+    def step(self) -> None:
+        """Write what is due and ours to write."""
+        now = self._clock.now()
+        for rollout in self._rollouts.all():
+            state = self._wanted(rollout, now)
+            if state is None or state is rollout.written:
+                continue
+            due_at = self._due.setdefault((rollout.revision, state), now)
+            turn_at = due_at + TURN_S * self._turn(rollout)
+            if now >= turn_at and now >= self._quiet_until:
+                self._write(rollout, state)
+
+    def _wanted(self, rollout: rollouts.Rollout, now: float) -> rollouts.State | None:
+        """Give the state that the row should show."""
+        if rollout.written in (rollouts.State.COMPLETED, rollouts.State.ROLLED_BACK):
+            return None
+        if rollout.halted:
+            return rollouts.State.ROLLED_BACK
+        if self._is_complete(rollout, now):
+            return rollouts.State.COMPLETED
+        return rollouts.State.RUNNING if rollout.written is None else None
+
+    def _is_complete(self, rollout: rollouts.Rollout, now: float) -> bool:
+        """Whether all traffic has moved and nothing runs on the old version."""
+        if self._rollouts.share(rollout) < 1.0:
+            self._moved.pop(rollout.revision, None)
+            return False
+        moved_at = self._moved.setdefault(rollout.revision, now)
+        latest = rollout.started_at + rollout.order.finish_s - rollouts.WRITE_BEFORE_S
+        if now < moved_at + rollouts.SETTLE_S:
+            return False
+        return now >= latest or not self._mesh.on_old_version(rollout.order.service)
+
+    def _turn(self, rollout: rollouts.Rollout) -> int:
+        """Give our place among the living gateways for this rollout."""
+        names = [self._name, *self._mesh.living()]
+        names.sort(key=lambda n: zlib.crc32(f"{n}#{rollout.label}".encode()))
+        return names.index(self._name)
+
+    def _write(self, rollout: rollouts.Rollout, state: rollouts.State) -> None:
+        service = rollout.order.service
+        table, own = self._dialect.tables.outcomes, self._dialect.tables.own
+        expect = self.row_versions.get(service, 0)
+        value = self._dialect.outcome_value(rollout.order.to_version, state.value)
+        key = self._dialect.outcome_key(service)
+        writes = [gateway_api.Write(table, key, value, expect)]
+        if state is rollouts.State.RUNNING:
+            started = rollout.started_at + self.store_offset
+            start = msgspec.json.encode(StartRow(rollout.revision, started))
+            writes.append(gateway_api.Write(own, START_PREFIX + service, start))
+        try:
+            done = self._store.commit(writes)
+        except gateway_api.StoreError as exc:
+            self._quiet_until = self._clock.now() + AFTER_ERROR_S
+            eventlog.warning("rollout-write", service=service, error=exc)
+            return
+        # A condition that failed means that another wrote; its row is on its way.
+        self._quiet_until = self._clock.now() + AFTER_ERROR_S
+        eventlog.info(
+            "rollout-write",
+            service=service,
+            version=rollout.order.to_version,
+            state=state.value,
+            expect=expect,
+            row_version=done,
+        )
+        if done:
+            self.row_versions[service] = done
+            outcome = rollouts.Outcome(rollout.order.to_version, state, done)
+            self._rollouts.take_outcome(service, outcome)
--- /dev/null
+++ b/gaprock/rollouts.py
@@ -0,0 +1,312 @@
+"""Rollouts that an operator orders: who gets the new version, and when it is judged.
+
+How a rollout runs, by the share of its time that has passed:
+
+1. Until the first of ``STEPS`` a fixed share of sessions gets the new version.  A
+   session's side follows from a hash of its name, so that every gateway agrees without
+   a word, and no session changes sides.
+2. Then the share grows in steps; sessions only ever move to the new version.
+3. When all traffic has moved and nothing runs on the old version anywhere, the outcome
+   *completed* is written.  Evidence against the new version at any time stops it here
+   at once, everywhere as the word spreads, and is written as *rolled back*.
+
+Whatever a process forgets when it is killed is in the store's rows (order, outcome,
+start) or comes with the others' next beat (evidence, halts).
+"""
+
+import enum
+import threading
+import typing
+import zlib
+
+from gaprock import clock, eventlog, evidence, gateway_api, messages, policy_api
+
+# Share of the allowed exposure that is used while a version is unproved.
+CANARY_USE: typing.Final = 0.65
+# Shares of sessions on the new version, each from this share of the time on.  In the
+# first half no session changes its version.
+STEPS: typing.Final = ((0.5, 0.25), (0.56, 0.5), (0.62, 1.0))
+# All traffic must have moved for this long before a rollout completes, seconds.
+SETTLE_S: typing.Final = 1.0
+# The outcome is written at the latest this long before the operator's time, seconds.
+WRITE_BEFORE_S: typing.Final = 2.0
+HASH_RANGE: typing.Final = 2**32
+# An answer is slow beyond this multiple of what the stable version takes.
+SLOW_TIMES: typing.Final = 3.0
+# Answers of the stable version before slowness is judged, and the weight of each.
+MIN_TIMES: typing.Final = 8
+TIME_WEIGHT: typing.Final = 0.1
+# Differences below this are never slowness, seconds.
+SLOW_FLOOR_S: typing.Final = 0.15
+
+
+class State(enum.Enum):
+    """What became of a rollout; the names are those of the outcome rows."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+class Outcome(typing.NamedTuple):
+    """What a row says became of a rollout.
+
+    :param row_version: the store's version of the row; one older than the order's
+        tells of an earlier order for the same version.
+    """
+
+    version: str
+    state: State
+    row_version: int
+
+
+class Rollout:
+    """One order and what we know of it.
+
+    :param revision: the store's version of the order's row; names the attempt.
+    :param started_at: when the order was given, by this process's clock.
+    """
+
+    __slots__ = ("order", "revision", "started_at", "state", "halted", "written")
+
+    def __init__(
+        self, order: gateway_api.RolloutOrder, revision: int, started_at: float
+    ) -> None:
+        self.order = order
+        self.revision = revision
+        self.started_at = started_at
+        self.state = State.RUNNING
+        # Stopped by evidence, here or elsewhere, whatever the rows say yet.
+        self.halted = False
+        # The state that the outcome's row shows; ``None`` while there is no row.
+        self.written: State | None = None
+
+    @property
+    def label(self) -> str:
+        """The name of this attempt in the evidence."""
+        return f"{self.order.service}@{self.order.to_version}#{self.revision}"
+
+    def passed(self, now: float) -> float:
+        """Give the share of the rollout's time that has passed."""
+        return (now - self.started_at) / max(0.001, self.order.finish_s)
+
+
+class _Pace:
+    """Running mean of how long the stable version takes on a route and model."""
+
+    __slots__ = ("mean_s", "count")
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+        self.count = 0
+
+    def add(self, took_s: float) -> None:
+        self.count += 1
+        weight = max(TIME_WEIGHT, 1 / self.count)
+        self.mean_s += weight * (took_s - self.mean_s)
+
+    def is_slow(self, took_s: float) -> bool:
+        if self.count < MIN_TIMES:
+            return False
+        return took_s > max(SLOW_TIMES * self.mean_s, self.mean_s + SLOW_FLOOR_S)
+
+
+class Rollouts:
+    """All rollouts, by service; safe for all threads.
+
+    :param canary_share: the share of requests that an unproved version may get.
+    """
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        canary_share: float,
+        guard: policy_api.Guard,
+        evidence_: evidence.EvidenceBook,
+    ) -> None:
+        self._clock = clock_
+        self._canary = canary_share * CANARY_USE
+        self._guard = guard
+        self._evidence = evidence_
+        self._lock = threading.Lock()
+        self._by_service: dict[str, Rollout] = {}
+        # Outcomes read before their orders: (version, state) by service.
+        self._outcomes: dict[str, Outcome] = {}
+        self._paces: dict[tuple[str, str], _Pace] = {}
+        # Labels with evidence of their own, per route, by rollout label.
+        self._routes: dict[str, set[str]] = {}
+
+    # -- Orders and outcomes --
+
+    def take_order(
+        self, order: gateway_api.RolloutOrder, revision: int, started_at: float
+    ) -> Rollout:
+        """Take an operator's order; the same one again changes nothing."""
+        with self._lock:
+            old = self._by_service.get(order.service)
+            if old is not None and old.revision >= revision:
+                return old
+            rollout = Rollout(order, revision, started_at)
+            self._by_service[order.service] = rollout
+            outcome = self._outcomes.get(order.service)
+        eventlog.info(
+            "rollout-ordered",
+            service=order.service,
+            version=order.to_version,
+            revision=revision,
+            finish_s=order.finish_s,
+        )
+        if outcome is not None:
+            self._apply_outcome(rollout, outcome)
+        return rollout
+
+    def take_outcome(self, service: str, outcome: "Outcome") -> None:
+        """Take what a row says became of a rollout."""
+        with self._lock:
+            self._outcomes[service] = outcome
+            rollout = self._by_service.get(service)
+        if rollout is not None:
+            self._apply_outcome(rollout, outcome)
+
+    def halt(self, service: str, revision: int, reason: str) -> None:
+        """Stop a version; more than once changes nothing."""
+        rollout = self._by_service.get(service)
+        if rollout is None or rollout.revision != revision or rollout.halted:
+            return
+        if rollout.state is State.COMPLETED:
+            return
+        rollout.halted = True
+        eventlog.warning(
+            "rollout-halted",
+            service=service,
+            version=rollout.order.to_version,
+            revision=revision,
+            reason=reason,
+        )
+
+    def backdate(self, service: str, revision: int, started_at: float) -> None:
+        """Correct the start of a rollout that another process saw earlier."""
+        rollout = self._by_service.get(service)
+        if rollout is not None and rollout.revision == revision:
+            rollout.started_at = min(rollout.started_at, started_at)
+
+    def all(self) -> list[Rollout]:
+        """Give all rollouts."""
+        with self._lock:
+            return list(self._by_service.values())
+
+    def _apply_outcome(self, rollout: Rollout, outcome: "Outcome") -> None:
+        same = outcome.version == rollout.order.to_version
+        if not same or outcome.row_version < rollout.revision:
+            # It tells of an earlier order.
+            return
+        rollout.written = outcome.state
+        if outcome.state is not rollout.state:
+            rollout.state = outcome.state
+            eventlog.info(
+                "rollout-state",
+                service=rollout.order.service,
+                version=outcome.version,
+                state=outcome.state.value,
+            )
+
+    # -- Which version a request gets --
+
+    def share(self, rollout: Rollout) -> float:
+        """Give the share of sessions that the new version gets now."""
+        if rollout.state is State.COMPLETED:
+            return 1.0
+        if rollout.halted or rollout.state is State.ROLLED_BACK:
+            return 0.0
+        passed = rollout.passed(self._clock.now())
+        share = self._canary
+        for since, wanted in STEPS:
+            if passed >= since:
+                share = wanted
+        return share
+
+    def side(self, service: str, session: str) -> tuple[Rollout, bool] | None:
+        """Give the rollout of a service and whether a session gets its new version."""
+        rollout = self._by_service.get(service)
+        if rollout is None:
+            return None
+        name = f"{session}#{rollout.label}"
+        point = zlib.crc32(name.encode()) / HASH_RANGE
+        return rollout, point < self.share(rollout)
+
+    def fits(self, service: str, version: str, session: str) -> bool:
+        """Whether a session's request may run on a version of a service."""
+        found = self.side(service, session)
+        if found is None:
+            return True
+        rollout, on_new = found
+        return (version == rollout.order.to_version) == on_new
+
+    # -- Evidence --
+
+    def judge_answer(
+        self, service: str, version: str, route: str, pace: str, answer: "Judged"
+    ) -> None:
+        """Count an answer for or against its version.
+
+        :param pace: the answers whose times are alike, such as a route and a model.
+        """
+        rollout = self._by_service.get(service)
+        times = self._paces.setdefault((service, f"{route}/{pace}"), _Pace())
+        is_new = rollout is not None and version == rollout.order.to_version
+        slow = answer.took_s is not None and times.is_slow(answer.took_s)
+        if answer.took_s is not None and not is_new and not answer.failed:
+            times.add(answer.took_s)
+        if rollout is None or rollout.state is not State.RUNNING:
+            return
+        self._count(rollout, route, is_new, answer.failed or slow)
+        if is_new:
+            self._judge(rollout)
+
+    def look(self) -> None:
+        """Judge again, after evidence came from others."""
+        for rollout in self.all():
+            self._judge(rollout)
+
+    def _count(self, rollout: Rollout, route: str, is_new: bool, bad: bool) -> None:
+        side = "new" if is_new else "old"
+        self._evidence.count(f"{rollout.label}/{side}", bad, False)
+        self._evidence.count(f"{rollout.label}/{side}/{route}", bad, False)
+        self._routes.setdefault(rollout.label, set()).add(route)
+
+    def note_routes(self, counters: list[messages.Evidence]) -> None:
+        """Learn from others' evidence which routes a rollout has."""
+        for counts in counters:
+            label, _, rest = counts.version.partition("/")
+            route = rest.partition("/")[2]
+            if route:
+                self._routes.setdefault(label, set()).add(route)
+
+    def _judge(self, rollout: Rollout) -> None:
+        if rollout.state is not State.RUNNING or rollout.halted:
+            return
+        tails = [""] + [f"/{r}" for r in sorted(self._routes.get(rollout.label, ()))]
+        for tail in tails:
+            new = self._evidence.totals(f"{rollout.label}/new{tail}")
+            old = self._evidence.totals(f"{rollout.label}/old{tail}")
+            with self._lock:
+                bad = self._guard.is_bad(
+                    f"{rollout.label}{tail}",
+                    policy_api.Counts(new.answers, new.bad),
+                    policy_api.Counts(old.answers, old.bad),
+                )
+            if bad:
+                reason = f"{new.bad} of {new.answers} answers bad{tail}"
+                reason += f", stable {old.bad} of {old.answers}"
+                self.halt(rollout.order.service, rollout.revision, reason)
+                return
+
+
+class Judged(typing.NamedTuple):
+    """What an answer says of its version.
+
+    :param took_s: seconds to its first part; ``None`` where that tells nothing.
+    """
+
+    failed: bool
+    took_s: float | None
--- a/gaprock/platform_api.py
+++ b/gaprock/services_api.py
@@ -1,6 +1,6 @@
 """What gaprock needs of the platform.
 
-``platform_http`` speaks to services over HTTP; a site with other protocols
+``services_http`` speaks to services over HTTP; a site with other protocols
 registers a connector of its own.
 """
 
--- a/gaprock/platform_http.py
+++ b/gaprock/services_http.py
@@ -7,7 +7,7 @@
 import pybreaker
 import urllib3
 
-from gaprock import options, platform_api, plugin
+from gaprock import options, plugin, services_api
 
 DEFAULT_RETRY_S: typing.Final = 1.0
 POOL_SIZE: typing.Final = 16
@@ -33,8 +33,8 @@
     def call(self, method: str, path: str, body: bytes | None) -> bytes:
         """Make one call.
 
-        :raises platform_api.AnswerLost: the call may have been carried out.
-        :raises platform_api.PlatformError: it was not carried out.
+        :raises services_api.AnswerLost: the call may have been carried out.
+        :raises services_api.PlatformError: it was not carried out.
         """
         timeout = urllib3.Timeout(total=self._wait_s)
         try:
@@ -49,20 +49,20 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as exc:
-            raise platform_api.PlatformError(str(exc)) from exc
+            raise services_api.PlatformError(str(exc)) from exc
         except urllib3.exceptions.HTTPError as exc:
-            raise platform_api.AnswerLost(str(exc)) from exc
+            raise services_api.AnswerLost(str(exc)) from exc
         seconds = float(resp.headers.get("Retry-After", DEFAULT_RETRY_S))
         if resp.status == 429:
-            raise platform_api.RateLimited("status 429", time.time() + seconds)
+            raise services_api.RateLimited("status 429", time.time() + seconds)
         if resp.status == 503:
-            raise platform_api.PlatformError("status 503", time.time() + seconds)
+            raise services_api.PlatformError("status 503", time.time() + seconds)
         if resp.status >= 500:
-            raise platform_api.AnswerLost(f"status {resp.status}")
+            raise services_api.AnswerLost(f"status {resp.status}")
         if resp.status == 404:
             return b""
         if resp.status not in (200, 409):
-            raise platform_api.PlatformError(f"status {resp.status}")
+            raise services_api.PlatformError(f"status {resp.status}")
         return resp.data
 
 
@@ -73,7 +73,7 @@
     try:
         return msgspec.json.decode(data, type=kind)
     except msgspec.DecodeError as exc:
-        raise platform_api.AnswerLost(f"unreadable answer: {exc}") from exc
+        raise services_api.AnswerLost(f"unreadable answer: {exc}") from exc
 
 
 class ReadRequest(msgspec.Struct):
@@ -93,7 +93,7 @@
 class TxRequest(msgspec.Struct):
     """Asks for a transaction."""
 
-    ops: list[platform_api.Op]
+    ops: list[services_api.Op]
 
 
 class RateRequest(msgspec.Struct):
@@ -110,7 +110,7 @@
     rating: float
 
 
-class HttpTable(platform_api.Table):
+class HttpTable(services_api.Table):
     """The table service; while it is down, calls fail at once."""
 
     __slots__ = ("_http", "_breaker")
@@ -120,7 +120,7 @@
         self._breaker = pybreaker.CircuitBreaker(
             fail_max=BREAKER_FAILURES,
             reset_timeout=BREAKER_RESET_S,
-            exclude=[platform_api.RateLimited],
+            exclude=[services_api.RateLimited],
             throw_new_error_on_trip=False,
         )
 
@@ -128,27 +128,27 @@
         try:
             return self._breaker.call(self._http.call, "POST", path, body)
         except pybreaker.CircuitBreakerError as exc:
-            raise platform_api.PlatformError(
+            raise services_api.PlatformError(
                 "the table did not answer just now", time.time() + BREAKER_RESET_S
             ) from exc
 
-    def transact(self, ops: list[platform_api.Op]) -> platform_api.TxResult:
+    def transact(self, ops: list[services_api.Op]) -> services_api.TxResult:
         body = msgspec.json.encode(TxRequest(ops))
         data = self._call("/table/transact", body)
-        return _decode(data, platform_api.TxResult)
+        return _decode(data, services_api.TxResult)
 
-    def read(self, keys: list[str]) -> list[platform_api.Row]:
+    def read(self, keys: list[str]) -> list[services_api.Row]:
         body = msgspec.json.encode(ReadRequest(keys))
         data = self._call("/table/read", body)
-        return _decode(data, list[platform_api.Row])
+        return _decode(data, list[services_api.Row])
 
-    def scan(self, prefix: str, after: str, limit: int) -> list[platform_api.Row]:
+    def scan(self, prefix: str, after: str, limit: int) -> list[services_api.Row]:
         body = msgspec.json.encode(ScanRequest(prefix, after, limit))
         data = self._call("/table/scan", body)
-        return _decode(data, list[platform_api.Row])
+        return _decode(data, list[services_api.Row])
 
 
-class HttpObjects(platform_api.Objects):
+class HttpObjects(services_api.Objects):
     """The object store."""
 
     __slots__ = ("_http",)
@@ -163,7 +163,7 @@
         return self._http.call("GET", f"/objects/{name}", None) or None
 
 
-class HttpRater(platform_api.Rater):
+class HttpRater(services_api.Rater):
     """The rating service."""
 
     __slots__ = ("_http",)
@@ -180,11 +180,11 @@
         try:
             data = self._http.call("POST", "/rating", msgspec.json.encode(req))
             return _decode(data, RateAnswer).rating
-        except platform_api.PlatformError:
+        except services_api.PlatformError:
             return None
 
 
-class HttpVmList(platform_api.VmList):
+class HttpVmList(services_api.VmList):
     """The VM list."""
 
     __slots__ = ("_http",)
@@ -192,18 +192,18 @@
     def __init__(self, http: Http) -> None:
         self._http = http
 
-    def vms(self) -> list[platform_api.Vm]:
-        return _decode(self._http.call("GET", "/vms", None), list[platform_api.Vm])
+    def vms(self) -> list[services_api.Vm]:
+        return _decode(self._http.call("GET", "/vms", None), list[services_api.Vm])
 
 
-@plugin.register(platform_api.Connector, "http")
-class HttpConnector(platform_api.Connector):
+@plugin.register(services_api.Connector, "http")
+class HttpConnector(services_api.Connector):
     """Connects to all of the services at one base address."""
 
     __slots__ = ()
 
-    def connect(self, cfg: options.Options) -> platform_api.Platform:
+    def connect(self, cfg: options.Options) -> services_api.Platform:
         http = Http(cfg)
-        return platform_api.Platform(
+        return services_api.Platform(
             HttpTable(http), HttpObjects(http), HttpRater(http), HttpVmList(http)
         )
--- a/gaprock/table_batch.py
+++ b/gaprock/table_batch.py
@@ -10,14 +10,14 @@
 import typing
 from concurrent import futures
 
-from gaprock import clock, platform_api
+from gaprock import clock, services_api
 
 BATCH: typing.Final = 100
 # Pause before another try when the table asks for one, at most, seconds.
 MAX_PAUSE_S: typing.Final = 0.25
 
 # ``None`` when the write took effect, else the row that stood in its way.
-Outcome = platform_api.Row | None
+Outcome = services_api.Row | None
 
 
 class Write:
@@ -25,7 +25,7 @@
 
     __slots__ = ("op", "deadline", "fut", "sent")
 
-    def __init__(self, op: platform_api.Op, deadline: float) -> None:
+    def __init__(self, op: services_api.Op, deadline: float) -> None:
         self.op = op
         # No further try is begun after this.
         self.deadline = deadline
@@ -39,7 +39,7 @@
 
     __slots__ = ("_table", "_clock", "_queue", "_thread")
 
-    def __init__(self, table: platform_api.Table, clock_: clock.Clock) -> None:
+    def __init__(self, table: services_api.Table, clock_: clock.Clock) -> None:
         self._table = table
         self._clock = clock_
         self._queue: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
@@ -56,11 +56,11 @@
         self._queue.put(None)
         self._thread.join()
 
-    def submit(self, op: platform_api.Op, deadline: float) -> futures.Future[Outcome]:
+    def submit(self, op: services_api.Op, deadline: float) -> futures.Future[Outcome]:
         """Ask for a write.
 
-        :returns: a future of the outcome; it raises ``platform_api.AnswerLost``
-            when it may take effect yet, ``platform_api.PlatformError`` when not.
+        :returns: a future of the outcome; it raises ``services_api.AnswerLost``
+            when it may take effect yet, ``services_api.PlatformError`` when not.
         """
         write = Write(op, deadline)
         self._queue.put(write)
@@ -97,12 +97,12 @@
         while group:
             try:
                 result = self._table.transact([write.op for write in group])
-            except platform_api.AnswerLost as exc:
+            except services_api.AnswerLost as exc:
                 for write in group:
                     write.sent = True
                 group = self._read_back(group, exc)
                 continue
-            except platform_api.PlatformError as exc:
+            except services_api.PlatformError as exc:
                 group = self._pause(group, exc)
                 continue
             if result.ok:
@@ -112,7 +112,7 @@
             group = self._take_out(group, result.failed)
 
     def _take_out(
-        self, group: list[Write], rows: list[platform_api.Row]
+        self, group: list[Write], rows: list[services_api.Row]
     ) -> list[Write]:
         """Settle the writes whose condition failed and give the others."""
         failed = {row.key: row for row in rows}
@@ -126,12 +126,12 @@
         return rest
 
     def _read_back(
-        self, group: list[Write], exc: platform_api.AnswerLost
+        self, group: list[Write], exc: services_api.AnswerLost
     ) -> list[Write]:
         """After a lost answer, see which writes took effect; give the others."""
         try:
             rows = self._table.read([write.op.key for write in group])
-        except platform_api.PlatformError:
+        except services_api.PlatformError:
             return self._pause(group, exc)
         rest = []
         for write, row in zip(group, rows):
@@ -146,7 +146,7 @@
         return self._pause(rest, exc)
 
     def _pause(
-        self, group: list[Write], exc: platform_api.PlatformError
+        self, group: list[Write], exc: services_api.PlatformError
     ) -> list[Write]:
         """Fail the writes that are out of time; give the others after a pause."""
         now = self._clock.now()
@@ -156,7 +156,7 @@
             if write.deadline > resume_at:
                 rest.append(write)
             elif write.sent:
-                write.fut.set_exception(platform_api.AnswerLost(str(exc)))
+                write.fut.set_exception(services_api.AnswerLost(str(exc)))
             else:
                 write.fut.set_exception(exc)
         if rest:
@@ -164,7 +164,7 @@
         return rest
 
 
-def _is_ours(write: Write, row: platform_api.Row) -> bool:
+def _is_ours(write: Write, row: services_api.Row) -> bool:
     """Whether a row holds what the write wrote."""
     if row.value is None or write.op.value is None:
         return False
--- a/gaprock/test/fakes/tables.py
+++ b/gaprock/test/fakes/tables.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from gaprock import platform_api
+from gaprock import services_api
 
 # Faults: the call is refused; its answer is lost after it took effect; its answer
 # is lost and it takes effect only when ``land`` is called.
@@ -12,24 +12,24 @@
 LATE: typing.Final = "late"
 
 
-class TableFake(platform_api.Table):
+class TableFake(services_api.Table):
     """Rows in memory; ``faults`` are used up one a call, then all goes well."""
 
     def __init__(self, faults: typing.Sequence[str] = ()) -> None:
-        self.rows: dict[str, platform_api.Row] = {}
+        self.rows: dict[str, services_api.Row] = {}
         self.faults = list(faults)
-        self._late: list[list[platform_api.Op]] = []
+        self._late: list[list[services_api.Op]] = []
 
-    def transact(self, ops: list[platform_api.Op]) -> platform_api.TxResult:
+    def transact(self, ops: list[services_api.Op]) -> services_api.TxResult:
         fault = self.faults.pop(0) if self.faults else OK
         if fault == DOWN:
-            raise platform_api.PlatformError("down")
+            raise services_api.PlatformError("down")
         if fault == LATE:
             self._late.append(ops)
-            raise platform_api.AnswerLost("late")
+            raise services_api.AnswerLost("late")
         result = self._apply(ops)
         if fault == LOST:
-            raise platform_api.AnswerLost("lost")
+            raise services_api.AnswerLost("lost")
         return result
 
     def land(self) -> None:
@@ -38,32 +38,32 @@
         for ops in late:
             self._apply(ops)
 
-    def read(self, keys: list[str]) -> list[platform_api.Row]:
+    def read(self, keys: list[str]) -> list[services_api.Row]:
         if self.faults and self.faults[0] == DOWN:
             self.faults.pop(0)
-            raise platform_api.PlatformError("down")
+            raise services_api.PlatformError("down")
         return [self.row(key) for key in keys]
 
-    def scan(self, prefix: str, after: str, limit: int) -> list[platform_api.Row]:
+    def scan(self, prefix: str, after: str, limit: int) -> list[services_api.Row]:
         keys = sorted(k for k in self.rows if k.startswith(prefix) and k > after)
         return [self.rows[key] for key in keys[:limit]]
 
-    def row(self, key: str) -> platform_api.Row:
+    def row(self, key: str) -> services_api.Row:
         """Give a row, or the mark of its absence."""
-        return self.rows.get(key, platform_api.Row(key, 0))
+        return self.rows.get(key, services_api.Row(key, 0))
 
-    def _apply(self, ops: list[platform_api.Op]) -> platform_api.TxResult:
+    def _apply(self, ops: list[services_api.Op]) -> services_api.TxResult:
         failed = [
             self.row(op.key)
             for op in ops
-            if op.expect not in (platform_api.ANY_VERSION, self.row(op.key).version)
+            if op.expect not in (services_api.ANY_VERSION, self.row(op.key).version)
         ]
         if failed:
-            return platform_api.TxResult(False, failed)
+            return services_api.TxResult(False, failed)
         for op in ops:
             version = self.row(op.key).version + 1
             if op.delete:
                 self.rows.pop(op.key, None)
             elif not op.check_only:
-                self.rows[op.key] = platform_api.Row(op.key, version, op.value)
-        return platform_api.TxResult(True)
+                self.rows[op.key] = services_api.Row(op.key, version, op.value)
+        return services_api.TxResult(True)
--- a/gaprock/test/site.py
+++ b/gaprock/test/site.py
@@ -17,8 +17,8 @@
     documents,
     entry_main,
     options,
-    platform_api,
     plugin,
+    services_api,
 )
 from gaprock.test.fakes import engine, platform
 
@@ -105,7 +105,7 @@
         cfg.endpoints = [options.EndpointOption(name, fake.url, kind, False, versions)]
         if change is not None:
             change(cfg)
-        agent = agent_main.Agent(cfg, platform_api.connect(cfg))
+        agent = agent_main.Agent(cfg, services_api.connect(cfg))
         agent.start()
         self.agents[name] = agent
         self.list_vm(name, "live")
@@ -129,7 +129,7 @@
         cfg = self.options(f"entry-{len(self.entries)}")
         if change is not None:
             change(cfg)
-        entry = entry_main.Entry(cfg, platform_api.connect(cfg))
+        entry = entry_main.Entry(cfg, services_api.connect(cfg))
         entry.start()
         self.entries.append(entry)
         return entry
--- a/gaprock/test/testbills.py
+++ b/gaprock/test/testbills.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from gaprock import bills, clock, messages, platform_api
+from gaprock import bills, clock, messages, services_api
 from gaprock.test import site
 from gaprock.test.fakes import tables
 
@@ -21,7 +21,7 @@
         for book in books:
             try:
                 book.write_due()
-            except platform_api.PlatformError:
+            except services_api.PlatformError:
                 continue
     assert not any(len(book) for book in books)
 
@@ -55,7 +55,7 @@
     for who in order:
         try:
             books[who].write_due()
-        except platform_api.PlatformError:
+        except services_api.PlatformError:
             table.land()
     table.faults.clear()
     table.land()
--- a/gaprock/test/testconfig.py
+++ b/gaprock/test/testconfig.py
@@ -22,8 +22,8 @@
     messages,
     metrics,
     options,
-    platform_api,
     plugin,
+    services_api,
 )
 from gaprock.test import site
 from gaprock.test.fakes import tables
@@ -440,4 +440,4 @@
             publisher: entry_publish.Publisher = s.entries[0].publisher
             publisher.publish(site.workspace("other"), s.entries[0].config.revision)
         assert caught.value.code is errorcodes.TABLE_DOWN
-        assert isinstance(caught.value.__cause__, platform_api.PlatformError)
+        assert isinstance(caught.value.__cause__, services_api.PlatformError)
--- a/misc/proofs.py
+++ b/misc/proofs.py
@@ -123,8 +123,8 @@
         (
             Edit(
                 "bills.py",
-                "dict.fromkeys(wanted, platform_api.ABSENT)",
-                "dict.fromkeys(wanted, platform_api.ANY_VERSION)",
+                "dict.fromkeys(wanted, services_api.ABSENT)",
+                "dict.fromkeys(wanted, services_api.ANY_VERSION)",
             ),
         ),
     ),
@@ -281,8 +281,8 @@
         (
             Edit(
                 "claims.py",
-                "platform_api.Op(key, expect, value)",
-                "platform_api.Op(key, platform_api.ANY_VERSION, value)",
+                "services_api.Op(key, expect, value)",
+                "services_api.Op(key, services_api.ANY_VERSION, value)",
             ),
         ),
     ),
@@ -429,14 +429,14 @@
         (
             Edit(
                 "config_store.py",
-                "platform_api.Op(HEAD, head.version, {",
-                "platform_api.Op(HEAD, platform_api.ANY_VERSION, {",
+                "services_api.Op(HEAD, head.version, {",
+                "services_api.Op(HEAD, services_api.ANY_VERSION, {",
             ),
             Edit(
                 "config_store.py",
-                "                platform_api.ABSENT,\n"
+                "                services_api.ABSENT,\n"
                 '                {"revision": revision, "key": key',
-                "                platform_api.ANY_VERSION,\n"
+                "                services_api.ANY_VERSION,\n"
                 '                {"revision": revision, "key": key',
             ),
         ),
@@ -448,14 +448,14 @@
         (
             Edit(
                 "config_store.py",
-                "platform_api.Op(HEAD, head.version, {",
-                "platform_api.Op(HEAD, platform_api.ANY_VERSION, {",
+                "services_api.Op(HEAD, head.version, {",
+                "services_api.Op(HEAD, services_api.ANY_VERSION, {",
             ),
             Edit(
                 "config_store.py",
-                "                platform_api.ABSENT,\n"
+                "                services_api.ABSENT,\n"
                 '                {"revision": revision, "key": key',
-                "                platform_api.ANY_VERSION,\n"
+                "                services_api.ANY_VERSION,\n"
                 '                {"revision": revision, "key": key',
             ),
             Edit("config_store.py", "if revision_of(head) != expected:", "if False:"),
