Wait for busy endpoints, and look at silent ones with a new connection

Cause: a stream that paused for 0.8 of its longest pause in time was taken as stuck and opened elsewhere, and a send without an answer after 0.6 of the goal was given up.

Ruled out: lost events and the connection (the logs show the endpoint going on with other requests). A silent endpoint is now looked at with a new connection, at most twice a second: one that takes none is dark, and all its streams move at once.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -23,9 +23,10 @@
 FAILURE_EXCESS: typing.Final = 0.25
 # Answers before the share of failures counts.
 MIN_ANSWERS: typing.Final = 4
-# An endpoint is as good as silent when nothing came for this long while it has
-# requests of ours, seconds.
-SILENT_S: typing.Final = 0.6
+# An endpoint that says nothing for this long while it has requests of ours is looked
+# at with a new connection, at most so often, seconds.
+SILENT_S: typing.Final = 0.5
+LOOK_EVERY_S: typing.Final = 0.5
 
 
 class Endpoint:
@@ -40,6 +41,8 @@
         "others",
         "heard_at",
         "sent_at",
+        "looked_at",
+        "is_dark",
         "paused_until",
         "pause_s",
         "on_trial",
@@ -60,6 +63,9 @@
         # When bytes last came from it, and when the oldest unanswered send was.
         self.heard_at = 0.0
         self.sent_at = 0.0
+        # When a silent endpoint was last looked at, and whether it took no connection.
+        self.looked_at = 0.0
+        self.is_dark = False
         # Set aside until then; the next pause, and whether a trial request is out.
         self.paused_until = 0.0
         self.pause_s = FIRST_PAUSE_S
@@ -188,7 +194,7 @@
         """Whether an endpoint is paused, or its trial request is not back yet."""
         if now < endpoint.paused_until or endpoint.on_trial:
             return True
-        return endpoint.silent(now) or self.fails_often(endpoint)
+        return self.fails_often(endpoint)
 
     def fails_often(self, endpoint: Endpoint) -> bool:
         """Whether it fails clearly more often than its service."""
@@ -207,6 +213,7 @@
             endpoint.running += 1
             if endpoint.paused_until and now >= endpoint.paused_until:
                 endpoint.on_trial = True
+                endpoint.is_dark = False
 
     def end(self, endpoint: Endpoint) -> None:
         """Count a request that is done with."""
@@ -219,6 +226,16 @@
     def heard(self, endpoint: Endpoint) -> None:
         """Note bytes from an endpoint."""
         endpoint.heard_at = self._clock.now()
+        endpoint.is_dark = False
+
+    def claim_look(self, endpoint: Endpoint) -> bool:
+        """Whether a silent endpoint is to be looked at now, by this caller."""
+        now = self._clock.now()
+        with self._lock:
+            if not endpoint.silent(now) or now < endpoint.looked_at + LOOK_EVERY_S:
+                return False
+            endpoint.looked_at = now
+            return True
 
     def answered(self, endpoint: Endpoint, failed: bool) -> None:
         """Note an answer, or the lack of one that the endpoint is to blame for."""
@@ -237,6 +254,7 @@
         with self._lock:
             now = self._clock.now()
             endpoint.on_trial = False
+            endpoint.is_dark = True
             if now < endpoint.paused_until:
                 return
             pause_s = endpoint.pause_s * self._rng.uniform(0.8, 1.2)
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -14,19 +14,28 @@
     gateway_call,
     gateway_metrics,
     http_exchange,
+    routes,
 )
 
 # Longest wait for a connection, seconds: some round trips and one lost packet.
 CONNECT_S: typing.Final = 0.45
+# Longest wait for a connection that only shows whether a silent endpoint is there.
+LOOK_CONNECT_S: typing.Final = 0.25
 # Pause between two looks at an endpoint that has not answered, seconds.
-LOOK_S: typing.Final = 0.1
-# An endpoint that has not answered may be given up after this share of the goal,
-# but never before so many seconds.
+LOOK_S: typing.Final = 0.15
+# A plain service with free slots may be given up after this share of the goal, but
+# never before so many seconds; where all slots are taken the request waits its turn.
 PATIENCE_SHARE: typing.Final = 0.6
 MIN_PATIENCE_S: typing.Final = 0.25
-# Only an endpoint with free slots is given up for being late: elsewhere the request
-# waits its turn.
 FREE_FILL: typing.Final = 0.8
+# An engine answers late when it is busy; it has lost a request when it goes on
+# answering others for this multiple of the goal.
+LOST_SHARE: typing.Final = 1.5
+# A stream that has begun is lost after this multiple of its longest pause in time.
+LOST_GAPS: typing.Final = 2.5
+
+
+DEADLINE: typing.Final = "deadline"
 
 
 class NotRun(Exception):
@@ -170,25 +179,61 @@
         may_give_up: typing.Callable[[], bool],
     ) -> None:
         """Decide whether to wait on for an endpoint that has not answered."""
+        reason = self.lost_reason(call, attempt, attempt.sent_at, self._patience(call))
+        if not reason:
+            return
+        if reason != DEADLINE and not may_give_up():
+            return
+        call.has_run = True
+        call.excluded.add(attempt.endpoint.name)
+        self._directory.answered(attempt.endpoint, failed=True)
+        raise Failed(reason)
+
+    def _patience(self, call: gateway_call.Call) -> float:
+        """Give the seconds after which a live endpoint has lost a call."""
+        goal_s = call.route.goal_s
+        if call.route.kind is routes.RouteKind.STREAM:
+            return LOST_SHARE * goal_s
+        return max(MIN_PATIENCE_S, PATIENCE_SHARE * goal_s)
+
+    def lost_reason(
+        self,
+        call: gateway_call.Call,
+        attempt: Attempt,
+        heard_at: float,
+        patience_s: float,
+    ) -> str:
+        """Say why an answer is not worth waiting for any more; empty to wait on.
+
+        :param heard_at: when the call's own connection was last heard of.
+        """
         now = self._clock.now()
         endpoint = attempt.endpoint
         if now >= call.deadline:
-            call.has_run = True
-            self._directory.answered(endpoint, failed=True)
-            raise Failed("deadline")
-        waited_s = now - attempt.sent_at
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_SHARE * call.route.goal_s)
-        silent = endpoint.silent(now)
-        if silent:
-            patience_s = min(patience_s, directory.SILENT_S)
-        idle = endpoint.load <= FREE_FILL * endpoint.row.slots
-        if waited_s >= patience_s and (silent or idle) and may_give_up():
-            call.has_run = True
-            call.excluded.add(endpoint.name)
-            self._directory.answered(endpoint, failed=True)
-            if silent:
-                self._directory.unreachable(endpoint, "silent")
-            raise Failed(f"no answer for {waited_s:.2f} s")
+            return DEADLINE
+        if endpoint.is_dark or self._is_dark_now(attempt):
+            return "endpoint unreachable"
+        is_full = endpoint.load > FREE_FILL * endpoint.row.slots
+        if now - heard_at >= patience_s and not is_full:
+            return f"nothing for {now - heard_at:.1f} s"
+        return ""
+
+    def _is_dark_now(self, attempt: Attempt) -> bool:
+        """Look at a silent endpoint: a busy one still takes connections."""
+        endpoint = attempt.endpoint
+        if not self._directory.claim_look(endpoint):
+            return False
+        look = http_exchange.Exchange(
+            endpoint.address, http_exchange.Caller(None), self._clock
+        )
+        try:
+            look.connect(self._clock.now() + LOOK_CONNECT_S)
+        except http_exchange.Unreachable as exc:
+            self._directory.unreachable(endpoint, f"silent, and {exc}")
+            return True
+        finally:
+            look.close()
+        return False
 
     def _check_head(self, call: gateway_call.Call, attempt: Attempt) -> None:
         """Sort out answers that are refusals, or not answers to this call."""
--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -82,6 +82,11 @@
         "excluded",
         "has_run",
         "service",
+        "model",
+        "endpoint",
+        "first_at",
+        "wrote_at",
+        "longest_gap_s",
     )
 
     def __init__(
@@ -111,6 +116,22 @@
         self.excluded: set[str] = set()
         # Whether an endpoint may have begun to run it.
         self.has_run = False
+        # What the answer came from, for the log.
+        self.model = ""
+        self.endpoint = ""
+        # When the caller got the first and the last bytes, and the longest pause
+        # between two writes, seconds.
+        self.first_at = 0.0
+        self.wrote_at = 0.0
+        self.longest_gap_s = 0.0
+
+    def note_write(self, now: float) -> None:
+        """Note that the caller is given bytes."""
+        if self.first_at:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.wrote_at)
+        else:
+            self.first_at = now
+        self.wrote_at = now
 
     @property
     def sends_left(self) -> int:
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -82,7 +82,7 @@
             # The first request after a pause is a trial; not with one that may not
             # be repeated.
             return bool(endpoint.paused_until) and not call.route.repeatable
-        if now < endpoint.paused_until or endpoint.on_trial or endpoint.silent(now):
+        if now < endpoint.paused_until or endpoint.on_trial:
             return True
         return not (call.route.repeatable and self._rng.random() < TRIAL_CHANCE)
 
--- a/gaprock/gateway_http.py
+++ b/gaprock/gateway_http.py
@@ -1,11 +1,11 @@
 """The gateway's HTTP port: CherryPy's server, with a gateway class of ours behind it.
 
-The server (``cheroot``) reads heads and bodies, keeps connections and brings the
-threads.  CherryPy's bus and tree stay out: their import is a large part of a start on a
-small machine, and the bus checks a port by connecting to it.  A request is served on its
-connection directly instead of through WSGI, because a router needs what WSGI hides: the
-target as the caller wrote it, the headers as they came, the caller's socket to notice
-that it left, and a way to break a stream off.
+The server (``cheroot``) reads heads and bodies, keeps connections and brings threads.
+CherryPy's bus and tree stay out: their import is a large part of a start on a small
+machine, and the bus checks a port by connecting to it.  A request is served on its
+connection directly instead of through WSGI, because a router needs what WSGI hides:
+the target as the caller wrote it, the headers as they came, the caller's socket to
+notice that it left, and a way to break a stream off.
 """
 
 import collections
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -217,6 +217,7 @@
         relay = gateway_relay.Relay(
             self.clock,
             self.directory,
+            sender,
             self.rollouts,
             plugin.find(policy_api.ModelChoice, cfg.model_choice)(),
             self.budget,
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -23,8 +23,6 @@
     routes,
 )
 
-# A stream that pauses for this share of the longest pause in time is taken as stuck.
-STUCK_SHARE: typing.Final = 0.8
 # Repeats that are left to failures before models are climbed, per service.
 CLIMB_RESERVE: typing.Final = 4.0
 SUCCESS_END: typing.Final = 300
@@ -103,6 +101,7 @@
         self,
         clock_: clock.Clock,
         directory_: directory.Directory,
+        sender: gateway_attempt.Sender,
         rollouts_: rollouts.Rollouts,
         choice: policy_api.ModelChoice,
         budget: retry_window.RetryWindow,
@@ -111,6 +110,7 @@
     ) -> None:
         self._clock = clock_
         self.directory = directory_
+        self._sender = sender
         self._rollouts = rollouts_
         self._choice = choice
         self._budget = budget
@@ -130,8 +130,6 @@
                 self._give_whole(call, reply, source)
                 return
             reply.begin(head.status, head.headers)
-            took_s = self._clock.now() - call.inbound.arrived_at
-            self._metrics.first_byte.labels(call.route.name).observe(took_s)
             if self._relay_all(call, reply, sends, source, events):
                 reply.end()
         finally:
@@ -292,7 +290,7 @@
         source: Source | None = first
         while source is not None:
             try:
-                self._relay_one(call, reply, source, events, last)
+                self._relay_one(call, reply, sends, source, events, last)
                 return True
             except _Stopped as exc:
                 last, detail = exc.last, exc.detail
@@ -316,6 +314,7 @@
         self,
         call: gateway_call.Call,
         reply: gateway_call.Reply,
+        sends: Sends,
         source: Source,
         events: list[event_stream.Event],
         last: int | None,
@@ -324,33 +323,46 @@
 
         :raises _Stopped: when it did not come to its end.
         """
-        stuck_s = STUCK_SHARE * call.route.gap_s
+        heard_at = self._clock.now()
+        call.model, call.endpoint = source.attempt.model, source.attempt.endpoint.name
         while True:
             fresh = [e for e in events if not _is_old(e, last)]
             if fresh:
+                call.note_write(self._clock.now())
                 reply.write(b"".join(e.raw for e in fresh))
                 numbers = [e.number for e in fresh if e.number is not None]
                 last = numbers[-1] if numbers else last
-            wait_until = min(call.deadline, self._clock.now() + stuck_s)
+            look_at = self._clock.now() + gateway_attempt.LOOK_S
             try:
-                events = source.next_events(wait_until)
+                events = source.next_events(min(call.deadline, look_at))
             except Broken as exc:
                 raise _Stopped(str(exc), last) from exc
             except http_exchange.TimedOut as exc:
-                self._look_stuck(call, last, exc)
+                self._look(call, sends, source, heard_at, last, exc)
                 events = []
                 continue
+            heard_at = self._clock.now()
             if not events:
                 return
 
-    def _look_stuck(
-        self, call: gateway_call.Call, last: int | None, exc: Exception
+    def _look(
+        self,
+        call: gateway_call.Call,
+        sends: Sends,
+        source: Source,
+        heard_at: float,
+        last: int | None,
+        exc: Exception,
     ) -> None:
-        """Stop a stream that is past its deadline, or stuck and can go on elsewhere."""
-        if self._clock.now() >= call.deadline:
-            raise _Stopped("deadline", last) from exc
-        if call.route.resumable and call.sends_left > 0 and last is not None:
-            raise _Stopped("stuck", last) from exc
+        """Stop a stream that is past its deadline, or lost and can go on elsewhere."""
+        patience_s = gateway_attempt.LOST_GAPS * call.route.gap_s
+        reason = self._sender.lost_reason(call, source.attempt, heard_at, patience_s)
+        if not reason:
+            return
+        if reason == gateway_attempt.DEADLINE:
+            raise _Stopped(reason, last) from exc
+        if last is not None and sends.may_repeat(call):
+            raise _Stopped(reason, last) from exc
 
     def _resume(
         self,
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -189,6 +189,7 @@
         while True:
             try:
                 attempt = self.send(call, reply, "", call.info.resume_after)
+                call.endpoint = attempt.endpoint.name
                 body = self._collect(call, attempt)
             except gateway_attempt.Failed as exc:
                 if self.may_repeat(call):
@@ -208,7 +209,7 @@
                     self.take_repeat(call, f"status {attempt.head.status}")
                     continue
             head, body = kept
-            self._observe_first(call)
+            call.note_write(self._clock.now())
             reply.whole(head.status, head.headers, body)
             return
 
@@ -337,10 +338,6 @@
         except http_exchange.CallerGone:
             eventlog.info("caller-gone", code=exc.code.number)
 
-    def _observe_first(self, call: gateway_call.Call) -> None:
-        took_s = self._clock.now() - call.inbound.arrived_at
-        self._metrics.first_byte.labels(call.route.name).observe(took_s)
-
     def _log_end(
         self,
         inbound: gateway_call.Inbound,
@@ -350,7 +347,9 @@
         took_s = self._clock.now() - inbound.arrived_at
         name = call.route.name if call else "none"
         self._metrics.requests.labels(name, result).inc()
-        if call is not None and result == "answered":
+        first_s = call.first_at - inbound.arrived_at if call and call.first_at else 0.0
+        if call is not None and call.first_at:
+            self._metrics.first_byte.labels(name).observe(first_s)
             self._metrics.whole.labels(name).observe(took_s)
         eventlog.info(
             "request",
@@ -360,5 +359,10 @@
             config=call.config_number if call else 0,
             sends=call.sends if call else 0,
             result=result,
+            endpoint=call.endpoint if call and call.endpoint else "none",
+            model=call.model if call and call.model else "none",
+            tokens_in=call.info.tokens_in if call else 0,
+            first_s=first_s,
+            gap_s=call.longest_gap_s if call else 0.0,
             took_s=took_s,
         )
