Take peers' rows when the store hangs, and balance by unread prompts

A peer that stays ahead by its newest change for 0.4 s is asked for a copy, whatever the store says, and the store's connections have probes. Climbs to a larger model shrink as times to the first event near their goals.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -29,6 +29,17 @@
 LOOK_EVERY_S: typing.Final = 0.5
 
 
+class Load(typing.NamedTuple):
+    """What a gateway has at an endpoint.
+
+    :param running: requests.
+    :param reading: prompts that are not read yet, in tokens of the largest model.
+    """
+
+    running: int
+    reading: float
+
+
 class Endpoint:
     """One endpoint; its numbers are guarded by the directory's lock."""
 
@@ -38,6 +49,7 @@
         "leave_at",
         "row_gone",
         "running",
+        "reading",
         "others",
         "heard_at",
         "sent_at",
@@ -59,7 +71,8 @@
         self.row_gone = False
         # Requests of ours, and of other gateways by their names.
         self.running = 0
-        self.others: dict[str, int] = {}
+        self.reading = 0.0
+        self.others: dict[str, Load] = {}
         # When bytes last came from it, and when the oldest unanswered send was.
         self.heard_at = 0.0
         self.sent_at = 0.0
@@ -81,7 +94,12 @@
     @property
     def load(self) -> int:
         """Requests that all gateways together have there."""
-        return self.running + sum(self.others.values())
+        return self.running + sum(load.running for load in self.others.values())
+
+    @property
+    def unread(self) -> float:
+        """Prompts that all gateways together have there and that are not read yet."""
+        return self.reading + sum(load.reading for load in self.others.values())
 
     def silent(self, now: float) -> bool:
         """Whether it has requests of ours and says nothing."""
@@ -204,17 +222,26 @@
 
     # -- What our requests tell --
 
-    def begin(self, endpoint: Endpoint) -> None:
-        """Count a request that is about to be sent."""
+    def begin(self, endpoint: Endpoint, reading: float) -> None:
+        """Count a request that is about to be sent.
+
+        :param reading: its prompt, in tokens of the largest model.
+        """
         now = self._clock.now()
         with self._lock:
             if not endpoint.running:
                 endpoint.sent_at = now
             endpoint.running += 1
+            endpoint.reading += reading
             if endpoint.paused_until and now >= endpoint.paused_until:
                 endpoint.on_trial = True
                 endpoint.is_dark = False
 
+    def read(self, endpoint: Endpoint, reading: float) -> None:
+        """Note that a prompt was read, since its answer has begun."""
+        with self._lock:
+            endpoint.reading -= reading
+
     def end(self, endpoint: Endpoint) -> None:
         """Count a request that is done with."""
         with self._lock:
@@ -282,17 +309,21 @@
 
     # -- What other gateways tell --
 
-    def own_loads(self) -> dict[str, int]:
-        """Give our requests by endpoint."""
+    def own_loads(self) -> dict[str, Load]:
+        """Give what we have at each endpoint."""
         with self._lock:
-            return {e.name: e.running for e in self._endpoints.values() if e.running}
+            return {
+                e.name: Load(e.running, round(e.reading))
+                for e in self._endpoints.values()
+                if e.running
+            }
 
-    def take_loads(self, gateway: str, loads: dict[str, int]) -> None:
+    def take_loads(self, gateway: str, loads: dict[str, Load]) -> None:
         """Take another gateway's requests by endpoint."""
         with self._lock:
             for endpoint in self._endpoints.values():
-                count = loads.get(endpoint.name, 0)
-                if count:
-                    endpoint.others[gateway] = count
+                load = loads.get(endpoint.name)
+                if load is not None:
+                    endpoint.others[gateway] = load
                 else:
                     endpoint.others.pop(gateway, None)
--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -16,6 +16,8 @@
 # Pauses after a failure, first and longest, seconds.
 FIRST_PAUSE_S: typing.Final = 0.1
 LONGEST_PAUSE_S: typing.Final = 1.0
+# A peer that is ahead for this long has news that the store did not tell, seconds.
+BEHIND_S: typing.Final = 0.4
 # Changes that come close together are read in one call, seconds.
 GATHER_S: typing.Final = 0.05
 
@@ -45,6 +47,8 @@
         self._rows: dict[str, gateway_api.Row] = {}
         # What the rows are up to date with; -1 before the first reading.
         self.version = -1
+        # The version of the newest change in the table itself; -1 before any reading.
+        self.changed = -1
         # Since when the store has not answered; ``NEVER`` while it does.
         self.lost_at = 0.0
         self._rng = random.Random()
@@ -70,21 +74,22 @@
             return list(self._rows.values())
 
     def take_copy(self, page: gateway_api.Page) -> None:
-        """Take a whole table from a peer if it is newer."""
+        """Take a whole table from a peer if it has a newer change."""
         with self._lock:
-            if page.version <= self.version:
+            if page.version <= self.changed:
                 return
             eventlog.info(
-                "rows-copied", table=self.table, old=self.version, new=page.version
+                "rows-copied", table=self.table, old=self.changed, new=page.version
             )
-            self._take_whole(page)
+            self._take_whole(page, page.version)
 
     def _run(self) -> None:
         pause_s = FIRST_PAUSE_S
         is_read = False
         while not self._stopped.is_set():
             try:
-                is_read = self._step(is_read)
+                # After a failure, a call without a wait shows whether it is back.
+                is_read = self._step(is_read, POLL_S if self.connected else 0.0)
             except gateway_api.HistoryGone:
                 eventlog.warning("history-gone", table=self.table, version=self.version)
                 is_read = False
@@ -97,41 +102,50 @@
             self._note_back()
             pause_s = FIRST_PAUSE_S
 
-    def _step(self, is_read: bool) -> bool:
+    def _step(self, is_read: bool, wait_s: float) -> bool:
         """Make one call.
 
+        :param wait_s: how long the store may wait for a change.
         :returns: whether changes can be asked for next.
         """
         if not is_read:
             page = self._store.read(self.table)
             with self._lock:
                 if page.version >= self.version:
-                    self._take_whole(page)
+                    newest = max((row.version for row in page.rows), default=0)
+                    self._take_whole(page, max(self.changed, newest))
             return True
-        page = self._store.follow(self.table, self.version, POLL_S)
+        page = self._store.follow(self.table, self.version, wait_s)
         with self._lock:
             self._take_changes(page)
         if page.rows:
             self._stopped.wait(GATHER_S)
         return True
 
-    def _take_whole(self, page: gateway_api.Page) -> None:
+    def _take_whole(self, page: gateway_api.Page, changed: int) -> None:
         self._rows = {row.key: row for row in page.rows}
-        self.version = page.version
+        self.version = max(self.version, page.version)
+        self.changed = changed
         self._sink.take_page(page, whole=True)
 
     def _take_changes(self, page: gateway_api.Page) -> None:
         """Take changed rows, less those that a peer's copy brought already."""
         fresh = []
+        # Rows of one transaction share a version, so the bound is the one before.
+        known_until = self.changed
         for row in page.rows:
             old = self._rows.get(row.key)
             if old is not None and old.version >= row.version:
                 continue
+            if row.version <= known_until and old is None:
+                # Removed in the meantime, as a copy has told.
+                continue
             fresh.append(row)
             if row.value is None:
                 self._rows.pop(row.key, None)
             else:
                 self._rows[row.key] = row
+            self.changed = max(self.changed, row.version)
         self.version = max(self.version, page.version)
         if fresh:
             changed = gateway_api.Page(fresh, page.version, page.store_now)
@@ -159,22 +173,33 @@
     :param followers: in the order of ``mesh_messages.TABLES``.
     """
 
-    __slots__ = ("_followers", "_clock")
+    __slots__ = ("_followers", "_clock", "_behind_at")
 
     def __init__(self, followers: list[Follower], clock_: clock.Clock) -> None:
         self._followers = followers
         self._clock = clock_
+        # Since when a peer has been ahead, by table.
+        self._behind_at: dict[int, float] = {}
 
     def versions(self) -> list[int]:
-        """Give what each table is up to date with."""
-        return [follower.version for follower in self._followers]
+        """Give the newest change of each table."""
+        return [follower.changed for follower in self._followers]
 
     def behind(self, table: int, version: int) -> bool:
-        """Whether a peer's copy would help: only while the store does not answer."""
+        """Whether a peer's copy would help.
+
+        The store may hang without a word, so a peer that stays ahead for longer than
+        the store's own news takes is enough.
+        """
         if not 0 <= table < len(self._followers):
             return False
         follower = self._followers[table]
-        return not follower.connected and version > follower.version
+        if version <= follower.changed:
+            self._behind_at.pop(table, None)
+            return False
+        now = self._clock.now()
+        since = self._behind_at.setdefault(table, now)
+        return not follower.connected or now >= since + BEHIND_S
 
     def copy(self, table: int) -> mesh_messages.Rows:
         """Give a table."""
@@ -184,7 +209,7 @@
             for row in follower.rows()
             if row.value is not None
         ]
-        return mesh_messages.Rows(table, follower.version, rows)
+        return mesh_messages.Rows(table, follower.changed, rows)
 
     def take_copy(self, rows: mesh_messages.Rows) -> None:
         """Take a table from a peer."""
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -49,23 +49,44 @@
 class Attempt:
     """A send whose answer's head is there."""
 
-    __slots__ = ("endpoint", "model", "exchange", "head", "sent_at", "_done")
+    __slots__ = (
+        "endpoint",
+        "model",
+        "exchange",
+        "head",
+        "sent_at",
+        "_reading",
+        "_done",
+    )
 
     def __init__(
-        self, endpoint: directory.Endpoint, model: str, exchange: http_exchange.Exchange
+        self,
+        endpoint: directory.Endpoint,
+        model: str,
+        exchange: http_exchange.Exchange,
+        reading: float,
     ) -> None:
         self.endpoint = endpoint
         self.model = model
         self.exchange = exchange
+        # Its prompt, while that is not read, in tokens of the largest model.
+        self._reading = reading
         self.head: gateway_api.AnswerHead
         self.sent_at = 0.0
         self._done = False
 
+    def note_read(self, directory_: directory.Directory) -> None:
+        """Note that the endpoint has read the prompt; again does nothing."""
+        reading, self._reading = self._reading, 0.0
+        if reading:
+            directory_.read(self.endpoint, reading)
+
     def finish(self, directory_: directory.Directory) -> None:
         """Close the connection and count the request out; again does nothing."""
         if self._done:
             return
         self._done = True
+        self.note_read(directory_)
         self.exchange.close()
         directory_.end(self.endpoint)
 
@@ -92,10 +113,12 @@
         endpoint: directory.Endpoint,
         model: str,
         resume_after: int | None,
+        reading: float,
         may_give_up: typing.Callable[[], bool],
     ) -> Attempt:
         """Send a call and wait for the head of its answer.
 
+        :param reading: the prompt, in tokens of the largest model.
         :param may_give_up: whether the call could be sent elsewhere.
         :raises NotRun: when the endpoint did not run it.
         :raises Failed: when it may have.
@@ -103,8 +126,8 @@
         """
         reply.caller.check()
         exchange = http_exchange.Exchange(endpoint.address, reply.caller, self._clock)
-        attempt = Attempt(endpoint, model, exchange)
-        self._directory.begin(endpoint)
+        attempt = Attempt(endpoint, model, exchange, reading)
+        self._directory.begin(endpoint, reading)
         try:
             self._connect(call, attempt)
             self._hand_over(call, attempt, resume_after)
@@ -169,6 +192,7 @@
                 self._directory.answered(endpoint, failed=True)
                 raise Failed(str(exc)) from exc
         self._directory.heard(endpoint)
+        attempt.note_read(self._directory)
         attempt.head = self._dialect.read_answer(raw.status, raw.headers)
         self._check_head(call, attempt)
 
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -17,6 +17,8 @@
 # One in so many requests that may be repeated goes to an endpoint that fails often,
 # so that its recovery is noticed.
 TRIAL_CHANCE: typing.Final = 0.05
+# Weight of a new prompt in the running mean of their lengths.
+MEAN_WEIGHT: typing.Final = 0.05
 
 
 class Chooser:
@@ -39,6 +41,8 @@
         self._rollouts = rollouts_
         self._routing = routing
         self._rng = random.Random()
+        # Mean length of a service's prompts, in tokens of the largest model.
+        self._mean_prompt: dict[str, float] = {}
 
     def service(self, route: routes.Route) -> str:
         """Choose the service of a request by the weights of its route."""
@@ -48,8 +52,13 @@
         weights = [pool.weight for pool in pools]
         return self._rng.choices(pools, weights)[0].service
 
-    def endpoint(self, call: gateway_call.Call) -> directory.Endpoint | None:
-        """Choose the endpoint of the next send; ``None`` when there is none."""
+    def endpoint(
+        self, call: gateway_call.Call, reading: float
+    ) -> directory.Endpoint | None:
+        """Choose the endpoint of the next send; ``None`` when there is none.
+
+        :param reading: the prompt, in tokens of the largest model.
+        """
         now = self._clock.now()
         usable = self._directory.usable(call.service, call.excluded)
         fitting = [
@@ -58,7 +67,9 @@
             if self._rollouts.fits(call.service, e.row.version, call.session)
         ]
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
-        chosen = self._best(good or fitting)
+        mean = self._mean_prompt.get(call.service, reading)
+        self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (reading - mean)
+        chosen = self._best(good or fitting, mean)
         if chosen is None:
             return None
         eventlog.info(
@@ -71,6 +82,7 @@
             good=len(good),
             choice=chosen.name,
             load=chosen.load,
+            unread=chosen.unread,
             heard_s=now - chosen.heard_at,
         )
         return chosen
@@ -86,7 +98,9 @@
             return True
         return not (call.route.repeatable and self._rng.random() < TRIAL_CHANCE)
 
-    def _best(self, endpoints: list[directory.Endpoint]) -> directory.Endpoint | None:
+    def _best(
+        self, endpoints: list[directory.Endpoint], mean_prompt: float
+    ) -> directory.Endpoint | None:
         by_name = {e.name: e for e in endpoints}
         candidates = [
             policy_api.Candidate(
@@ -97,6 +111,7 @@
                 0,
                 e.row.hall == self._hall,
                 False,
+                e.unread / max(1.0, mean_prompt),
             )
             for e in endpoints
         ]
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -25,6 +25,8 @@
 
 # Repeats that are left to failures before models are climbed, per service.
 CLIMB_RESERVE: typing.Final = 4.0
+# Weight of a new time to the first event in the pressure.
+PRESSURE_WEIGHT: typing.Final = 0.1
 SUCCESS_END: typing.Final = 300
 SERVER_ERROR: typing.Final = 500
 
@@ -116,6 +118,8 @@
         self._budget = budget
         self._metrics = metrics
         self._services = services
+        # Recent times to the first event as shares of their goals, by service.
+        self._pressure: dict[str, float] = {}
 
     def run(
         self, call: gateway_call.Call, reply: gateway_call.Reply, sends: Sends
@@ -159,6 +163,7 @@
                 sends.take_repeat(call, str(exc))
                 continue
             source = Source(attempt, self._clock, self.directory)
+            self._note_first(call, attempt)
             try:
                 larger = self._judge_head(call, attempt, resume_after)
                 if larger:
@@ -233,8 +238,17 @@
             call.info.tokens_out,
             call.goal_at - now,
             max(0, min(sends_left, budget_left)),
+            self._pressure.get(call.service, 0.0),
         )
 
+    def _note_first(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
+    ) -> None:
+        """Take the time to a first event into the pressure of its service."""
+        ratio = (self._clock.now() - attempt.sent_at) / call.route.goal_s
+        old = self._pressure.get(call.service, ratio)
+        self._pressure[call.service] = old + PRESSURE_WEIGHT * (ratio - old)
+
     def _first_model(self, call: gateway_call.Call) -> str:
         """Choose the model; empty where the caller named it."""
         if not call.info.any_model or not call.route.models:
@@ -265,6 +279,7 @@
             model=attempt.model,
             confidence="none" if head.confidence is None else head.confidence,
             left_s=ask.left_s,
+            pressure=ask.pressure,
             climbs_left=ask.climbs_left,
             choice=larger or "keep",
         )
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -15,6 +15,7 @@
 
 from gaprock import (
     clock,
+    directory,
     errorcodes,
     errors,
     eventlog,
@@ -226,7 +227,8 @@
         :raises gateway_call.GivenUp: when no endpoint would.
         """
         while True:
-            endpoint = self._find_endpoint(call, reply)
+            reading = self._reading(call, model)
+            endpoint = self._find_endpoint(call, reply, reading)
             sends = call.sends
             try:
                 attempt = self._sender.send(
@@ -235,6 +237,7 @@
                     endpoint,
                     model,
                     resume_after,
+                    reading,
                     lambda: self.may_repeat(call),
                 )
             except gateway_attempt.NotRun as exc:
@@ -272,14 +275,24 @@
             return False
         return self._budget.left(call.service, now) >= 1.0
 
+    def _reading(self, call: gateway_call.Call, model: str) -> float:
+        """Give the length of a prompt in tokens of the largest model, by price."""
+        table = self._source.table
+        service = table.services.get(call.service) if table else None
+        if service is None or not service.models:
+            return 0.0
+        dearest = max(known.cost for known in service.models)
+        cost = service.cost_of(model) if model else dearest
+        return call.info.tokens_in * cost / dearest if dearest else 0.0
+
     def _find_endpoint(
-        self, call: gateway_call.Call, reply: gateway_call.Reply
-    ) -> typing.Any:
+        self, call: gateway_call.Call, reply: gateway_call.Reply, reading: float
+    ) -> directory.Endpoint:
         """Choose an endpoint, waiting a moment for one when there is none."""
         give_up_at = self._clock.now() + WAIT_SHARE * call.route.goal_s
         give_up_at = min(give_up_at, call.deadline)
         while True:
-            endpoint = self._chooser.endpoint(call)
+            endpoint = self._chooser.endpoint(call, reading)
             if endpoint is not None:
                 return endpoint
             now = self._clock.now()
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gaprock import messages
+from gaprock import directory, messages
 
 # Row tables that a beat gives versions of, in this order.
 TABLES: typing.Final = ("orders", "endpoints", "outcomes")
@@ -29,7 +29,7 @@
 
     :param address: where the sender takes messages.
     :param versions: what its tables are up to date with, in the order of ``TABLES``.
-    :param loads: its requests by endpoint.
+    :param loads: what it has at each endpoint.
     :param evidence: counters that changed since the last beat to this peer.
     """
 
@@ -37,7 +37,7 @@
     address: str
     incarnation: str
     versions: list[int]
-    loads: dict[str, int]
+    loads: dict[str, directory.Load]
     rollouts: list[RolloutNews]
     evidence: list[messages.Evidence]
     leaving: bool
@@ -80,4 +80,5 @@
 
     :raises msgspec.DecodeError: when it is none.
     """
-    return _decoder.decode(data)
+    message: Message = _decoder.decode(data)
+    return message
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import socket
 import typing
 import urllib.parse
 
@@ -13,6 +14,17 @@
 ANSWER_WAIT_S: typing.Final = 2.0
 # A long poll is given up this long after the store should have answered, seconds.
 POLL_SLACK_S: typing.Final = 2.0
+# A long poll says nothing for long, so the connection itself has to show that the store
+# is still there: probes after a second, given up after these milliseconds.
+SILENT_MS: typing.Final = 2000
+SOCKET_OPTIONS: typing.Final = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS),
+]
 MAX_WAIT_MS: typing.Final = 30_000
 RETRY_STATUSES: typing.Final = (429, 503)
 
@@ -29,7 +41,12 @@
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=8, block=False, retries=False
+            host,
+            int(port),
+            maxsize=8,
+            block=False,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
 
     def read(self, table: str) -> gateway_api.Page:
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -124,7 +124,14 @@
 class Candidate:
     """An endpoint that a request could go to, as an entry sees it."""
 
-    __slots__ = ("agent", "load", "sent_since", "same_hall", "holds_prefix")
+    __slots__ = (
+        "agent",
+        "load",
+        "sent_since",
+        "same_hall",
+        "holds_prefix",
+        "unread",
+    )
 
     def __init__(
         self,
@@ -133,6 +140,7 @@
         sent_since: int,
         same_hall: bool,
         holds_prefix: bool,
+        unread: float = 0.0,
     ) -> None:
         self.agent = agent
         self.load = load
@@ -141,6 +149,8 @@
         self.same_hall = same_hall
         # Whether the endpoint likely holds the prompt's prefix.
         self.holds_prefix = holds_prefix
+        # Prompts ahead that are not read yet, in mean prompts.
+        self.unread = unread
 
     @property
     def name(self) -> str:
@@ -168,6 +178,7 @@
     :param tokens_out: the most that is made.
     :param left_s: seconds left to the goal.
     :param climbs_left: further sends that the request and the budget allow.
+    :param pressure: recent times to the first event, as a share of their goals.
     """
 
     models: list[routes.ModelCost]
@@ -175,6 +186,7 @@
     tokens_out: int
     left_s: float
     climbs_left: int
+    pressure: float
 
 
 class ModelChoice(plugin.Plugin):
--- a/gaprock/policy_models.py
+++ b/gaprock/policy_models.py
@@ -11,13 +11,20 @@
 # Answers with less confidence than this are asked for again; the trials on the
 # users' bench found 70 the best of the fixed ones.
 DOUBTFUL: typing.Final = 70.0
+# Pressures between which climbing shrinks from all of it to none, as shares of a goal.
+CALM: typing.Final = 0.35
+STRAINED: typing.Final = 0.9
 # Time that another answer needs at least, seconds.
 CLIMB_S: typing.Final = 0.3
 
 
 @plugin.register(policy_api.ModelChoice, "confidence")
 class Confidence(policy_api.ModelChoice):
-    """The smallest model, then the largest while the answer is doubtful."""
+    """The smallest model, then the largest while the answer is doubtful.
+
+    What counts as doubtful shrinks as the engines come under pressure: a second answer
+    to one request makes others late, which costs more than it gains.
+    """
 
     __slots__ = ()
 
@@ -34,7 +41,9 @@
         largest = ask.models[-1].name
         if model == largest or not ask.climbs_left or ask.left_s < CLIMB_S:
             return None
-        if confidence is None or confidence >= DOUBTFUL:
+        relief = (ask.pressure - CALM) / (STRAINED - CALM)
+        doubtful = DOUBTFUL * (1.0 - min(1.0, max(0.0, relief)))
+        if confidence is None or confidence >= doubtful:
             return None
         return largest
 
--- a/gaprock/policy_routing.py
+++ b/gaprock/policy_routing.py
@@ -14,7 +14,10 @@
 MIN_SERVICE_S: typing.Final = 0.001
 # An endpoint in another hall is used when the own hall's are this much fuller: bytes
 # between halls are priced, and they take longer.
-HALL_FILL: typing.Final = 0.35
+HALL_FILL: typing.Final = 0.5
+# A prompt of mean length that is not read yet holds up all that runs beside it; it
+# counts as this much of an endpoint's slots.
+UNREAD_FILL: typing.Final = 0.15
 # An endpoint that holds the prompt's prefix may be this much fuller.
 PREFIX_FILL: typing.Final = 0.1
 
@@ -84,7 +87,7 @@
         return min(candidates, key=lambda c: (self._cost(c), rng.random()))
 
     def _cost(self, candidate: policy_api.Candidate) -> float:
-        fill = expected_fill(candidate)
+        fill = expected_fill(candidate) + UNREAD_FILL * candidate.unread
         if not candidate.same_hall:
             fill += HALL_FILL
         if candidate.holds_prefix:
