Take requests during a planned stop only if they surely end, and climb by expected time

A larger model is asked only while its first event is expected in time: the seconds a token of unread prompt costs are learned from our own sends, which tells before the first late answer does. Now every request is taken for 2.8 s, later ones if their route's answers surely end in time.

--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -55,6 +55,7 @@
         "exchange",
         "head",
         "sent_at",
+        "tokens_ahead",
         "_reading",
         "_done",
     )
@@ -69,6 +70,8 @@
         self.endpoint = endpoint
         self.model = model
         self.exchange = exchange
+        # Unread tokens at the endpoint when it was sent, its own prompt included.
+        self.tokens_ahead = 0.0
         # Its prompt, while that is not read, in tokens of the largest model.
         self._reading = reading
         self.head: gateway_api.AnswerHead
@@ -170,6 +173,7 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         call.sends += 1
         attempt.sent_at = now
+        attempt.tokens_ahead = attempt.endpoint.unread
         attempt.exchange.send(call.inbound.method, call.inbound.target, headers, body)
 
     def _await_head(
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -65,13 +65,15 @@
 HOUSEKEEPING_S: typing.Final = 1.0
 # The store is taken as away when it has not answered for this long, seconds.
 STALE_S: typing.Final = 1.0
-# A planned stop, by the share of the time until the process is killed: streams are
-# taken until, all calls until, and the process ends at the latest at.
-STREAMS_UNTIL: typing.Final = 0.25
-CALLS_UNTIL: typing.Final = 0.7
-END_AT: typing.Final = 0.93
+# A planned stop: every request is taken for this long, seconds, or this share of the
+# time until the process is killed; later ones only if they surely end before the end.
+TAKE_ALL_S: typing.Final = 2.8
+TAKE_ALL_SHARE: typing.Final = 0.4
+END_AT: typing.Final = 0.92
 # Callers that the balancer still sends come within this time, seconds.
 LINGER_S: typing.Final = 3.5
+# Between the last request that is taken and the end, seconds.
+CLOSING_S: typing.Final = 0.15
 OWN_ROWS_PAUSE_S: typing.Final = 0.5
 # Peers that start with us have their rows in the store by then, seconds.
 PEERS_AGAIN_S: typing.Final = 2.0
@@ -160,12 +162,17 @@
         grace_s = self.cfg.bounds.grace_s
         self.leaving = True
         self.mesh.leaving = True
-        self.server.no_streams_after = now + STREAMS_UNTIL * grace_s
-        self.server.no_calls_after = now + CALLS_UNTIL * grace_s
+        self.server.take_all_until = now + min(TAKE_ALL_S, TAKE_ALL_SHARE * grace_s)
+        self.server.end_at = now + END_AT * grace_s
         eventlog.info("leaving", open=self.server.open_calls, grace_s=grace_s)
         # Callers come until the balancer has noticed, and longer on kept connections.
         threading.Event().wait(min(LINGER_S, 0.5 * grace_s))
-        drained = self.server.wait_idle(now + END_AT * grace_s)
+        drained = self.server.wait_idle(self.server.end_at)
+        # From here on every request is told to come back, so that none is under way
+        # when the process ends; callers on kept connections hear that it closes.
+        self.server.end_at = self.server.take_all_until = self.clock.now()
+        threading.Event().wait(CLOSING_S)
+        self.server.wait_idle(self.clock.now() + CLOSING_S)
         eventlog.info("drained", whole=drained, open=self.server.open_calls)
         self.mesh.stop()
 
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -18,6 +18,7 @@
     gateway_metrics,
     http_exchange,
     policy_api,
+    reading_pace,
     retry_window,
     rollouts,
     routes,
@@ -25,8 +26,6 @@
 
 # Repeats that are left to failures before models are climbed, per service.
 CLIMB_RESERVE: typing.Final = 4.0
-# Weight of a new time to the first event in the pressure.
-PRESSURE_WEIGHT: typing.Final = 0.1
 SUCCESS_END: typing.Final = 300
 SERVER_ERROR: typing.Final = 500
 
@@ -118,8 +117,7 @@
         self._budget = budget
         self._metrics = metrics
         self._services = services
-        # Recent times to the first event as shares of their goals, by service.
-        self._pressure: dict[str, float] = {}
+        self._pace = reading_pace.ReadingPace()
 
     def run(
         self, call: gateway_call.Call, reply: gateway_call.Reply, sends: Sends
@@ -238,16 +236,23 @@
             call.info.tokens_out,
             call.goal_at - now,
             max(0, min(sends_left, budget_left)),
-            self._pressure.get(call.service, 0.0),
+            self._expect_largest(call),
         )
 
+    def _expect_largest(self, call: gateway_call.Call) -> float:
+        """Give the seconds that the largest model's first event would take now."""
+        usable = self.directory.usable(call.service, call.excluded)
+        if not usable:
+            return 0.0
+        ahead = min(endpoint.unread for endpoint in usable)
+        return self._pace.expect(call.service, ahead + call.info.tokens_in)
+
     def _note_first(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
-        """Take the time to a first event into the pressure of its service."""
-        ratio = (self._clock.now() - attempt.sent_at) / call.route.goal_s
-        old = self._pressure.get(call.service, ratio)
-        self._pressure[call.service] = old + PRESSURE_WEIGHT * (ratio - old)
+        """Learn from the time to a first event."""
+        took_s = self._clock.now() - attempt.sent_at
+        self._pace.observe(call.service, attempt.tokens_ahead, took_s)
 
     def _first_model(self, call: gateway_call.Call) -> str:
         """Choose the model; empty where the caller named it."""
@@ -279,7 +284,7 @@
             model=attempt.model,
             confidence="none" if head.confidence is None else head.confidence,
             left_s=ask.left_s,
-            pressure=ask.pressure,
+            largest_s=ask.largest_s,
             climbs_left=ask.climbs_left,
             choice=larger or "keep",
         )
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -178,7 +178,7 @@
     :param tokens_out: the most that is made.
     :param left_s: seconds left to the goal.
     :param climbs_left: further sends that the request and the budget allow.
-    :param pressure: recent times to the first event, as a share of their goals.
+    :param largest_s: seconds that the largest model's first event would take now.
     """
 
     models: list[routes.ModelCost]
@@ -186,7 +186,7 @@
     tokens_out: int
     left_s: float
     climbs_left: int
-    pressure: float
+    largest_s: float
 
 
 class ModelChoice(plugin.Plugin):
--- a/gaprock/policy_models.py
+++ b/gaprock/policy_models.py
@@ -11,8 +11,9 @@
 # Answers with less confidence than this are asked for again; the trials on the
 # users' bench found 70 the best of the fixed ones.
 DOUBTFUL: typing.Final = 70.0
-# Pressures between which climbing shrinks from all of it to none, as shares of a goal.
-CALM: typing.Final = 0.35
+# Climbing shrinks from all of it to none between these shares of the time left that the
+# largest model's first event would take.
+CALM: typing.Final = 0.4
 STRAINED: typing.Final = 0.9
 # Time that another answer needs at least, seconds.
 CLIMB_S: typing.Final = 0.3
@@ -41,7 +42,8 @@
         largest = ask.models[-1].name
         if model == largest or not ask.climbs_left or ask.left_s < CLIMB_S:
             return None
-        relief = (ask.pressure - CALM) / (STRAINED - CALM)
+        strain = ask.largest_s / ask.left_s
+        relief = (strain - CALM) / (STRAINED - CALM)
         doubtful = DOUBTFUL * (1.0 - min(1.0, max(0.0, relief)))
         if confidence is None or confidence >= doubtful:
             return None
