Test the gateway against stand-ins of the platform's wire, and mend what they found

Stand-ins: fakes/metastore (rows, feed, transactions, faults), fakes/backend (an endpoint scripted byte by byte), gatewaysite (a gateway with real ports in the test's process).

Found by the tests, each failing first: - an endpoint that fails half of its answers was not set aside, because its own failures raised the rate of its service that it was compared with; it is compared with the others of its service now; - "Connection: close, X" kept the connection, since the server knows the word only alone; - ports had no orderly end (Gateway.close).

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -19,7 +19,7 @@
 LONGEST_PAUSE_S: typing.Final = 4.0
 # Weight of a new observation in the running means.
 MEAN_WEIGHT: typing.Final = 0.15
-# An endpoint whose share of failures is this far above its service's is set aside.
+# An endpoint whose share of failures is this far above the others' is set aside.
 FAILURE_EXCESS: typing.Final = 0.25
 # Answers before the share of failures counts.
 MIN_ANSWERS: typing.Final = 4
@@ -115,8 +115,6 @@
         self._lock = threading.Lock()
         self._endpoints: dict[str, Endpoint] = {}
         self._rng = random.Random()
-        # Share of failures over all answers of a service.
-        self._service_rate: dict[str, float] = {}
 
     # -- Membership --
 
@@ -215,10 +213,17 @@
         return self.fails_often(endpoint)
 
     def fails_often(self, endpoint: Endpoint) -> bool:
-        """Whether it fails clearly more often than its service."""
-        usual = self._service_rate.get(endpoint.row.service, 0.0)
-        excess = endpoint.failure_rate - usual
-        return endpoint.answers >= MIN_ANSWERS and excess > FAILURE_EXCESS
+        """Whether it fails clearly more often than the others of its service."""
+        if endpoint.answers < MIN_ANSWERS or endpoint.failure_rate < FAILURE_EXCESS:
+            return False
+        with self._lock:
+            others = [
+                e.failure_rate
+                for e in self._endpoints.values()
+                if e.row.service == endpoint.row.service and e is not endpoint
+            ]
+        usual = sum(others) / len(others) if others else endpoint.failure_rate
+        return endpoint.failure_rate - usual > FAILURE_EXCESS
 
     # -- What our requests tell --
 
@@ -270,9 +275,6 @@
             endpoint.answers += 1
             change = MEAN_WEIGHT * (failed - endpoint.failure_rate)
             endpoint.failure_rate += change
-            service = endpoint.row.service
-            usual = self._service_rate.get(service, 0.0)
-            self._service_rate[service] = usual + MEAN_WEIGHT * (failed - usual) / 4
             if not failed:
                 self._resume(endpoint)
 
--- a/gaprock/gateway_http.py
+++ b/gaprock/gateway_http.py
@@ -202,6 +202,10 @@
         arrived_at = self._clock.now()
         reply = HttpReply(req, self._is_closing())
         raw = typing.cast("gateway_api.Headers", req.inheaders.pop(RAW))
+        named = req.inheaders.get(b"Connection", b"").lower().split(b",")
+        if b"close" in [name.strip() for name in named]:
+            # The server itself knows the word only when it stands alone.
+            req.close_connection = True
         body = self._read_body(req, reply)
         if body is None:
             return
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -176,6 +176,20 @@
         eventlog.info("drained", whole=drained, open=self.server.open_calls)
         self.mesh.stop()
 
+    def close(self) -> None:
+        """Close the ports and end the background tasks."""
+        for task in self._tasks:
+            task.stop()
+        for follower in self.followers:
+            follower.stop()
+        self.mesh.stop()
+        ports = [p for p in (self.port, self.ready_port, self.metrics_port) if p]
+        stops = [threading.Thread(target=port.stop) for port in ports]
+        for stop in stops:
+            stop.start()
+        for stop in stops:
+            stop.join()
+
     def reload(self, cfg: options.Options) -> None:
         """Take what a changed settings file may change while we run."""
         bounds = cfg.bounds
--- /dev/null
+++ b/gaprock/test/fakes/backend.py
@@ -0,0 +1,193 @@
+"""A scripted endpoint: answers each request as a test says, byte by byte if need be."""
+
+import collections
+import socket
+import threading
+import time
+import typing
+
+STAMP: typing.Final = "stamp-1"
+STREAM_PATH: typing.Final = "/gen/"
+
+
+class Seen:
+    """A request as the endpoint got it."""
+
+    __slots__ = ("method", "target", "headers", "names", "body", "closed")
+
+    def __init__(self, head: bytes, body: bytes) -> None:
+        lines = head.decode("latin-1").split("\r\n")
+        self.method, self.target, _ = lines[0].split(" ")
+        pairs = [line.partition(":") for line in lines[1:] if line]
+        self.names = [name.lower() for name, _, _ in pairs]
+        self.headers = {n.lower(): v.strip() for n, _, v in pairs}
+        self.body = body
+        # Set when the caller closed the connection while the request ran.
+        self.closed = threading.Event()
+
+
+Script = typing.Callable[["Backend", Seen, socket.socket], None]
+
+
+class Backend:
+    """The endpoint; scripts are used up one by one, then ``usual``."""
+
+    def __init__(self, name: str, events: int = 5) -> None:
+        self.name = name
+        self.events = events
+        self.seen: list[Seen] = []
+        self.scripts: collections.deque[Script] = collections.deque()
+        self.usual: Script = answer
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port = self._listener.getsockname()[1]
+        self._open: set[socket.socket] = set()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """IP number and port."""
+        return f"127.0.0.1:{self.port}"
+
+    def stop(self) -> None:
+        """Stop to listen and cut what is open, as the end of a process does."""
+        if self._listener.fileno() >= 0:
+            self._listener.shutdown(socket.SHUT_RDWR)
+            self._listener.close()
+        for conn in list(self._open):
+            conn.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            self._open.add(conn)
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        try:
+            seen = self._read(conn)
+            if seen is not None:
+                self.seen.append(seen)
+                script = self.scripts.popleft() if self.scripts else self.usual
+                script(self, seen, conn)
+        except OSError:
+            # The caller went away; ``Seen.closed`` tells where a test cares.
+            pass
+        finally:
+            self._open.discard(conn)
+            conn.close()
+
+    def _read(self, conn: socket.socket) -> Seen | None:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = conn.recv(65536)
+            if not more:
+                return None
+            data += more
+        head, _, body = data.partition(b"\r\n\r\n")
+        seen = Seen(head, body)
+        while len(seen.body) < int(seen.headers.get("content-length", "0")):
+            seen.body += conn.recv(65536)
+        return seen
+
+
+def head(
+    seen: Seen, status: int = 200, body: bytes | None = None, **more: str
+) -> bytes:
+    """Write the head of an answer; names come with ``_`` for ``-``."""
+    headers = {"X-Request-Id": seen.headers.get("x-request-id", "")}
+    if 200 <= status < 600:
+        headers["X-Server-Stamp"] = STAMP
+    headers.update({name.replace("_", "-"): value for name, value in more.items()})
+    if body is not None:
+        headers["Content-Length"] = str(len(body))
+    lines = [f"HTTP/1.1 {status} Some", *(f"{n}: {v}" for n, v in headers.items() if v)]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def event(number: int, text: str = "token") -> bytes:
+    """Write one event of a stream."""
+    return f"id: {number}\ndata: {text}-{number}\n\n".encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Write one chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def answer(backend: Backend, seen: Seen, conn: socket.socket) -> None:
+    """The usual answer: a stream on the stream's path, else a short body."""
+    if seen.target.startswith(STREAM_PATH):
+        stream_to(backend.events)(backend, seen, conn)
+        return
+    body = f"{backend.name} {seen.target}".encode()
+    conn.sendall(head(seen, body=body) + body)
+
+
+def refuse(status: int = 503) -> Script:
+    """Say that the request was not run."""
+
+    def script(backend: Backend, seen: Seen, conn: socket.socket) -> None:
+        conn.sendall(head(seen, status, b"", X_Not_Run="1", X_Server_Stamp=""))
+
+    return script
+
+
+def fail(status: int = 500) -> Script:
+    """Run the request and fail."""
+
+    def script(backend: Backend, seen: Seen, conn: socket.socket) -> None:
+        conn.sendall(head(seen, status, b"bad") + b"bad")
+
+    return script
+
+
+def reset(backend: Backend, seen: Seen, conn: socket.socket) -> None:
+    """Take the request and close without an answer."""
+
+
+def raw(data: bytes) -> Script:
+    """Send bytes as they are, then close."""
+
+    def script(backend: Backend, seen: Seen, conn: socket.socket) -> None:
+        conn.sendall(data)
+
+    return script
+
+
+def hang(backend: Backend, seen: Seen, conn: socket.socket) -> None:
+    """Never answer; note when the caller closes."""
+    conn.settimeout(10)
+    if not conn.recv(1):
+        seen.closed.set()
+
+
+def stream_to(
+    last: int, whole: bool = True, torn: bytes = b"", confidence: str = "90"
+) -> Script:
+    """Stream events after ``Last-Event-Id`` up to a number.
+
+    :param whole: whether the stream then ends as whole, or breaks off.
+    :param torn: bytes of an event that breaks off in its middle.
+    """
+
+    def script(backend: Backend, seen: Seen, conn: socket.socket) -> None:
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        start = head(
+            seen,
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+            X_Confidence=confidence,
+        )
+        conn.sendall(start)
+        for number in range(first, last + 1):
+            conn.sendall(chunk(event(number)))
+            time.sleep(0.002)
+        if torn:
+            conn.sendall(chunk(torn))
+        if whole:
+            conn.sendall(b"0\r\n\r\n")
+
+    return script
--- /dev/null
+++ b/gaprock/test/fakes/metastore.py
@@ -0,0 +1,136 @@
+"""A small stand-in of the users' metadata store, over HTTP on loopback.
+
+Faults are set by a test: ``refuse`` (a status for each call), ``lose`` (writes are done
+and not answered), ``compact`` (history is gone), ``mute`` (no answer at all).
+"""
+
+import base64
+import json
+import threading
+import typing
+import urllib.parse
+
+from gaprock.test.fakes import httpfake
+
+# A page of rows is this long here, so that a test meets a second one.
+PAGE_ROWS: typing.Final = 3
+Name = tuple[str, str]
+
+
+class MetaStoreFake(httpfake.Fake):
+    """Rows, transactions and the feed."""
+
+    def __init__(self, port: int = 0) -> None:
+        super().__init__(port)
+        self._changed = threading.Condition()
+        self._rows: dict[Name, tuple[bytes, int]] = {}
+        self._history: list[tuple[Name, bytes | None, int]] = []
+        self.version = 0
+        self.forgotten_until = 0
+        self.calls: list[str] = []
+
+    # -- For tests --
+
+    def put(self, table: str, key: str, value: object) -> int:
+        """Write a row as the operator or a server does."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self._changed:
+            return self._write({(table, key): raw})
+
+    def remove(self, table: str, key: str) -> int:
+        """Remove a row."""
+        with self._changed:
+            return self._write({(table, key): None})
+
+    def value(self, table: str, key: str) -> typing.Any:
+        """Give a row's decoded value; ``None`` when there is none."""
+        found = self._rows.get((table, key))
+        return json.loads(found[0]) if found else None
+
+    def compact(self) -> None:
+        """Forget the history."""
+        with self._changed:
+            self.forgotten_until = self.version
+
+    # -- The wire --
+
+    def handle(
+        self, exchange: httpfake.Exchange, method: str, path: str, body: bytes
+    ) -> httpfake.Reply | None:
+        call, _, text = path.partition("?")
+        query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        self.calls.append(call)
+        if "refuse" in self.faults:
+            return httpfake.Reply(self.faults["refuse"])
+        if call == "/-/rows-get":
+            return self._get(query)
+        if call == "/-/rows-feed":
+            return self._feed(query)
+        if call == "/-/rows-tx":
+            reply = self._commit(json.loads(body))
+            return httpfake.Reply(0, drop=True) if self.faults.get("lose") else reply
+        return httpfake.Reply(404)
+
+    def _get(self, query: dict[str, str]) -> httpfake.Reply:
+        table, start = query["Table"], query.get("From", "")
+        with self._changed:
+            keys = sorted(k for t, k in self._rows if t == table and k >= start)
+            page = [self._row((table, key)) for key in keys[:PAGE_ROWS]]
+            return self._answer(page, HasMore=len(keys) > PAGE_ROWS)
+
+    def _feed(self, query: dict[str, str]) -> httpfake.Reply:
+        table, since = query["Table"], int(query["SinceRev"])
+        wait_s = int(query["WaitMs"]) / 1000
+        with self._changed:
+            if since < self.forgotten_until:
+                return httpfake.Reply(410)
+            self._changed.wait_for(lambda: self._newer(table, since), wait_s)
+            rows = [
+                self._row(name, value, version)
+                for name, value, version in self._newer(table, since)
+            ]
+            return self._answer(rows)
+
+    def _newer(self, table: str, since: int) -> list[tuple[Name, bytes | None, int]]:
+        return [h for h in self._history if h[0][0] == table and h[2] > since]
+
+    def _commit(self, doc: dict[str, typing.Any]) -> httpfake.Reply:
+        with self._changed:
+            for want in doc["ExpectRev"]:
+                name = want["Table"], want["Key"]
+                if self._rows.get(name, (b"", 0))[1] != want["Ver"]:
+                    return httpfake.Reply(412, b'{"Rows": []}')
+            changes: dict[Name, bytes | None] = {
+                (p["Table"], p["Key"]): base64.b64decode(p["Value"])
+                for p in doc["Puts"]
+            }
+            changes.update({(r["Table"], r["Key"]): None for r in doc["Remove"]})
+            self._write(changes)
+            return self._answer([])
+
+    def _write(self, changes: dict[Name, bytes | None]) -> int:
+        self.version += 1
+        for name, value in changes.items():
+            self._history.append((name, value, self.version))
+            if value is None:
+                self._rows.pop(name, None)
+            else:
+                self._rows[name] = (value, self.version)
+        self._changed.notify_all()
+        return self.version
+
+    def _row(
+        self, name: Name, value: bytes | None = None, version: int = 0
+    ) -> dict[str, typing.Any]:
+        if not version:
+            value, version = self._rows[name]
+        row: dict[str, typing.Any] = {"Table": name[0], "Key": name[1], "Ver": version}
+        if value is None:
+            row["Tombstone"] = True
+        else:
+            row["Value"] = base64.b64encode(value).decode()
+        return row
+
+    def _answer(self, rows: list[typing.Any], **more: object) -> httpfake.Reply:
+        doc = {"Rows": rows, "Ver": self.version, "NowMs": 51_230, **more}
+        return httpfake.json_reply(doc)
--- /dev/null
+++ b/gaprock/test/gatewaysite.py
@@ -0,0 +1,236 @@
+"""A gateway inside the test's process, with a store and endpoints as stand-ins."""
+
+import socket
+import threading
+import time
+import typing
+import uuid
+
+from gaprock import clock, eventlog, gateway_api, gateway_main, options, plugin
+from gaprock.test import site
+from gaprock.test.fakes import backend, metastore
+
+KEY: typing.Final = "key-of-ws"
+HOST: typing.Final = "host.example"
+MODELS: typing.Final = ["small", "large"]
+
+wait_until = site.wait_until
+
+
+def free_port() -> int:
+    """Give a port that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+def route(prefix: str, kind: str, service: str, **more: object) -> dict[str, object]:
+    """Write a route of the configuration."""
+    return {
+        "Name": f"r{prefix.replace('/', '-')}",
+        "Host": HOST,
+        "Prefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 3000,
+        "GoalMs": 600,
+        "GapTargetMs": 300,
+        "Priority": 1,
+        "Service": service,
+        "Attempts": 3,
+        **more,
+    }
+
+
+def config(version: int, **more: object) -> dict[str, object]:
+    """Write a configuration with one route of each kind."""
+    models = [{"Name": "small", "Cost": 0.01}, {"Name": "large", "Cost": 0.2}]
+    return {
+        "Version": version,
+        "Routes": [
+            route("/gen/", "streaming", "llm", Sizes=MODELS, CanResume=True),
+            route("/safe/", "safe", "app"),
+            route("/unsafe/", "unsafe", "app"),
+        ],
+        "Services": [{"Name": "llm", "Engine": {"Models": models}}, {"Name": "app"}],
+        "Limits": {"BodyBytes": 10_000, "IdleMs": 15_000},
+        "Tenants": [{"Name": "ws", "ApiKeys": [KEY]}],
+        **more,
+    }
+
+
+class Answer:
+    """An answer as the caller read it.
+
+    :param whole: whether it came to its end by the protocol.
+    """
+
+    __slots__ = ("status", "headers", "body", "whole")
+
+    def __init__(self, raw: bytes) -> None:
+        head, _, rest = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.status = int(lines[0].split(" ")[1]) if lines[0] else 0
+        pairs = [line.partition(":") for line in lines[1:]]
+        self.headers = {n.lower(): v.strip() for n, _, v in pairs}
+        if self.headers.get("transfer-encoding") == "chunked":
+            self.body, self.whole = _unchunk(rest)
+        else:
+            self.body = rest
+            self.whole = len(rest) == int(self.headers.get("content-length", "-1"))
+
+
+def _unchunk(data: bytes) -> tuple[bytes, bool]:
+    body = b""
+    while data:
+        size_text, _, data = data.partition(b"\r\n")
+        size = int(size_text, 16)
+        if not size:
+            return body, True
+        body, data = body + data[:size], data[size + 2 :]
+    return body, False
+
+
+class GatewaySite:
+    """The site; use it as a context."""
+
+    def __init__(self, change: typing.Callable[[options.Options], None] | None = None):
+        eventlog.start("gateway-1")
+        plugin.load_all(plugin.GATEWAY_MODULES)
+        self.store = metastore.MetaStoreFake()
+        self.store.start()
+        self.backends: dict[str, backend.Backend] = {}
+        cfg = options.Options()
+        cfg.vm, cfg.hall, cfg.host = "gateway-1", "h1", "127.0.0.1"
+        cfg.listen = f"127.0.0.1:{free_port()}"
+        cfg.ready_listen = f"127.0.0.1:{free_port()}"
+        cfg.metrics_port = free_port()
+        cfg.store_address = f"127.0.0.1:{self.store.port}"
+        cfg.max_calls = 32
+        cfg.bounds.budget_allowance = 50
+        if change is not None:
+            change(cfg)
+        self.cfg = cfg
+        store = plugin.find(gateway_api.SharedStore, "platform")
+        self.gateway = gateway_main.Gateway(
+            cfg,
+            clock.MonotonicClock(),
+            store(cfg.store_address),  # type: ignore[call-arg]
+            plugin.find(gateway_api.Dialect, "platform")(),
+        )
+
+    def __enter__(self) -> "GatewaySite":
+        self.store.put("op", "config", config(1))
+        self.gateway.start()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.gateway.close()
+        self.store.stop()
+        for fake in self.backends.values():
+            fake.stop()
+
+    def add(self, name: str, service: str, **more: object) -> backend.Backend:
+        """Start an endpoint and write its row."""
+        fake = self.backends[name] = backend.Backend(name)
+        self.write_row(name, service, **more)
+        wait_until(lambda: self.gateway.is_ready, "ready")
+        wait_until(lambda: name in self.known(service), f"{name} is known")
+        return fake
+
+    def write_row(self, name: str, service: str, **more: object) -> None:
+        """Write an endpoint's row."""
+        row = {
+            "Service": service,
+            "Addr": self.backends[name].address,
+            "Zone": "h1",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            **more,
+        }
+        self.store.put("servers", name, row)
+
+    def known(self, service: str) -> set[str]:
+        """Give the usable endpoints of a service."""
+        return {e.name for e in self.gateway.directory.usable(service, set())}
+
+    def connect(self) -> socket.socket:
+        """Open a caller's connection."""
+        host, _, port = self.cfg.listen.rpartition(":")
+        return socket.create_connection((host, int(port)), timeout=10)
+
+    def request(
+        self, target: str, body: bytes = b"", method: str = "POST", **more: str
+    ) -> bytes:
+        """Write a caller's request; a header of empty text is left out."""
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": uuid.uuid4().hex[:16],
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Bearer {KEY}",
+            "Connection": "close",
+            "Content-Length": str(len(body)),
+        }
+        headers.update({name.replace("_", "-"): text for name, text in more.items()})
+        lines = [f"{n}: {v}" for n, v in headers.items() if v]
+        start = f"{method} {target} HTTP/1.1"
+        return "\r\n".join([start, *lines, "", ""]).encode() + body
+
+    def call(
+        self, target: str, body: bytes = b"", method: str = "POST", **more: str
+    ) -> Answer:
+        """Make a request and read its answer."""
+        return self.exchange(self.request(target, body, method, **more))
+
+    def exchange(self, data: bytes) -> Answer:
+        """Send bytes and read until the connection ends."""
+        with self.connect() as sock:
+            sock.sendall(data)
+            return Answer(read_all(sock))
+
+    def generate(self, **more: str) -> Answer:
+        """Ask for a stream with a free choice of the model."""
+        prompt = {
+            "X_Model": "*",
+            "X_Token_Counts": "100,20",
+            "X_Prompt_Prefix": "a:100",
+        }
+        wanted = prompt | more
+        return self.call("/gen/x", b"p", "POST", **wanted)
+
+    def call_later(self, target: str, **more: str) -> "Later":
+        """Make a request on a thread of its own."""
+        return Later(lambda: self.call(target, b"", "POST", **more))
+
+
+class Later:
+    """An answer that is awaited."""
+
+    def __init__(self, call: typing.Callable[[], Answer]) -> None:
+        self._call = call
+        self.answer: Answer | None = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        self.answer = self._call()
+
+    def get(self) -> Answer:
+        """Wait for the answer."""
+        self._thread.join(site.WAIT_S)
+        assert self.answer is not None, "no answer in time"
+        return self.answer
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """Read until the connection ends."""
+    data = b""
+    deadline = time.monotonic() + site.WAIT_S
+    while time.monotonic() < deadline:
+        try:
+            more = sock.recv(65536)
+        except ConnectionResetError:
+            return data
+        if not more:
+            return data
+        data += more
+    raise AssertionError("the connection did not end in time")
--- /dev/null
+++ b/gaprock/test/testrouting.py
@@ -0,0 +1,251 @@
+"""Pure parts of the gateway: routes, events, budget, endpoints, model choice."""
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+import pytest
+
+from gaprock import (
+    clock,
+    directory,
+    event_stream,
+    gateway_api,
+    messages,
+    policy_api,
+    policy_models,
+    policy_routing,
+    reading_pace,
+    retry_window,
+    routes,
+)
+from gaprock.platform import documents, wire
+from gaprock.test import gatewaysite
+
+LIMITS = routes.CallerLimits(1000, 15.0)
+
+
+def make_route(name: str, prefix: str) -> routes.Route:
+    pools = [routes.Pool("app", 1)]
+    kind = routes.RouteKind.SAFE
+    return routes.Route(
+        name, "h.example", prefix, kind, pools, 1, 1, 1, 0, [], 2, True, False
+    )
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    found = [make_route("short", "/a/"), make_route("long", "/a/b/")]
+    table = routes.RouteTable(1, found, [], None, LIMITS)
+    names = [
+        getattr(table.match(host, path), "name", None)
+        for host, path in (
+            ("h.example", "/a/b/c"),
+            ("H.Example", "/a/x"),
+            ("h.example", "/a"),
+            ("other", "/a/x"),
+        )
+    ]
+    assert names == ["long", "short", None, None]
+
+
+@hypothesis.settings(derandomize=True, max_examples=100)
+@hypothesis.given(
+    st.lists(st.integers(1, 40), max_size=30), st.integers(0, 12), st.booleans()
+)
+def test_events_come_whole_however_the_bytes_are_cut(
+    cuts: list[int], torn: int, crlf: bool
+) -> None:
+    end = b"\r\n" if crlf else b"\n"
+    raws = [b"id: %d%sdata: x%s%s" % (n, end, end, end) for n in range(1, 8)]
+    data = b"".join(raws) + b"id: 8\ndata"[:torn]
+    splitter = event_stream.Splitter()
+    found = []
+    for size in cuts:
+        found += splitter.feed(data[:size])
+        data = data[size:]
+    found += splitter.feed(data)
+    assert [e.raw for e in found] == raws
+    assert [e.number for e in found] == list(range(1, 8))
+    assert splitter.torn == (torn > 0)
+
+
+@hypothesis.settings(derandomize=True, max_examples=100)
+@hypothesis.given(
+    st.lists(st.tuples(st.floats(0, 1), st.integers(0, 2), st.booleans()), max_size=200)
+)
+def test_the_fleets_repeats_keep_to_the_budget_in_every_window(
+    steps: list[tuple[float, int, bool]],
+) -> None:
+    ratio, allowance, window_s = 0.5, 9.0, 5.0
+    fleet = [retry_window.RetryWindow(ratio, allowance, window_s) for _ in range(3)]
+    for member in fleet:
+        member.members = len(fleet)
+    now, firsts, repeats = 0.0, [], []
+    for pause_s, number, is_first in steps:
+        now += pause_s
+        if is_first:
+            fleet[number].note_first("s", now)
+            firsts.append(now)
+        elif fleet[number].take("s", now):
+            repeats.append(now)
+        recent = [t for t in repeats if t >= now - window_s]
+        counted = [t for t in firsts if t >= now - window_s]
+        before = [t for t in firsts if now - 2 * window_s <= t < now - window_s]
+        most = max(len(counted), len(before), len(counted) + len(before))
+        assert len(recent) <= ratio * most + allowance
+
+
+def row(version: str = "v1", draining: bool = False) -> gateway_api.EndpointRow:
+    return gateway_api.EndpointRow("app", "127.0.0.1", 1, "h1", version, 4, draining)
+
+
+@pytest.fixture
+def time() -> clock.ManualClock:
+    return clock.ManualClock(100.0)
+
+
+def names(book: directory.Directory) -> set[str]:
+    return {e.name for e in book.usable("app", set())}
+
+
+def test_a_leaving_endpoint_is_used_only_alone_and_not_for_long(
+    time: clock.ManualClock,
+) -> None:
+    book = directory.Directory(time, drain_s=2.0)
+    book.replace({"a": row(), "b": row()})
+    book.update("a", row(draining=True))
+    assert names(book) == {"b"}
+    book.update("b", None)
+    assert names(book) == {"a", "b"}
+    time.advance(1.1)
+    assert names(book) == set()
+    # A row that lapsed while the store was away comes back.
+    book.update("b", row())
+    assert names(book) == {"b"}
+
+
+def test_an_endpoint_is_tried_again_by_one_request_after_a_pause(
+    time: clock.ManualClock,
+) -> None:
+    book = directory.Directory(time, drain_s=2.0)
+    book.replace({"a": row()})
+    endpoint = book.usable("app", set())[0]
+    book.unreachable(endpoint, "refused")
+    assert book.is_set_aside(endpoint, time.now())
+    time.advance(1.0)
+    assert not book.is_set_aside(endpoint, time.now())
+    book.begin(endpoint, 0.0)
+    assert book.is_set_aside(endpoint, time.now())
+    # The trial ended without a word on the endpoint: the next one may try.
+    book.end(endpoint)
+    assert not book.is_set_aside(endpoint, time.now())
+    book.begin(endpoint, 0.0)
+    book.answered(endpoint, failed=False)
+    assert not endpoint.paused_until
+
+
+def test_an_endpoint_that_fails_more_than_its_service_is_set_aside(
+    time: clock.ManualClock,
+) -> None:
+    book = directory.Directory(time, drain_s=2.0)
+    book.replace({"a": row(), "b": row()})
+    grey, sound = book.usable("app", set())
+    for step in range(30):
+        book.answered(grey, failed=step % 2 == 0)
+        book.answered(sound, failed=False)
+    assert book.is_set_aside(grey, time.now())
+    assert not book.is_set_aside(sound, time.now())
+
+
+def test_unread_prompts_are_counted_in_and_out(time: clock.ManualClock) -> None:
+    book = directory.Directory(time, drain_s=2.0)
+    book.replace({"a": row()})
+    endpoint = book.usable("app", set())[0]
+    book.begin(endpoint, 500.0)
+    book.take_loads("other", {"a": directory.Load(2, 300.0)})
+    assert (endpoint.load, endpoint.unread) == (3, 800.0)
+    book.read(endpoint, 500.0)
+    book.end(endpoint)
+    book.take_loads("other", {})
+    assert (endpoint.load, endpoint.unread) == (0, 0.0)
+
+
+def candidate(
+    name: str, running: int, near: bool, unread: float = 0.0
+) -> policy_api.Candidate:
+    load = messages.EndpointLoad(name, "", [], running, 0, 10, running, 0.0)
+    return policy_api.Candidate("", load, 0, near, False, unread)
+
+
+def test_the_own_hall_goes_first_until_it_is_clearly_fuller() -> None:
+    policy = policy_routing.LeastFilled()
+    rng = random.Random(1)
+    near, far = candidate("near", 4, True), candidate("far", 0, False)
+    assert policy.choose([near, far], rng) is near
+    assert policy.choose([candidate("near", 6, True), far], rng) is far
+    busy = candidate("near", 4, True, unread=2.0)
+    assert policy.choose([busy, far], rng) is far
+    assert policy.choose([], rng) is None
+
+
+def ask(largest_s: float, climbs_left: int = 2) -> policy_api.ModelAsk:
+    models = [routes.ModelCost("small", 0.01), routes.ModelCost("large", 0.2)]
+    return policy_api.ModelAsk(models, 1000, 100, 1.0, climbs_left, largest_s)
+
+
+def test_doubt_climbs_while_the_larger_model_is_in_time() -> None:
+    policy = policy_models.Confidence()
+    assert policy.first(ask(0.1)) == "small"
+    assert policy.climb(ask(0.1), "small", 60) == "large"
+    assert policy.climb(ask(0.1), "small", 80) is None
+    assert policy.climb(ask(0.1), "large", 5) is None
+    assert policy.climb(ask(0.1, climbs_left=0), "small", 5) is None
+    assert policy.climb(ask(0.95), "small", 5) is None
+    assert policy.climb(ask(0.65), "small", 60) is None
+    assert policy.climb(ask(0.65), "small", 20) == "large"
+
+
+def test_the_time_of_a_token_is_learned() -> None:
+    pace = reading_pace.ReadingPace()
+    for _ in range(300):
+        pace.observe("s", 1000.0, 0.5)
+    assert pace.expect("s", 2000.0) == pytest.approx(1.0, rel=0.05)
+
+
+# -- Documents and headers --
+
+
+def test_a_wrong_field_is_named() -> None:
+    doc = gatewaysite.config(1)
+    bad = msgspec.json.encode({**doc, "Version": "new"})
+    with pytest.raises(gateway_api.InvalidDocument, match="Version"):
+        documents.route_table(bad)
+    with pytest.raises(gateway_api.InvalidDocument, match="Addr"):
+        documents.endpoint(b'{"Service": "s", "Addr": "nowhere"}')
+
+
+def test_a_configuration_without_tenants_needs_no_key() -> None:
+    doc = gatewaysite.config(1)
+    del doc["Tenants"]
+    table = documents.route_table(msgspec.json.encode(doc))
+    assert not table.keyed
+    doc["Tenants"] = []
+    assert documents.route_table(msgspec.json.encode(doc)).keyed
+
+
+@hypothesis.settings(derandomize=True, max_examples=200)
+@hypothesis.given(st.binary(max_size=40), st.binary(max_size=40), st.binary(max_size=9))
+def test_any_header_value_is_read_without_a_fault(
+    counts: bytes, parts: bytes, last: bytes
+) -> None:
+    dialect = wire.PlatformDialect()
+    info = dialect.read_request(
+        [
+            (b"X-Token-Counts", counts),
+            (b"X-Prompt-Prefix", parts),
+            (b"Last-Event-Id", last),
+        ]
+    )
+    assert info.tokens_in >= 0
+    dialect.read_answer(200, [(b"X-Server-Load", counts), (b"X-Confidence", parts)])
