Expect the largest model's first event by a line, and keep streams out of a late stop

The time of a first event was a ratio to the unread tokens, so the fixed part of short prompts made long ones look slower than they are (32,000 tokens: 2.2 s expected, about 1.3 s measured), and long prompts stayed on the small model. A least-squares line is learned instead. Changes of rows are gathered (0.1 s, a quarter of the drain time): each call is priced.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -18,8 +18,6 @@
 LONGEST_PAUSE_S: typing.Final = 1.0
 # A peer that is ahead for this long has news that the store did not tell, seconds.
 BEHIND_S: typing.Final = 0.4
-# Changes that come close together are read in one call, seconds.
-GATHER_S: typing.Final = 0.05
 
 
 class Sink(typing.Protocol):
@@ -38,11 +36,14 @@
         store: gateway_api.SharedStore,
         clock_: clock.Clock,
         sink: Sink,
+        gather_s: float = 0.0,
     ) -> None:
         self.table = table
         self._store = store
         self._clock = clock_
         self._sink = sink
+        # Changes that come so close together are read in one call.
+        self._gather_s = gather_s
         self._lock = threading.RLock()
         self._rows: dict[str, gateway_api.Row] = {}
         # What the rows are up to date with; -1 before the first reading.
@@ -119,7 +120,7 @@
         with self._lock:
             self._take_changes(page)
         if page.rows:
-            self._stopped.wait(GATHER_S)
+            self._stopped.wait(self._gather_s)
         return True
 
     def _take_whole(self, page: gateway_api.Page, changed: int) -> None:
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -63,10 +63,16 @@
 # Periods of the background tasks, seconds.
 ROLLOUT_STEP_S: typing.Final = 0.2
 HOUSEKEEPING_S: typing.Final = 1.0
+# Each reading of changes is a priced call, so changes are gathered: orders for a
+# moment, endpoints for a share of the time that a leaving one may still be sent to.
+GATHER_ORDERS_S: typing.Final = 0.1
+GATHER_SHARE: typing.Final = 0.25
 # The store is taken as away when it has not answered for this long, seconds.
 STALE_S: typing.Final = 1.0
 # A planned stop: every request is taken for this long, seconds, or this share of the
-# time until the process is killed; later ones only if they surely end before the end.
+# time until the process is killed; later ones only if their time ends before that.  A
+# bound learned from the routes' answers, twice the longest of late, cut streams on
+# loaded engines.
 TAKE_ALL_S: typing.Final = 2.8
 TAKE_ALL_SHARE: typing.Final = 0.4
 END_AT: typing.Final = 0.92
@@ -213,14 +219,15 @@
         outcome_rows = gateway_rows.OutcomeRows(
             self.dialect, self.rollouts, self.writer
         )
-        sinks: list[tuple[str, followers.Sink]] = [
-            (tables.orders, self.orders),
-            (tables.endpoints, endpoint_rows),
-            (tables.outcomes, outcome_rows),
+        gather_s = GATHER_SHARE * self.cfg.bounds.drain_s
+        sinks: list[tuple[str, followers.Sink, float]] = [
+            (tables.orders, self.orders, GATHER_ORDERS_S),
+            (tables.endpoints, endpoint_rows, gather_s),
+            (tables.outcomes, outcome_rows, 0.0),
         ]
         return [
-            followers.Follower(name, self.store, self.clock, sink)
-            for name, sink in sinks
+            followers.Follower(name, self.store, self.clock, sink, wait_s)
+            for name, sink, wait_s in sinks
         ]
 
     def _make_server(self) -> gateway_serve.Server:
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -40,12 +40,6 @@
 # refused after this share of its goal.
 WAIT_LOOK_S: typing.Final = 0.03
 WAIT_SHARE: typing.Final = 0.2
-# What the longest answer of a route counts after each further one; an answer is bound
-# to end within this multiple of it and a moment, seconds, if so many were seen.
-LONGEST_DECAY: typing.Final = 0.995
-BOUND_TIMES: typing.Final = 2.0
-BOUND_SLACK_S: typing.Final = 0.3
-MIN_DURATIONS: typing.Final = 20
 JSON: typing.Final = (b"Content-Type", b"application/json")
 SERVER_ERROR: typing.Final = 500
 
@@ -56,27 +50,6 @@
     table: routes.RouteTable | None
 
 
-class _Durations:
-    """How long a route's answers took of late."""
-
-    __slots__ = ("_longest_s", "_count")
-
-    def __init__(self) -> None:
-        self._longest_s = 0.0
-        self._count = 0
-
-    def add(self, took_s: float) -> None:
-        """Take an answer."""
-        self._longest_s = max(LONGEST_DECAY * self._longest_s, took_s)
-        self._count += 1
-
-    def bound_s(self) -> float:
-        """Give the seconds within which the next answer surely ends."""
-        if self._count < MIN_DURATIONS:
-            return clock.NEVER
-        return BOUND_TIMES * self._longest_s + BOUND_SLACK_S
-
-
 class Server:
     """Serves requests; one thread each.
 
@@ -114,11 +87,9 @@
         self._open = 0
         self._idle = threading.Condition()
         # A process that is being replaced takes every request until the first time, and
-        # then those that usually end before the second.
+        # then those whose final answer is due before the second.
         self.take_all_until = clock.NEVER
         self.end_at = clock.NEVER
-        # How long the answers of each route take.
-        self._durations: dict[str, _Durations] = {}
 
     @property
     def open_calls(self) -> int:
@@ -182,18 +153,11 @@
 
     def _check_room(self, route: routes.Route) -> None:
         now = self._clock.now()
-        if now >= self.take_all_until and now + self._bound_s(route) >= self.end_at:
+        if now >= self.take_all_until and now + route.timeout_s >= self.end_at:
             raise self._come_back(errorcodes.LEAVING, COME_BACK_LEAVING_S)
         if self._open > self._max_calls:
             raise self._come_back(errorcodes.OVERLOADED, COME_BACK_BUSY_S)
 
-    def _bound_s(self, route: routes.Route) -> float:
-        """Give the seconds within which an answer of a route is surely given."""
-        known = self._durations.get(route.name)
-        if route.kind is not routes.RouteKind.STREAM or known is None:
-            return route.timeout_s
-        return min(route.timeout_s, known.bound_s())
-
     def _not_allowed(
         self, code: errorcodes.ErrorCode, table: routes.RouteTable
     ) -> gateway_call.GivenUp:
@@ -396,7 +360,6 @@
         if call is not None and call.first_at:
             self._metrics.first_byte.labels(name).observe(first_s)
             self._metrics.whole.labels(name).observe(took_s)
-            self._durations.setdefault(name, _Durations()).add(took_s)
         eventlog.info(
             "request",
             request=call.info.request if call else "unchecked",
--- a/gaprock/reading_pace.py
+++ b/gaprock/reading_pace.py
@@ -1,38 +1,62 @@
 """How long an engine takes to the first event, learned from what it had to read.
 
 A new prompt waits for the prompts ahead of it, so the time to the first event grows
-with the tokens that an endpoint has not read yet.  The slope is learned for each
-service from our own requests; all counts are in tokens of the largest model.
+with the tokens that an endpoint has not read yet.  A line through our own observations,
+older ones counting less, is kept for each service; all counts are in tokens of the
+largest model.
 """
 
 import threading
 import typing
 
 # Weight of an older observation when a new one comes in.
-DECAY: typing.Final = 0.98
-# Taken of a service without observations, seconds per token: a slow engine's.
-FIRST_SLOPE_S: typing.Final = 3e-5
+DECAY: typing.Final = 0.99
+# The line that a service starts with: seconds for no token and for each, and the tokens
+# between which it counts like so many observations.
+FIRST_BASE_S: typing.Final = 0.1
+FIRST_SLOPE_S: typing.Final = 4e-5
+FIRST_TOKENS: typing.Final = 20_000.0
+FIRST_WEIGHT: typing.Final = 5.0
 
 
-class _Sums:
-    """Decayed sums of times and tokens."""
+class _Line:
+    """A least-squares line through decayed sums."""
 
-    __slots__ = ("time_s", "tokens")
+    __slots__ = ("count", "tokens", "time_s", "squares", "products")
 
     def __init__(self) -> None:
-        # The start counts like a few prompts.
-        self.tokens = 20_000.0
-        self.time_s = self.tokens * FIRST_SLOPE_S
+        self.count = self.tokens = self.time_s = self.squares = self.products = 0.0
+        for tokens in (0.0, FIRST_TOKENS):
+            took_s = FIRST_BASE_S + FIRST_SLOPE_S * tokens
+            self.add(tokens, took_s, FIRST_WEIGHT, 1.0)
+
+    def add(self, tokens: float, took_s: float, weight: float, decay: float) -> None:
+        """Take an observation."""
+        self.count = decay * self.count + weight
+        self.tokens = decay * self.tokens + weight * tokens
+        self.time_s = decay * self.time_s + weight * took_s
+        self.squares = decay * self.squares + weight * tokens * tokens
+        self.products = decay * self.products + weight * tokens * took_s
+
+    def at(self, tokens: float) -> float:
+        """Give the line's time, never below zero and never falling with the tokens."""
+        spread = self.count * self.squares - self.tokens**2
+        slope = 0.0
+        if spread > 0:
+            common = self.count * self.products - self.tokens * self.time_s
+            slope = max(0.0, common / spread)
+        base_s = (self.time_s - slope * self.tokens) / self.count
+        return max(0.0, base_s + slope * tokens)
 
 
 class ReadingPace:
-    """The slopes of all services; safe for all threads."""
+    """The lines of all services; safe for all threads."""
 
-    __slots__ = ("_lock", "_sums")
+    __slots__ = ("_lock", "_lines")
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._sums: dict[str, _Sums] = {}
+        self._lines: dict[str, _Line] = {}
 
     def observe(self, service: str, tokens: float, took_s: float) -> None:
         """Take the time that a first event took.
@@ -43,14 +67,10 @@
         if tokens <= 0:
             return
         with self._lock:
-            sums = self._sums.setdefault(service, _Sums())
-            sums.tokens = DECAY * sums.tokens + tokens
-            sums.time_s = DECAY * sums.time_s + took_s
+            line = self._lines.setdefault(service, _Line())
+            line.add(tokens, took_s, 1.0, DECAY)
 
     def expect(self, service: str, tokens: float) -> float:
         """Give the seconds that a first event will take."""
         with self._lock:
-            sums = self._sums.get(service)
-            if sums is None:
-                return tokens * FIRST_SLOPE_S
-            return tokens * sums.time_s / sums.tokens
+            return self._lines.setdefault(service, _Line()).at(tokens)
