Load an unproved version's endpoints fully, and judge the pace of events

A canary of a tenth spread over all new endpoints leaves them idle, so what fails only under load fails after all traffic has moved. And slowness was judged by the first event alone, which shows half of the slow answers.

Now the canary's share of sessions goes to the same share of endpoints (at least one), and a stream's time between events is evidence of its own.

--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -87,6 +87,7 @@
         "first_at",
         "wrote_at",
         "longest_gap_s",
+        "events",
     )
 
     def __init__(
@@ -124,6 +125,8 @@
         self.first_at = 0.0
         self.wrote_at = 0.0
         self.longest_gap_s = 0.0
+        # Events that the caller got.
+        self.events = 0
 
     def note_write(self, now: float) -> None:
         """Note that the caller is given bytes."""
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -66,6 +66,10 @@
             for e in usable
             if self._rollouts.fits(call.service, e.row.version, call.session)
         ]
+        narrowed = self._rollouts.narrow(
+            call.service, call.session, [e.name for e in fitting]
+        )
+        fitting = [e for e in fitting if e.name in narrowed]
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
         mean = self._mean_prompt.get(call.service, reading)
         self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (reading - mean)
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -26,6 +26,8 @@
 
 # Repeats that are left to failures before models are climbed, per service.
 CLIMB_RESERVE: typing.Final = 4.0
+# Events of a stream that show its pace.
+MIN_PACE_EVENTS: typing.Final = 5
 SUCCESS_END: typing.Final = 300
 SERVER_ERROR: typing.Final = 500
 
@@ -309,6 +311,8 @@
         while source is not None:
             try:
                 self._relay_one(call, reply, sends, source, events, last)
+                if source is first:
+                    self._note_pace(call, source.attempt)
                 return True
             except _Stopped as exc:
                 last, detail = exc.last, exc.detail
@@ -347,6 +351,7 @@
             fresh = [e for e in events if not _is_old(e, last)]
             if fresh:
                 call.note_write(self._clock.now())
+                call.events += len(fresh)
                 reply.write(b"".join(e.raw for e in fresh))
                 numbers = [e.number for e in fresh if e.number is not None]
                 last = numbers[-1] if numbers else last
@@ -435,6 +440,21 @@
             rollouts.Judged(failed, None if resumed else took_s),
         )
 
+    def _note_pace(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
+    ) -> None:
+        """Take the time between events as evidence on the version."""
+        if call.events < MIN_PACE_EVENTS:
+            return
+        pace_s = (call.wrote_at - call.first_at) / (call.events - 1)
+        self._rollouts.judge_answer(
+            call.service,
+            attempt.endpoint.row.version,
+            f"{call.route.name}~pace",
+            attempt.model,
+            rollouts.Judged(False, pace_s),
+        )
+
     def _note_broken(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, detail: str
     ) -> None:
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -22,17 +22,18 @@
 from gaprock import clock, eventlog, evidence, gateway_api, messages, policy_api
 
 # Share of the allowed exposure that is used while a version is unproved.
-CANARY_USE: typing.Final = 0.65
+CANARY_USE: typing.Final = 0.8
 # Shares of sessions on the new version, each from this share of the time on.  In the
 # first half no session changes its version.
 STEPS: typing.Final = ((0.5, 0.25), (0.56, 0.5), (0.62, 1.0))
 # All traffic must have moved for this long before a rollout completes, seconds.
-SETTLE_S: typing.Final = 1.0
+SETTLE_S: typing.Final = 2.0
 # The outcome is written at the latest this long before the operator's time, seconds.
 WRITE_BEFORE_S: typing.Final = 2.0
 HASH_RANGE: typing.Final = 2**32
-# An answer is slow beyond this multiple of what the stable version takes.
-SLOW_TIMES: typing.Final = 3.0
+# An answer is slow beyond this multiple of what the stable version takes.  The new
+# one's endpoints are more loaded while it is unproved, so it must be well above that.
+SLOW_TIMES: typing.Final = 4.0
 # Answers of the stable version before slowness is judged, and the weight of each.
 MIN_TIMES: typing.Final = 8
 TIME_WEIGHT: typing.Final = 0.1
@@ -242,6 +243,25 @@
         rollout, on_new = found
         return (version == rollout.order.to_version) == on_new
 
+    def narrow(
+        self, service: str, session: str, names: list[str]
+    ) -> typing.Collection[str]:
+        """Give the endpoints that a session's request may go to.
+
+        The share of an unproved version goes to the same share of its endpoints, so
+        that each of them is at least as loaded as all of them will be; a version that
+        fails only under load shows it while few requests are exposed.
+
+        :param names: the usable endpoints of the session's version.
+        """
+        found = self.side(service, session)
+        if found is None or not found[1]:
+            return names
+        share = self.share(found[0])
+        if share >= 1.0:
+            return names
+        return sorted(names)[: max(1, int(share * len(names)))]
+
     # -- Evidence --
 
     def judge_answer(
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -216,6 +216,20 @@
     assert on_new(one) == on_new(two)
 
 
+def test_an_unproved_version_is_as_loaded_as_it_will_be(
+    time: clock.ManualClock,
+) -> None:
+    book = make_rollouts(time)
+    book.take_order(order(), 7, time.now())
+    session = sorted(on_new(book))[0]
+    names = [f"e{number}" for number in range(20)]
+    assert len(book.narrow("llm", session, names)) == 2
+    old = next(f"s{n}" for n in range(99) if not book.fits("llm", "v2", f"s{n}"))
+    assert list(book.narrow("llm", old, names)) == names
+    time.advance(19.0)
+    assert list(book.narrow("llm", session, names)) == names
+
+
 def judged(failed: bool, took_s: float = 0.1) -> rollouts.Judged:
     return rollouts.Judged(failed, took_s)
 
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -119,6 +119,13 @@
         "answer.failed or slow",
         "answer.failed",
     ),
+    _proof(
+        "a canary's share goes to the same share of endpoints",
+        "testfleet.py::test_an_unproved_version_is_as_loaded_as_it_will_be",
+        "rollouts.py",
+        "return sorted(names)[: max(1, int(share * len(names)))]",
+        "return names",
+    ),
     _proof(
         "an outcome of an earlier order is ignored",
         "testfleet.py::test_an_outcome_of_an_earlier_order_says_nothing_of_a_later_one",
