Compare a new version's first events with what its queue explains

The expected time of a first event for the unread prompts ahead is what it is compared with now, learned from proved versions only.

--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -252,7 +252,8 @@
     ) -> None:
         """Learn from the time to a first event."""
         took_s = self._clock.now() - attempt.sent_at
-        self._pace.observe(call.service, attempt.tokens_ahead, took_s)
+        if not self._rollouts.is_unproved(call.service, attempt.endpoint.row.version):
+            self._pace.observe(call.service, attempt.tokens_ahead, took_s)
 
     def _first_model(self, call: gateway_call.Call) -> str:
         """Choose the model; empty where the caller named it."""
@@ -432,12 +433,16 @@
             return
         took_s = self._clock.now() - attempt.sent_at
         resumed = call.info.resume_after is not None
+        expected_s = None
+        if attempt.tokens_ahead:
+            # The endpoints of an unproved version have fuller queues than others.
+            expected_s = self._pace.expect(call.service, attempt.tokens_ahead)
         self._rollouts.judge_answer(
             call.service,
             attempt.endpoint.row.version,
             call.route.name,
             attempt.model,
-            rollouts.Judged(failed, None if resumed else took_s),
+            rollouts.Judged(failed, None if resumed else took_s, expected_s),
         )
 
     def _note_pace(
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -109,7 +109,7 @@
     def is_slow(self, took_s: float) -> bool:
         if self.count < MIN_TIMES:
             return False
-        return took_s > max(SLOW_TIMES * self.mean_s, self.mean_s + SLOW_FLOOR_S)
+        return is_slow(took_s, self.mean_s)
 
 
 class Rollouts:
@@ -274,7 +274,7 @@
         rollout = self._by_service.get(service)
         times = self._paces.setdefault((service, f"{route}/{pace}"), _Pace())
         is_new = rollout is not None and version == rollout.order.to_version
-        slow = answer.took_s is not None and times.is_slow(answer.took_s)
+        slow = answer.slow(times)
         if answer.took_s is not None and not is_new and not answer.failed:
             times.add(answer.took_s)
         if rollout is None or rollout.state is not State.RUNNING:
@@ -283,6 +283,13 @@
         if is_new:
             self._judge(rollout)
 
+    def is_unproved(self, service: str, version: str) -> bool:
+        """Whether a version is being brought in."""
+        rollout = self._by_service.get(service)
+        if rollout is None or rollout.state is not State.RUNNING:
+            return False
+        return version == rollout.order.to_version
+
     def look(self) -> None:
         """Judge again, after evidence came from others."""
         for rollout in self.all():
@@ -326,7 +333,23 @@
     """What an answer says of its version.
 
     :param took_s: seconds to its first part; ``None`` where that tells nothing.
+    :param expected_s: what the stable version would have taken, where that is known;
+        otherwise it is compared with the mean of its kind.
     """
 
     failed: bool
     took_s: float | None
+    expected_s: float | None = None
+
+    def slow(self, usual: "_Pace") -> bool:
+        """Whether it took far longer than the stable version takes."""
+        if self.took_s is None:
+            return False
+        if self.expected_s is None:
+            return usual.is_slow(self.took_s)
+        return is_slow(self.took_s, self.expected_s)
+
+
+def is_slow(took_s: float, usual_s: float) -> bool:
+    """Whether a time is far above what is usual."""
+    return took_s > max(SLOW_TIMES * usual_s, usual_s + SLOW_FLOOR_S)
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -262,6 +262,19 @@
     assert rollout.halted
 
 
+def test_a_long_queue_is_no_fault_of_the_version(time: clock.ManualClock) -> None:
+    book = make_rollouts(time)
+    rollout = book.take_order(order(), 7, time.now())
+    for _ in range(50):
+        book.judge_answer("llm", "v1", "r1", "m", rollouts.Judged(False, 0.2, 0.2))
+    for _ in range(30):
+        book.judge_answer("llm", "v2", "r1", "m", rollouts.Judged(False, 1.6, 1.2))
+    assert not rollout.halted
+    for _ in range(20):
+        book.judge_answer("llm", "v2", "r1", "m", rollouts.Judged(False, 1.6, 0.2))
+    assert rollout.halted
+
+
 def test_a_version_that_fails_on_one_route_is_stopped(
     time: clock.ManualClock,
 ) -> None:
