Split the gateway's large modules, and drop what nothing reads

Read as a newcomer: the relay held the model's choice and the splitting of events (gateway_models, gateway_source now), the main module its own rows (gateway_own), two small ports were one class twice (TextPort), and fields were decoded that nothing uses (health path, session time, load and length of an answer). The callers' connections that may rest follow from the descriptors now.

Two faults found while reading, each with a test that failed first: a stream without a further event was taken for a broken one, and a stream whose head came without an event was waited for until its deadline.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -197,15 +197,6 @@
         staying = [e for e in live if e.leave_at == clock.NEVER]
         return staying or live
 
-    def versions(self, service: str) -> set[str]:
-        """Give the versions that a service's staying endpoints have."""
-        with self._lock:
-            return {
-                e.row.version
-                for e in self._endpoints.values()
-                if e.row.service == service and e.leave_at == clock.NEVER
-            }
-
     def is_set_aside(self, endpoint: Endpoint, now: float) -> bool:
         """Whether an endpoint is paused, or its trial request is not back yet."""
         if now < endpoint.paused_until or endpoint.on_trial:
--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -176,9 +176,7 @@
     :param wrong_endpoint: whether another endpoint has the address now.
     :param echo: the request id that it answers.
     :param confidence: the model's own opinion of its answer, 0 to 100.
-    :param load: requests running, waiting, and slots.
     :param encoded: whether the body is not the endpoint's plain one.
-    :param length: the body's length, if the head tells it.
     """
 
     status: int
@@ -188,9 +186,7 @@
     wrong_endpoint: bool
     echo: str
     confidence: float | None
-    load: tuple[int, int, int] | None
     encoded: bool
-    length: int | None
 
 
 class InvalidDocument(Exception):
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -36,6 +36,9 @@
 
 
 DEADLINE: typing.Final = "deadline"
+# Statuses from here on are no success, and from there on the endpoint's own failures.
+SUCCESS_END: typing.Final = 300
+SERVER_ERROR: typing.Final = 500
 
 
 class NotRun(Exception):
--- a/gaprock/gateway_http.py
+++ b/gaprock/gateway_http.py
@@ -22,14 +22,13 @@
 
 MAX_HEADER_BYTES: typing.Final = 64 * 1024
 LISTEN_BACKLOG: typing.Final = 1024
-# Connections that may rest, at most; the descriptors limit them further.
-MAX_RESTING: typing.Final = 4000
 # Connections rest this much longer than promised, so that a caller that comes at the
 # last moment, or a jump of the time of day, does not meet a closed one, seconds.
 REST_SLACK_S: typing.Final = 5.0
 # A caller that takes nothing of its answer for this long is cut off, seconds.
 CALLER_SILENT_S: typing.Final = 20.0
-READY_THREADS: typing.Final = 2
+TEXT_THREADS: typing.Final = 2
+TEXT: typing.Final = (b"Content-Type", b"text/plain; version=0.0.4")
 BODILESS: typing.Final = (204, 304)
 REASONS: typing.Final = {int(s): s.phrase for s in http.HTTPStatus}
 
@@ -167,6 +166,7 @@
     """The port for callers.
 
     :param is_closing: whether answers should ask callers to connect anew.
+    :param max_resting: connections that may rest.
     """
 
     def __init__(
@@ -176,6 +176,7 @@
         serve: Serve,
         clock_: clock.Clock,
         is_closing: typing.Callable[[], bool],
+        max_resting: int,
     ) -> None:
         self._serve = serve
         self._clock = clock_
@@ -183,7 +184,7 @@
         self.max_body = 0
         self._server = _server(address, threads, self._handle)
         self._server.ConnectionClass = Connection
-        self._server.keep_alive_conn_limit = MAX_RESTING
+        self._server.keep_alive_conn_limit = max_resting
 
     def start(self) -> None:
         """Begin to listen."""
@@ -246,21 +247,19 @@
         return body
 
 
-class ReadyPort:
-    """The port that says whether new callers may come.
+class TextPort:
+    """A small port that answers a path with a status and a text.
 
-    :param path: the path that is asked for.
+    :param paths: what answers each path.
     """
 
     def __init__(
         self,
         address: tuple[str, int],
-        path: str,
-        is_ready: typing.Callable[[], bool],
+        paths: dict[str, typing.Callable[[], tuple[int, bytes]]],
     ) -> None:
-        self._path = path.encode()
-        self._is_ready = is_ready
-        self._server = _server(address, READY_THREADS, self._handle)
+        self._paths = {path.encode(): answer for path, answer in paths.items()}
+        self._server = _server(address, TEXT_THREADS, self._handle)
 
     def start(self) -> None:
         """Begin to listen."""
@@ -271,31 +270,9 @@
         self._server.stop()
 
     def _handle(self, req: typing.Any) -> None:
-        known = req.uri.partition(b"?")[0] == self._path
-        status = 404 if not known else 200 if self._is_ready() else 503
-        HttpReply(req, closing=False).whole(status, [], b"")
-
-
-class MetricsPort:
-    """The port that serves metrics as text."""
-
-    def __init__(
-        self, address: tuple[str, int], render: typing.Callable[[], bytes]
-    ) -> None:
-        self._render = render
-        self._server = _server(address, READY_THREADS, self._handle)
-
-    def start(self) -> None:
-        """Begin to listen."""
-        _start(self._server)
-
-    def stop(self) -> None:
-        """Stop to listen."""
-        self._server.stop()
-
-    def _handle(self, req: typing.Any) -> None:
-        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
-        HttpReply(req, closing=False).whole(200, headers, self._render())
+        answer = self._paths.get(req.uri.partition(b"?")[0])
+        status, text = answer() if answer else (404, b"")
+        HttpReply(req, closing=False).whole(status, [TEXT], text)
 
 
 def _server(
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -17,8 +17,6 @@
 import types
 import typing
 
-import msgspec
-
 from gaprock import (
     clock,
     directory,
@@ -31,6 +29,8 @@
     gateway_choose,
     gateway_http,
     gateway_metrics,
+    gateway_models,
+    gateway_own,
     gateway_relay,
     gateway_rows,
     gateway_serve,
@@ -52,12 +52,18 @@
 EXIT_DONE: typing.Final = 0
 EXIT_SETTINGS: typing.Final = 2
 SETTINGS_VARIABLE: typing.Final = "GAPROCK_SETTINGS"
+METRICS_PATH: typing.Final = "/metrics"
 # Each open call has a thread; some more answer those that are refused.
 SPARE_THREADS: typing.Final = 24
 # Calls that a megabyte of memory carries, from the measured growth of about 0.25 MB a
 # call, with half of the memory left for everything else.
 CALLS_PER_MB: typing.Final = 1.1
 MAX_CALLS: typing.Final = 320
+# A call has its caller's connection and one to an endpoint; files, the store, peers and
+# the ports have the others; so many callers may rest whatever is left.
+DESCRIPTORS_PER_CALL: typing.Final = 2
+OTHER_DESCRIPTORS: typing.Final = 400
+MIN_RESTING: typing.Final = 100
 # A thread's stack, bytes; the deepest path takes a fraction of it.
 STACK_BYTES: typing.Final = 256 * 1024
 # Periods of the background tasks, seconds.
@@ -80,9 +86,6 @@
 LINGER_S: typing.Final = 3.5
 # Between the last request that is taken and the end, seconds.
 CLOSING_S: typing.Final = 0.15
-OWN_ROWS_PAUSE_S: typing.Final = 0.5
-# Peers that start with us have their rows in the store by then, seconds.
-PEERS_AGAIN_S: typing.Final = 2.0
 
 
 class Gateway:
@@ -120,6 +123,17 @@
         self.orders = gateway_rows.OrderRows(clock_, dialect, self.rollouts)
         self.followers = self._make_followers()
         self.mesh.source = followers.RowExchange(self.followers, clock_)
+        self.own_rows = gateway_own.OwnRowsTask(
+            cfg.vm,
+            clock_,
+            store,
+            dialect.tables.own,
+            self.mesh,
+            self.rollouts,
+            self.orders,
+            self.writer,
+            self.followers,
+        )
         self.budget = retry_window.RetryWindow(
             bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
         )
@@ -132,16 +146,16 @@
             self.server.serve,
             clock_,
             lambda: self.leaving,
+            self._max_resting(),
         )
-        self.ready_port = gateway_http.ReadyPort(
+        self.ready_port = gateway_http.TextPort(
             gateway_http.parse_address(cfg.ready_listen),
-            dialect.ready_path,
-            lambda: self.is_ready and not self.leaving,
+            {dialect.ready_path: self._answer_ready},
         )
         self.metrics_port = None
         if cfg.metrics_port:
-            self.metrics_port = gateway_http.MetricsPort(
-                (cfg.host, cfg.metrics_port), self._render_metrics
+            self.metrics_port = gateway_http.TextPort(
+                (cfg.host, cfg.metrics_port), {METRICS_PATH: self._answer_metrics}
             )
         self._tasks = [
             periodic.Periodic("rollouts", ROLLOUT_STEP_S, self._step_rollouts),
@@ -158,7 +172,7 @@
         if self.metrics_port is not None:
             self.metrics_port.start()
         self.mesh.start()
-        threading.Thread(target=self._read_own, name="own-rows", daemon=True).start()
+        threading.Thread(target=self.own_rows.run, name="own-rows", daemon=True).start()
         for task in self._tasks:
             task.start()
 
@@ -242,16 +256,22 @@
         sender = gateway_attempt.Sender(
             self.clock, self.dialect, self.directory, self.metrics
         )
-        relay = gateway_relay.Relay(
+        models = gateway_models.ModelPicker(
             self.clock,
             self.directory,
-            sender,
             self.rollouts,
             plugin.find(policy_api.ModelChoice, cfg.model_choice)(),
             self.budget,
-            self.metrics,
             lambda: self.orders.table.services if self.orders.table else {},
         )
+        relay = gateway_relay.Relay(
+            self.clock,
+            self.directory,
+            sender,
+            self.rollouts,
+            models,
+            self.metrics,
+        )
         return gateway_serve.Server(
             self.clock,
             self.dialect,
@@ -260,7 +280,6 @@
             sender,
             relay,
             self.budget,
-            self.rollouts,
             self.metrics,
             self._max_calls(),
             self._is_stale,
@@ -272,6 +291,11 @@
             return self.cfg.max_calls
         return min(MAX_CALLS, int(CALLS_PER_MB * self.cfg.memory_mb))
 
+    def _max_resting(self) -> int:
+        """Give the callers' connections that may rest: what descriptors are left."""
+        calls = DESCRIPTORS_PER_CALL * self._max_calls()
+        return max(MIN_RESTING, self.cfg.max_fds - calls - OTHER_DESCRIPTORS)
+
     def _on_old(self, service: str) -> int:
         """Give our requests on the old version of a service."""
         for rollout in self.rollouts.all():
@@ -285,54 +309,6 @@
 
     # -- Tasks --
 
-    def _read_own(self) -> None:
-        """Read peers and starts of rollouts, then follow the tables.
-
-        The tables are followed at once when the store does not answer: peers' copies
-        may come before it does.
-        """
-        page = self._try_own()
-        self._take_own(page)
-        for follower in self.followers:
-            follower.start()
-        while page is None:
-            threading.Event().wait(OWN_ROWS_PAUSE_S)
-            page = self._try_own()
-            self._take_own(page)
-        self._announce()
-        threading.Event().wait(PEERS_AGAIN_S)
-        self._take_own(self._try_own())
-
-    def _try_own(self) -> gateway_api.Page | None:
-        try:
-            return self.store.read(self.dialect.tables.own)
-        except gateway_api.StoreError as exc:
-            eventlog.warning("own-rows", error=exc)
-            return None
-
-    def _take_own(self, page: gateway_api.Page | None) -> None:
-        if page is None:
-            return
-        own = gateway_rows.OwnRows(page, self.clock.now())
-        self.writer.store_offset = page.store_now - self.clock.now()
-        self.mesh.found(own.peers)
-        self.orders.starts.update(own.starts)
-        for (service, revision), started_at in own.starts.items():
-            self.rollouts.backdate(service, revision, started_at)
-
-    def _announce(self) -> None:
-        """Write where we take messages, for gateways that start later."""
-        if not self.mesh.address:
-            return
-        key = gateway_rows.PEER_PREFIX + self.cfg.vm
-        value = msgspec.json.encode(gateway_rows.PeerRow(self.mesh.address))
-        table = self.dialect.tables.own
-        try:
-            self.store.commit([gateway_api.Write(table, key, value)])
-        except gateway_api.StoreError as exc:
-            # Peers that are in the store hear of us by our beats.
-            eventlog.warning("announce", error=exc)
-
     def _step_rollouts(self) -> None:
         self.rollouts.look()
         if not self.leaving:
@@ -346,14 +322,17 @@
             self._limits_of = table.number
             self.port.set_limits(table.limits.body_bytes, table.limits.idle_s)
 
-    def _render_metrics(self) -> bytes:
+    def _answer_ready(self) -> tuple[int, bytes]:
+        return (200 if self.is_ready and not self.leaving else 503), b""
+
+    def _answer_metrics(self) -> tuple[int, bytes]:
         table = self.orders.table
         self.metrics.config_number.set(table.number if table else 0)
         self.metrics.log_lines_dropped.set(eventlog.dropped_lines())
         for follower in self.followers:
             gauge = self.metrics.store_connected.labels(follower.table)
             gauge.set(follower.connected)
-        return self.metrics.render()
+        return 200, self.metrics.render()
 
 
 def load_options(path: str) -> options.Options:
--- /dev/null
+++ b/gaprock/gateway_models.py
@@ -0,0 +1,133 @@
+"""The model of a call: which is asked first, and whether a larger one is asked instead.
+
+The decision is the plug-in's (``policy_models``); here is what it needs to know.
+"""
+
+import typing
+
+from gaprock import (
+    clock,
+    directory,
+    eventlog,
+    gateway_attempt,
+    gateway_call,
+    policy_api,
+    reading_pace,
+    retry_window,
+    rollouts,
+    routes,
+)
+
+# Repeats that are left to failures before models are climbed, per service.
+CLIMB_RESERVE: typing.Final = 4.0
+
+
+class ModelPicker:
+    """Asks the plug-in; safe for all threads.
+
+    :param services: the services of the configuration in force, by name.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_rollouts",
+        "_choice",
+        "_budget",
+        "_services",
+        "_pace",
+    )
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        directory_: directory.Directory,
+        rollouts_: rollouts.Rollouts,
+        choice: policy_api.ModelChoice,
+        budget: retry_window.RetryWindow,
+        services: typing.Callable[[], dict[str, routes.Service]],
+    ) -> None:
+        self._clock = clock_
+        self._directory = directory_
+        self._rollouts = rollouts_
+        self._choice = choice
+        self._budget = budget
+        self._services = services
+        self._pace = reading_pace.ReadingPace()
+
+    def first(self, call: gateway_call.Call) -> str:
+        """Choose the model; empty where the caller named it."""
+        if not call.info.any_model or not call.route.models:
+            return ""
+        if call.info.resume_after is not None:
+            # Which model made the first part is not known here; the largest is never
+            # too small.
+            return call.route.models[-1]
+        return self._choice.first(self._ask(call)) or call.route.models[-1]
+
+    def larger(
+        self,
+        call: gateway_call.Call,
+        attempt: gateway_attempt.Attempt,
+        resume_after: int | None,
+    ) -> str:
+        """Give the model to ask instead, or an empty text to keep the answer."""
+        head = attempt.head
+        if not attempt.model or resume_after is not None:
+            return ""
+        if head.status >= gateway_attempt.SUCCESS_END or not call.route.repeatable:
+            return ""
+        ask = self._ask(call)
+        larger = self._choice.climb(ask, attempt.model, head.confidence)
+        eventlog.info(
+            "model",
+            request=call.info.request,
+            model=attempt.model,
+            confidence="none" if head.confidence is None else head.confidence,
+            left_s=ask.left_s,
+            largest_s=ask.largest_s,
+            climbs_left=ask.climbs_left,
+            choice=larger or "keep",
+        )
+        return larger or ""
+
+    def note_first(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
+    ) -> None:
+        """Learn from the time to a first event."""
+        took_s = self._clock.now() - attempt.sent_at
+        if not self._rollouts.is_unproved(call.service, attempt.endpoint.row.version):
+            self._pace.observe(call.service, attempt.tokens_ahead, took_s)
+
+    def expect_first(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
+    ) -> float | None:
+        """Give the seconds that a send's first event was expected to take, if known."""
+        if not attempt.tokens_ahead:
+            return None
+        return self._pace.expect(call.service, attempt.tokens_ahead)
+
+    def _ask(self, call: gateway_call.Call) -> policy_api.ModelAsk:
+        service = self._services().get(call.service)
+        known = {m.name: m for m in service.models} if service else {}
+        models = [
+            known.get(name, routes.ModelCost(name, 0.0)) for name in call.route.models
+        ]
+        now = self._clock.now()
+        ahead = self._least_unread(call)
+        budget_left = int(self._budget.left(call.service, now) - CLIMB_RESERVE)
+        # Before the first send, that send itself is not a climb.
+        sends_left = call.sends_left if call.sends else call.sends_left - 1
+        return policy_api.ModelAsk(
+            models,
+            call.info.tokens_in,
+            call.info.tokens_out,
+            call.goal_at - now,
+            max(0, min(sends_left, budget_left)),
+            self._pace.expect(call.service, ahead + call.info.tokens_in),
+        )
+
+    def _least_unread(self, call: gateway_call.Call) -> float:
+        """Give the unread tokens at the endpoint that has the least of them."""
+        usable = self._directory.usable(call.service, call.excluded)
+        return min((endpoint.unread for endpoint in usable), default=0.0)
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -16,20 +16,14 @@
     gateway_attempt,
     gateway_call,
     gateway_metrics,
+    gateway_models,
+    gateway_source,
     http_exchange,
-    policy_api,
-    reading_pace,
-    retry_window,
     rollouts,
-    routes,
 )
 
-# Repeats that are left to failures before models are climbed, per service.
-CLIMB_RESERVE: typing.Final = 4.0
 # Events of a stream that show its pace.
 MIN_PACE_EVENTS: typing.Final = 5
-SUCCESS_END: typing.Final = 300
-SERVER_ERROR: typing.Final = 500
 
 
 class Sends(typing.Protocol):
@@ -54,49 +48,6 @@
         """Give a call up that may have run."""
 
 
-class Broken(Exception):
-    """A stream ended before it was whole."""
-
-
-class Source:
-    """The events of one send."""
-
-    __slots__ = ("attempt", "_splitter", "_events", "_ended", "_clock", "_directory")
-
-    def __init__(
-        self,
-        attempt: gateway_attempt.Attempt,
-        clock_: clock.Clock,
-        directory_: directory.Directory,
-    ) -> None:
-        self.attempt = attempt
-        self._clock = clock_
-        self._directory = directory_
-        self._splitter = event_stream.Splitter()
-        self._events: list[event_stream.Event] = []
-        self._ended = False
-
-    def next_events(self, deadline: float) -> list[event_stream.Event]:
-        """Wait for events; none is the stream's whole end.
-
-        :raises Broken: when it broke off.
-        :raises http_exchange.TimedOut: when the deadline passed.
-        """
-        while True:
-            try:
-                data = self.attempt.exchange.read_data(deadline)
-            except http_exchange.Broken as exc:
-                raise Broken(str(exc)) from exc
-            if data is None:
-                if self._splitter.torn:
-                    raise Broken("ended in the middle of an event")
-                return []
-            self._directory.heard(self.attempt.endpoint)
-            events = self._splitter.feed(data)
-            if events:
-                return events
-
-
 class Relay:
     """Runs streams; safe for all threads."""
 
@@ -106,27 +57,22 @@
         directory_: directory.Directory,
         sender: gateway_attempt.Sender,
         rollouts_: rollouts.Rollouts,
-        choice: policy_api.ModelChoice,
-        budget: retry_window.RetryWindow,
+        models: gateway_models.ModelPicker,
         metrics: gateway_metrics.GatewayMetrics,
-        services: typing.Callable[[], dict[str, routes.Service]],
     ) -> None:
         self._clock = clock_
         self.directory = directory_
         self._sender = sender
         self._rollouts = rollouts_
-        self._choice = choice
-        self._budget = budget
+        self._models = models
         self._metrics = metrics
-        self._services = services
-        self._pace = reading_pace.ReadingPace()
 
     def run(
         self, call: gateway_call.Call, reply: gateway_call.Reply, sends: Sends
     ) -> None:
         """Serve a stream."""
         resume_after = call.info.resume_after
-        model = self._first_model(call)
+        model = self._models.first(call)
         source, events = self._open(call, reply, sends, model, resume_after)
         try:
             head = source.attempt.head
@@ -134,7 +80,7 @@
                 self._give_whole(call, reply, source)
                 return
             reply.begin(head.status, head.headers)
-            if self._relay_all(call, reply, sends, source, events):
+            if not events or self._relay_all(call, reply, sends, source, events):
                 reply.end()
         finally:
             source.attempt.finish(self.directory)
@@ -148,7 +94,7 @@
         sends: Sends,
         model: str,
         resume_after: int | None,
-    ) -> tuple[Source, list[event_stream.Event] | None]:
+    ) -> tuple[gateway_source.Source, list[event_stream.Event] | None]:
         """Get an answer that is accepted, with its first events.
 
         :returns: the source, and ``None`` instead of events for an answer that is no
@@ -162,25 +108,26 @@
                     raise sends.unknown(call, str(exc)) from exc
                 sends.take_repeat(call, str(exc))
                 continue
-            source = Source(attempt, self._clock, self.directory)
-            self._note_first(call, attempt)
+            source = gateway_source.Source(attempt, self._clock, self.directory)
+            self._models.note_first(call, attempt)
             try:
-                larger = self._judge_head(call, attempt, resume_after)
+                larger = self._models.larger(call, attempt, resume_after)
                 if larger:
+                    self.note_answer(call, attempt, failed=False, blame_version=True)
                     attempt.finish(self.directory)
                     sends.take_repeat(call, "climb")
                     model = larger
                     continue
-                if attempt.head.status >= SUCCESS_END:
+                if attempt.head.status >= gateway_attempt.SUCCESS_END:
                     if self._fails_over(call, attempt, sends):
                         continue
                     return source, None
-                events = source.next_events(call.deadline)
+                events = self._first_events(call, sends, source)
                 self.note_answer(call, attempt, failed=False, blame_version=True)
                 return source, events
-            except (Broken, http_exchange.TimedOut) as exc:
+            except gateway_source.Broken as exc:
                 attempt.finish(self.directory)
-                detail = str(exc) or "no event in time"
+                detail = str(exc)
                 self._note_broken(call, attempt, detail)
                 if not sends.may_repeat(call):
                     raise sends.unknown(call, detail) from exc
@@ -189,6 +136,27 @@
                 attempt.finish(self.directory)
                 raise
 
+    def _first_events(
+        self, call: gateway_call.Call, sends: Sends, source: gateway_source.Source
+    ) -> list[event_stream.Event]:
+        """Wait for the first events; none for a stream that has nothing more.
+
+        :raises gateway_source.Broken: when none came, and another endpoint is worth it.
+        """
+        heard_at = self._clock.now()
+        patience_s = gateway_attempt.LOST_GAPS * call.route.gap_s
+        while True:
+            look_at = self._clock.now() + gateway_attempt.LOOK_S
+            try:
+                return source.next_events(min(call.deadline, look_at))
+            except http_exchange.TimedOut as exc:
+                reason = self._sender.lost_reason(
+                    call, source.attempt, heard_at, patience_s
+                )
+                is_late = reason == gateway_attempt.DEADLINE
+                if is_late or reason and sends.may_repeat(call):
+                    raise gateway_source.Broken(reason) from exc
+
     def _fails_over(
         self,
         call: gateway_call.Call,
@@ -196,7 +164,7 @@
         sends: Sends,
     ) -> bool:
         """Whether an endpoint's failure is tried elsewhere."""
-        failed = attempt.head.status >= SERVER_ERROR
+        failed = attempt.head.status >= gateway_attempt.SERVER_ERROR
         self.note_answer(call, attempt, failed, blame_version=True)
         if not failed or not sends.may_repeat(call):
             return False
@@ -206,7 +174,10 @@
         return True
 
     def _give_whole(
-        self, call: gateway_call.Call, reply: gateway_call.Reply, source: Source
+        self,
+        call: gateway_call.Call,
+        reply: gateway_call.Reply,
+        source: gateway_source.Source,
     ) -> None:
         """Give an answer that is no stream as it is."""
         head, pieces = source.attempt.head, []
@@ -220,79 +191,6 @@
             raise gateway_call.GivenUp(errorcodes.OUTCOME_UNKNOWN, detail) from exc
         reply.whole(head.status, head.headers, b"".join(pieces))
 
-    # -- Models --
-
-    def _ask(self, call: gateway_call.Call) -> policy_api.ModelAsk:
-        service = self._services().get(call.service)
-        known = {m.name: m for m in service.models} if service else {}
-        models = [
-            known.get(name, routes.ModelCost(name, 0.0)) for name in call.route.models
-        ]
-        now = self._clock.now()
-        ahead = self._least_unread(call)
-        budget_left = int(self._budget.left(call.service, now) - CLIMB_RESERVE)
-        # Before the first send, that send itself is not a climb.
-        sends_left = call.sends_left if call.sends else call.sends_left - 1
-        return policy_api.ModelAsk(
-            models,
-            call.info.tokens_in,
-            call.info.tokens_out,
-            call.goal_at - now,
-            max(0, min(sends_left, budget_left)),
-            self._pace.expect(call.service, ahead + call.info.tokens_in),
-        )
-
-    def _least_unread(self, call: gateway_call.Call) -> float:
-        """Give the unread tokens at the endpoint that has the least of them."""
-        usable = self.directory.usable(call.service, call.excluded)
-        return min((endpoint.unread for endpoint in usable), default=0.0)
-
-    def _note_first(
-        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
-    ) -> None:
-        """Learn from the time to a first event."""
-        took_s = self._clock.now() - attempt.sent_at
-        if not self._rollouts.is_unproved(call.service, attempt.endpoint.row.version):
-            self._pace.observe(call.service, attempt.tokens_ahead, took_s)
-
-    def _first_model(self, call: gateway_call.Call) -> str:
-        """Choose the model; empty where the caller named it."""
-        if not call.info.any_model or not call.route.models:
-            return ""
-        if call.info.resume_after is not None:
-            # Which model made the first part is not known here; the largest is never
-            # too small.
-            return call.route.models[-1]
-        return self._choice.first(self._ask(call)) or call.route.models[-1]
-
-    def _judge_head(
-        self,
-        call: gateway_call.Call,
-        attempt: gateway_attempt.Attempt,
-        resume_after: int | None,
-    ) -> str:
-        """Give the model to ask instead, or an empty text to keep the answer."""
-        head = attempt.head
-        if not attempt.model or resume_after is not None:
-            return ""
-        if head.status >= SUCCESS_END or not call.route.repeatable:
-            return ""
-        ask = self._ask(call)
-        larger = self._choice.climb(ask, attempt.model, head.confidence)
-        eventlog.info(
-            "model",
-            request=call.info.request,
-            model=attempt.model,
-            confidence="none" if head.confidence is None else head.confidence,
-            left_s=ask.left_s,
-            largest_s=ask.largest_s,
-            climbs_left=ask.climbs_left,
-            choice=larger or "keep",
-        )
-        if larger:
-            self.note_answer(call, attempt, failed=False, blame_version=True)
-        return larger or ""
-
     # -- After the caller has the head --
 
     def _relay_all(
@@ -300,7 +198,7 @@
         call: gateway_call.Call,
         reply: gateway_call.Reply,
         sends: Sends,
-        first: Source,
+        first: gateway_source.Source,
         events: list[event_stream.Event],
     ) -> bool:
         """Relay events to the whole end, going on elsewhere after a failure.
@@ -308,7 +206,7 @@
         :returns: whether the caller has all; otherwise its answer was broken off.
         """
         last = call.info.resume_after
-        source: Source | None = first
+        source: gateway_source.Source | None = first
         while source is not None:
             try:
                 self._relay_one(call, reply, sends, source, events, last)
@@ -338,7 +236,7 @@
         call: gateway_call.Call,
         reply: gateway_call.Reply,
         sends: Sends,
-        source: Source,
+        source: gateway_source.Source,
         events: list[event_stream.Event],
         last: int | None,
     ) -> None:
@@ -359,7 +257,7 @@
             look_at = self._clock.now() + gateway_attempt.LOOK_S
             try:
                 events = source.next_events(min(call.deadline, look_at))
-            except Broken as exc:
+            except gateway_source.Broken as exc:
                 raise _Stopped(str(exc), last) from exc
             except http_exchange.TimedOut as exc:
                 self._look(call, sends, source, heard_at, last, exc)
@@ -373,7 +271,7 @@
         self,
         call: gateway_call.Call,
         sends: Sends,
-        source: Source,
+        source: gateway_source.Source,
         heard_at: float,
         last: int | None,
         exc: Exception,
@@ -396,7 +294,7 @@
         model: str,
         last: int | None,
         detail: str,
-    ) -> Source | None:
+    ) -> gateway_source.Source | None:
         """Open the rest of a stream at another endpoint, with the same model."""
         while last is not None and sends.may_repeat(call):
             sends.take_repeat(call, f"resume after {last}: {detail}")
@@ -405,14 +303,14 @@
             except (gateway_attempt.Failed, gateway_call.GivenUp) as exc:
                 detail = str(exc)
                 continue
-            if attempt.head.status < SUCCESS_END:
+            if attempt.head.status < gateway_attempt.SUCCESS_END:
                 eventlog.info(
                     "resumed",
                     request=call.info.request,
                     endpoint=attempt.endpoint.name,
                     after=last,
                 )
-                return Source(attempt, self._clock, self.directory)
+                return gateway_source.Source(attempt, self._clock, self.directory)
             attempt.finish(self.directory)
             call.excluded.add(attempt.endpoint.name)
             detail = f"status {attempt.head.status}"
@@ -433,10 +331,8 @@
             return
         took_s = self._clock.now() - attempt.sent_at
         resumed = call.info.resume_after is not None
-        expected_s = None
-        if attempt.tokens_ahead:
-            # The endpoints of an unproved version have fuller queues than others.
-            expected_s = self._pace.expect(call.service, attempt.tokens_ahead)
+        # The endpoints of an unproved version have fuller queues than others.
+        expected_s = self._models.expect_first(call, attempt)
         self._rollouts.judge_answer(
             call.service,
             attempt.endpoint.row.version,
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -27,7 +27,6 @@
     gateway_relay,
     http_exchange,
     retry_window,
-    rollouts,
     routes,
 )
 
@@ -41,7 +40,6 @@
 WAIT_LOOK_S: typing.Final = 0.03
 WAIT_SHARE: typing.Final = 0.2
 JSON: typing.Final = (b"Content-Type", b"application/json")
-SERVER_ERROR: typing.Final = 500
 
 
 class ConfigSource(typing.Protocol):
@@ -65,7 +63,6 @@
         sender: gateway_attempt.Sender,
         relay: gateway_relay.Relay,
         budget: retry_window.RetryWindow,
-        rollouts_: rollouts.Rollouts,
         metrics: gateway_metrics.GatewayMetrics,
         max_calls: int,
         is_stale: typing.Callable[[], bool],
@@ -78,7 +75,6 @@
         self._sender = sender
         self._relay = relay
         self._budget = budget
-        self._rollouts = rollouts_
         self._metrics = metrics
         self._max_calls = max_calls
         self._is_stale = is_stale
@@ -200,7 +196,7 @@
                     raise
             else:
                 kept = (attempt.head, body)
-                bad = attempt.head.status >= SERVER_ERROR
+                bad = attempt.head.status >= gateway_attempt.SERVER_ERROR
                 if bad and self.may_repeat(call):
                     call.excluded.add(attempt.endpoint.name)
                     self.take_repeat(call, f"status {attempt.head.status}")
@@ -332,7 +328,7 @@
             raise gateway_attempt.Failed(f"body: {detail}") from exc
         finally:
             attempt.finish(self._relay.directory)
-        failed = attempt.head.status >= SERVER_ERROR
+        failed = attempt.head.status >= gateway_attempt.SERVER_ERROR
         self._relay.note_answer(call, attempt, failed, blame_version=True)
         return b"".join(pieces)
 
--- /dev/null
+++ b/gaprock/gateway_source.py
@@ -0,0 +1,44 @@
+"""The whole events of one send's stream."""
+
+from gaprock import clock, directory, event_stream, gateway_attempt, http_exchange
+
+
+class Broken(Exception):
+    """A stream ended before it was whole."""
+
+
+class Source:
+    """The events of one send."""
+
+    __slots__ = ("attempt", "_splitter", "_clock", "_directory")
+
+    def __init__(
+        self,
+        attempt: gateway_attempt.Attempt,
+        clock_: clock.Clock,
+        directory_: directory.Directory,
+    ) -> None:
+        self.attempt = attempt
+        self._clock = clock_
+        self._directory = directory_
+        self._splitter = event_stream.Splitter()
+
+    def next_events(self, deadline: float) -> list[event_stream.Event]:
+        """Wait for events; none is the stream's whole end.
+
+        :raises Broken: when it broke off.
+        :raises http_exchange.TimedOut: when the deadline passed.
+        """
+        while True:
+            try:
+                data = self.attempt.exchange.read_data(deadline)
+            except http_exchange.Broken as exc:
+                raise Broken(str(exc)) from exc
+            if data is None:
+                if self._splitter.torn:
+                    raise Broken("ended in the middle of an event")
+                return []
+            self._directory.heard(self.attempt.endpoint)
+            events = self._splitter.feed(data)
+            if events:
+                return events
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -37,7 +37,6 @@
         "budget_window_s",
         "budget_allowance",
         "canary_share",
-        "session_s",
     )
 
     def __init__(self) -> None:
@@ -53,8 +52,6 @@
         self.budget_allowance = 10.0
         # Share of a service's requests that an unproved version may get.
         self.canary_share = 0.1
-        # Requests of one session follow each other within this time, seconds.
-        self.session_s = 5.0
 
 
 class Options:
--- a/gaprock/platform/documents.py
+++ b/gaprock/platform/documents.py
@@ -58,7 +58,6 @@
 
 class ServiceDoc(msgspec.Struct, frozen=True):
     Name: str
-    HealthPath: str = "/health"
     Engine: EngineDoc | None = None
 
 
@@ -171,7 +170,7 @@
 def _service(doc: ServiceDoc) -> routes.Service:
     models = doc.Engine.Models if doc.Engine else []
     costs = [routes.ModelCost(item.Name, item.Cost) for item in models]
-    return routes.Service(doc.Name, doc.HealthPath, costs)
+    return routes.Service(doc.Name, costs)
 
 
 def _keys(tenants: list[TenantDoc]) -> dict[str, routes.Workspace]:
--- a/gaprock/platform/settings.py
+++ b/gaprock/platform/settings.py
@@ -30,7 +30,6 @@
     # Repeats that are allowed beyond the ratio, in a window.
     RetrySlack: float = 10
     CanaryShare: float = 0.1
-    SessionS: float = 5
 
 
 class ProviderDoc(msgspec.Struct, frozen=True):
@@ -79,7 +78,6 @@
     bounds.budget_window_s = doc.BudgetWindowS
     bounds.budget_allowance = doc.RetrySlack
     bounds.canary_share = doc.CanaryShare
-    bounds.session_s = doc.SessionS
 
 
 def _check_address(path: str, field: str, text: str) -> None:
--- a/gaprock/platform/wire.py
+++ b/gaprock/platform/wire.py
@@ -111,9 +111,7 @@
             wrong,
             by_name.get(b"x-request-id", b"").decode("latin-1"),
             _float(by_name.get(b"x-confidence")),
-            _load(by_name.get(b"x-server-load", b"")),
             by_name.get(b"content-encoding", b"identity").lower() != b"identity",
-            _number(by_name.get(b"content-length", b"")),
         )
 
     def refusal_headers(self, retry_s: float | None) -> gateway_api.Headers:
@@ -204,13 +202,3 @@
         if name and count is not None:
             found.append((name.decode("latin-1"), count))
     return found
-
-
-def _load(value: bytes) -> tuple[int, int, int] | None:
-    fields = [_number(item) for item in value.split(b",")]
-    if len(fields) != 3:
-        return None
-    running, waiting, slots = fields
-    if running is None or waiting is None or slots is None:
-        return None
-    return running, waiting, slots
--- a/gaprock/routes.py
+++ b/gaprock/routes.py
@@ -39,15 +39,13 @@
 class Service:
     """A group of endpoints that do the same.
 
-    :param health_path: path of its health check.
     :param models: the models of an engine, empty for a plain service.
     """
 
-    __slots__ = ("name", "health_path", "models")
+    __slots__ = ("name", "models")
 
-    def __init__(self, name: str, health_path: str, models: list[ModelCost]) -> None:
+    def __init__(self, name: str, models: list[ModelCost]) -> None:
         self.name = name
-        self.health_path = health_path
         self.models = models
 
     def cost_of(self, model: str) -> float:
--- a/gaprock/test/testgateway.py
+++ b/gaprock/test/testgateway.py
@@ -344,6 +344,33 @@
     assert fake.seen[0].headers["last-event-id"] == "3"
 
 
+def test_a_stream_with_nothing_more_ends_whole(site: gatewaysite.GatewaySite) -> None:
+    site.add("a", "llm")
+    answer = site.generate(Last_Event_Id="5")
+    assert (answer.status, answer.body, answer.whole) == (200, b"", True)
+
+
+def test_a_stream_that_begins_and_says_nothing_goes_elsewhere(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    muted: list[backend.Seen] = []
+
+    def script(own: backend.Backend, seen: backend.Seen, conn: socket.socket) -> None:
+        if muted:
+            backend.answer(own, seen, conn)
+            return
+        muted.append(seen)
+        start = backend.head(seen, Transfer_Encoding="chunked", X_Confidence="90")
+        conn.sendall(start)
+        backend.hang(own, seen, conn)
+
+    for name in ("a", "b"):
+        site.add(name, "llm").usual = script
+    answer = site.generate()
+    assert (answer.body, answer.whole) == (events(1, 5), True)
+    assert muted[0].closed.wait(5)
+
+
 # -- Membership and configuration --
 
 
