Let the callers' port grow its threads with the calls that are open

Cause: every gateway started a thread for each call that it may have open, up to 344. The port starts with 32 threads and adds 24 when fewer than 12 are idle, on a thread of its own. The test opens 60 calls.

--- a/gaprock/gateway_http.py
+++ b/gaprock/gateway_http.py
@@ -27,6 +27,11 @@
 REST_SLACK_S: typing.Final = 5.0
 # A caller that takes nothing of its answer for this long is cut off, seconds.
 CALLER_SILENT_S: typing.Final = 20.0
+# Threads that a port starts with, and how many come at once when fewer than the second
+# number are idle: most gateways of a large fleet have few calls open at a time.
+START_THREADS: typing.Final = 32
+LOW_IDLE: typing.Final = 12
+GROW_BY: typing.Final = 24
 TEXT_THREADS: typing.Final = 2
 TEXT: typing.Final = (b"Content-Type", b"text/plain; version=0.0.4")
 BODILESS: typing.Final = (204, 304)
@@ -165,6 +170,7 @@
 class Port:
     """The port for callers.
 
+    :param threads: the most threads that serve callers.
     :param is_closing: whether answers should ask callers to connect anew.
     :param max_resting: connections that may rest.
     """
@@ -182,13 +188,23 @@
         self._clock = clock_
         self._is_closing = is_closing
         self.max_body = 0
-        self._server = _server(address, threads, self._handle)
+        self._server = _server(address, START_THREADS, self._handle)
+        self._server.requests.max = threads
+        self._is_low = threading.Event()
         self._server.ConnectionClass = Connection
         self._server.keep_alive_conn_limit = max_resting
 
     def start(self) -> None:
         """Begin to listen."""
         _start(self._server)
+        threading.Thread(target=self._grow, name="grow", daemon=True).start()
+
+    def _grow(self) -> None:
+        """Add threads when they run low; the pool waits for them, so callers do not."""
+        while True:
+            self._is_low.wait()
+            self._is_low.clear()
+            self._server.requests.grow(GROW_BY)
 
     def stop(self) -> None:
         """Stop to listen, and close what rests."""
@@ -201,6 +217,8 @@
 
     def _handle(self, req: typing.Any) -> None:
         arrived_at = self._clock.now()
+        if self._server.requests.idle < LOW_IDLE:
+            self._is_low.set()
         reply = HttpReply(req, self._is_closing())
         raw = typing.cast("gateway_api.Headers", req.inheaders.pop(RAW))
         named = req.inheaders.get(b"Connection", b"").lower().split(b",")
--- a/gaprock/test/testgateway.py
+++ b/gaprock/test/testgateway.py
@@ -479,6 +479,19 @@
     assert "gaprock_first_byte_seconds_bucket" in text
 
 
+def test_threads_come_with_the_calls_that_are_open() -> None:
+    def many(cfg: options.Options) -> None:
+        cfg.max_calls = 100
+
+    with gatewaysite.GatewaySite(many) as site:
+        site.add("a", "app", Slots=100).usual = backend.hang
+        laters = [site.call_later("/unsafe/x") for _ in range(60)]
+        gatewaysite.wait_until(lambda: len(site.backends["a"].seen) == 60, "all sent")
+        site.backends["a"].stop()
+        for later in laters:
+            assert later.get().status in (502, 504)
+
+
 def test_two_gateways_find_each_other_and_tell_their_loads() -> None:
     def with_mesh(cfg: options.Options) -> None:
         cfg.mesh_port = gatewaysite.free_port()
