Soak real gateways in seeded series of faults, and judge what their users see

Real gateways on loopback addresses, relays before the store and each endpoint, signals, a store that refuses, hangs, forgets, loses answers and jumps its clock, planned stops and drains, configurations and revoked keys, in series that overlap. The judgement is pure and has tests of its own (each promise broken once; calm spans).

--- a/gaprock/test/fakes/cutproxy.py
+++ b/gaprock/test/fakes/cutproxy.py
@@ -1,10 +1,16 @@
-"""A TCP relay that cuts connections, or lets them go silent."""
+"""A TCP relay that cuts, resets or delays connections, or lets them go silent."""
 
 import socket
+import struct
 import threading
+import time
 import typing
 
 CHUNK: typing.Final = 64 * 1024
+TO_TARGET: typing.Final = "to-target"
+TO_CALLER: typing.Final = "to-caller"
+# Pause between two looks at a direction that is held back, seconds.
+HELD_LOOK_S: typing.Final = 0.02
 
 
 class CutProxy:
@@ -19,6 +25,9 @@
         # Cleared while the relay is silent: it takes bytes and passes none on.
         self.flowing = threading.Event()
         self.flowing.set()
+        # Directions whose bytes are held back, and the delay of all others, seconds.
+        self.held: set[str] = set()
+        self.delay_s = 0.0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self) -> None:
@@ -28,6 +37,27 @@
             for sock in pair:
                 _close(sock)
 
+    def reset(self) -> None:
+        """Reset all connections; new ones are taken."""
+        for pair in self._pairs:
+            for sock in pair:
+                try:
+                    no_linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+                except OSError:
+                    # It is closed already.
+                    continue
+        self.cut()
+
+    def heal(self) -> None:
+        """Let everything through again; what was silent is reset, as after a cut."""
+        was_silent = bool(self.held) or not self.flowing.is_set()
+        self.held.clear()
+        self.delay_s = 0.0
+        self.flowing.set()
+        if was_silent:
+            self.reset()
+
     def stop(self) -> None:
         """Close everything."""
         _close(self._listener)
@@ -42,13 +72,18 @@
             except OSError:
                 return
             self._pairs.append((near, far))
-            for pair in ((near, far), (far, near)):
-                threading.Thread(target=self._relay, args=pair, daemon=True).start()
+            for way in ((near, far, TO_TARGET), (far, near, TO_CALLER)):
+                threading.Thread(target=self._relay, args=way, daemon=True).start()
 
-    def _relay(self, source: socket.socket, target: socket.socket) -> None:
+    def _relay(
+        self, source: socket.socket, target: socket.socket, direction: str
+    ) -> None:
         try:
             while data := source.recv(CHUNK):
                 self.flowing.wait()
+                while direction in self.held:
+                    time.sleep(HELD_LOOK_S)
+                time.sleep(self.delay_s)
                 target.sendall(data)
         except OSError:
             pass
--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -1,12 +1,14 @@
 """A small stand-in of the users' metadata store, over HTTP on loopback.
 
 Faults are set by a test: ``refuse`` (a status for each call), ``lose`` (writes are done
-and not answered), ``compact`` (history is gone), ``mute`` (no answer at all).
+and not answered), ``delay`` (seconds before each call is looked at); ``compact`` makes
+the history go.
 """
 
 import base64
 import json
 import threading
+import time
 import typing
 import urllib.parse
 
@@ -28,6 +30,8 @@
         self.version = 0
         self.forgotten_until = 0
         self.calls: list[str] = []
+        # The store's steady clock.
+        self.now_ms: typing.Callable[[], int] = lambda: 51_230
 
     # -- For tests --
 
@@ -60,6 +64,7 @@
         call, _, text = path.partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
         self.calls.append(call)
+        time.sleep(self.faults.get("delay", 0.0))
         if "refuse" in self.faults:
             return httpfake.Reply(self.faults["refuse"])
         if call == "/-/rows-get":
@@ -132,5 +137,5 @@
         return row
 
     def _answer(self, rows: list[typing.Any], **more: object) -> httpfake.Reply:
-        doc = {"Rows": rows, "Ver": self.version, "NowMs": 51_230, **more}
+        doc = {"Rows": rows, "Ver": self.version, "NowMs": self.now_ms(), **more}
         return httpfake.json_reply(doc)
--- /dev/null
+++ b/gaprock/test/soak_fleet.py
@@ -0,0 +1,291 @@
+"""The processes and stand-ins of a soak: gateways, store, endpoints behind relays.
+
+Gateways are the real program, each on a loopback address of its own.  The store and the
+endpoints are stand-ins in the soak's process; each gateway has a relay before the store
+and each endpoint one before itself, so that faults come from outside of all of them.
+"""
+
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+from gaprock.test import gatewaysite, soak_ledger
+from gaprock.test.fakes import backend, cutproxy, metastore
+
+DRAIN_S: typing.Final = 2.0
+CONFIG_S: typing.Final = 2.0
+GRACE_S: typing.Final = 5.0
+# Wait for a process that was told to stop, and for a ready one, seconds.
+STOP_WAIT_S: typing.Final = 20.0
+READY_WAIT_S: typing.Final = 30.0
+MAX_EVENTS: typing.Final = 12
+EVENT_S: typing.Final = 0.02
+SLOTS: typing.Final = 16
+
+
+def events_of(request: str) -> int:
+    """Give the length of a request's stream; every endpoint agrees on it."""
+    return 1 + hashlib.sha256(request.encode()).digest()[0] % MAX_EVENTS
+
+
+def body_of(request: str) -> bytes:
+    """Give a request's body, so that an endpoint can tell a changed one."""
+    return f"body of {request}".encode()
+
+
+def answer_of(request: str) -> bytes:
+    """Give a whole answer to a request."""
+    return f"answer to {request}".encode()
+
+
+class Endpoint:
+    """A stand-in behind a relay.
+
+    :param failing: share of the requests that it fails, 0 to 1.
+    """
+
+    def __init__(self, name: str, service: str, ledger: soak_ledger.Ledger) -> None:
+        self.name = name
+        self.service = service
+        self.failing = 0.0
+        self.slow_s = 0.0
+        self._ledger = ledger
+        self.fake = backend.Backend(name)
+        self.fake.usual = self._answer
+        self.relay = cutproxy.CutProxy(self.fake.port)
+        self.row_s = "ready"
+
+    def row(self) -> dict[str, object]:
+        """Write its row of the store."""
+        return {
+            "Service": self.service,
+            "Addr": f"127.0.0.1:{self.relay.port}",
+            "Zone": "h1",
+            "Version": "v1",
+            "Slots": SLOTS,
+            "State": self.row_s,
+        }
+
+    def stop(self) -> None:
+        """End at once, as a crash does."""
+        self.fake.stop()
+        self.relay.stop()
+
+    def _answer(
+        self, fake: backend.Backend, seen: backend.Seen, conn: socket.socket
+    ) -> None:
+        if seen.headers.get("x-expect-instance") != self.name:
+            backend.refuse(421)(fake, seen, conn)
+            return
+        request = seen.headers.get("x-request-id", "")
+        kind = seen.target.split("/")[1]
+        run = soak_ledger.Run(
+            request,
+            kind,
+            self.name,
+            self._ledger.now(),
+            seen.headers.get("x-tenant", ""),
+            "authorization" in seen.headers,
+            seen.body == body_of(request),
+        )
+        self._ledger.add(run)
+        time.sleep(self.slow_s)
+        mark = hashlib.sha256(f"{request}{self.name}".encode()).digest()
+        if mark[1] < 256 * self.failing:
+            self._fail(seen, conn, mark[2])
+        elif kind == "gen":
+            self._stream(seen, conn, request, events_of(request), whole=True)
+        else:
+            body = answer_of(request)
+            conn.sendall(backend.head(seen, body=body) + body)
+
+    def _fail(self, seen: backend.Seen, conn: socket.socket, mark: int) -> None:
+        if mark < 100:
+            backend.fail()(self.fake, seen, conn)
+        elif mark < 180 and seen.target.startswith("/gen/"):
+            request = seen.headers.get("x-request-id", "")
+            self._stream(seen, conn, request, events_of(request) // 2, whole=False)
+        # Otherwise the connection is closed without a word.
+
+    def _stream(
+        self,
+        seen: backend.Seen,
+        conn: socket.socket,
+        request: str,
+        last: int,
+        whole: bool,
+    ) -> None:
+        mark = hashlib.sha256(f"{request}{seen.headers.get('x-model')}".encode())
+        start = backend.head(
+            seen,
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+            X_Confidence=str(mark.digest()[0] % 101),
+        )
+        conn.sendall(start)
+        for number in range(int(seen.headers.get("last-event-id", "0")) + 1, last + 1):
+            conn.sendall(backend.chunk(backend.event(number, request)))
+            time.sleep(EVENT_S)
+        if whole:
+            conn.sendall(b"0\r\n\r\n")
+
+
+class GatewayProcess:
+    """A gateway as a process of its own, and its relay before the store."""
+
+    def __init__(self, name: str, ip: str, store_port: int, logs: pathlib.Path):
+        self.name = name
+        self.ip = ip
+        self.life = 0
+        self.store_relay = cutproxy.CutProxy(store_port)
+        self._logs = logs
+        self.port = gatewaysite.free_port()
+        self.ready_port = gatewaysite.free_port()
+        self.mesh_port = gatewaysite.free_port()
+        self.process: subprocess.Popen[bytes] | None = None
+        # Held while the process is stopped and started.
+        self.lock = threading.Lock()
+
+    @property
+    def label(self) -> str:
+        """The name of the process with its life."""
+        return f"{self.name}#{self.life}"
+
+    @property
+    def log(self) -> pathlib.Path:
+        """Where it writes."""
+        return self._logs / f"{self.name}.log"
+
+    def write_settings(self, grace_s: float = GRACE_S) -> pathlib.Path:
+        """Write the settings file as the platform does."""
+        path = self._logs / f"{self.name}.toml"
+        path.write_text(
+            f'Node = "{self.name}"\nIp = "{self.ip}"\nZone = "h1"\n'
+            f"PortRange = [{self.mesh_port}, {self.mesh_port}]\n"
+            f'[Listen]\nFront = "{self.ip}:{self.port}"\n'
+            f'Ready = "{self.ip}:{self.ready_port}"\n'
+            f'[Provider]\nAddr = "127.0.0.1:{self.store_relay.port}"\n'
+            f"[TimingBounds]\nDrainMs = {DRAIN_S * 1000:.0f}\nGraceS = {grace_s}\n"
+            "BudgetRatio = 0.9\nRetrySlack = 50\nCanaryShare = 0.15\n"
+        )
+        return path
+
+    def start(self) -> None:
+        """Start the program."""
+        path = self.write_settings()
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "gaprock.gateway_main"],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "GAPROCK_SETTINGS": str(path)},
+            )
+        self.life += 1
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self, number: int) -> None:
+        """Send a signal and wait for the end; a process that hangs is killed."""
+        self.signal(number)
+        assert self.process is not None
+        try:
+            self.process.wait(STOP_WAIT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+    def is_ready(self) -> bool:
+        """Ask what the platform's balancer asks."""
+        try:
+            with socket.create_connection((self.ip, self.ready_port), 1.0) as sock:
+                sock.sendall(b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                return b" 200 " in sock.recv(64)
+        except OSError:
+            return False
+
+
+class Fleet:
+    """All of it; use it as a context."""
+
+    def __init__(
+        self, ledger: soak_ledger.Ledger, logs: pathlib.Path, gateways: int
+    ) -> None:
+        self.ledger = ledger
+        self.store = metastore.MetaStoreFake()
+        self.store.now_ms = lambda: int(time.monotonic() * 1000)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.config_number = 0
+        self.keys = [gatewaysite.KEY, "key-1", "key-2", "key-3"]
+        self._made = 0
+        # Loopback addresses of this run; another run beside it has others.
+        net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
+        self.gateways = [
+            GatewayProcess(f"g{n}", f"{net}.{n}", self.store.port, logs)
+            for n in range(1, gateways + 1)
+        ]
+
+    def __enter__(self) -> "Fleet":
+        self.store.start()
+        self.publish()
+        for service in ("llm", "app"):
+            for _ in range(3):
+                self.add_endpoint(service)
+        for gateway in self.gateways:
+            gateway.start()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGCONT)
+            gateway.end(signal.SIGKILL)
+            gateway.store_relay.stop()
+        for endpoint in self.endpoints.values():
+            endpoint.stop()
+        self.store.stop()
+
+    def publish(self) -> None:
+        """Write a newer configuration, as the operator does."""
+        self.config_number += 3
+        tenants = [{"Name": "ws", "ApiKeys": self.keys}]
+        document = gatewaysite.config(self.config_number, Tenants=tenants)
+        self.store.put("op", "config", document)
+
+    def add_endpoint(self, service: str) -> Endpoint:
+        """Start an endpoint and write its row."""
+        self._made += 1
+        endpoint = Endpoint(f"e{self._made}", service, self.ledger)
+        self.endpoints[endpoint.name] = endpoint
+        self.write_row(endpoint)
+        return endpoint
+
+    def write_row(self, endpoint: Endpoint) -> None:
+        """Write an endpoint's row, as the endpoint does."""
+        self.store.put("servers", endpoint.name, endpoint.row())
+
+    def heal(self) -> None:
+        """End all disturbances."""
+        self.store.faults.clear()
+        for gateway in self.gateways:
+            gateway.store_relay.heal()
+        for endpoint in list(self.endpoints.values()):
+            endpoint.relay.heal()
+            endpoint.failing = endpoint.slow_s = 0.0
+
+    def wait_ready(self) -> bool:
+        """Wait until every gateway is ready; a bounded time."""
+        deadline = time.monotonic() + READY_WAIT_S
+        while time.monotonic() < deadline:
+            if all(gateway.is_ready() for gateway in self.gateways):
+                return True
+            time.sleep(0.1)
+        return False
--- /dev/null
+++ b/gaprock/test/soak_ledger.py
@@ -0,0 +1,226 @@
+"""What callers, endpoints and the operator of a soak saw, held against promises.
+
+Everything is written down as it happens; ``judge`` looks at it when the run is over.
+A promise with a time in it holds only for calm spans: those in which nothing unplanned
+touched the gateway, the store or the endpoints, nor shortly before.
+"""
+
+import collections
+import threading
+import time
+import typing
+
+# A disturbance still counts for this long after its end, seconds.
+CALM_AFTER_S: typing.Final = 4.0
+# Slack of all promises with a time in them, seconds: the machine of a soak is busy.
+SLACK_S: typing.Final = 2.0
+# Statuses which say that a request has not run and never will.
+NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
+# Who a disturbance touches when it touches everybody.
+ALL: typing.Final = "all"
+
+
+class Try(typing.NamedTuple):
+    """A caller's request, as it ended.
+
+    :param gateway: the process it went to, with its life: ``g1#2``.
+    :param status: 0 when no head of an answer came.
+    :param whole: whether the answer came to its end by the protocol.
+    :param events: numbers of the events of a stream.
+    """
+
+    request: str
+    kind: str
+    key: str
+    gateway: str
+    sent_at: float
+    ended_at: float
+    deadline: float
+    status: int
+    whole: bool
+    right: bool
+    events: tuple[int, ...]
+
+
+class Run(typing.NamedTuple):
+    """A request that an endpoint ran."""
+
+    request: str
+    kind: str
+    endpoint: str
+    at: float
+    workspace: str
+    leaked_key: bool
+    body_right: bool
+
+
+class Disturbance(typing.NamedTuple):
+    """Something that the soak did.
+
+    :param planned: whether promises hold through it, as for a planned stop.
+    :param target: the name of what it touched, or ``ALL``.
+    """
+
+    what: str
+    target: str
+    planned: bool
+    start: float
+    end: float
+
+
+class Ledger:
+    """The record; safe for all threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.tries: list[Try] = []
+        self.runs: list[Run] = []
+        self.disturbances: list[Disturbance] = []
+        # When the operator took keys away, by key, and endpoints began to leave.
+        self.revoked: dict[str, float] = {}
+        self.leaving: dict[str, float] = {}
+        self.sent: dict[str, str] = {}
+
+    def now(self) -> float:
+        """The soak's clock."""
+        return time.monotonic()
+
+    def note_sent(self, request: str, kind: str) -> None:
+        """Write down that a request is about to be sent."""
+        with self._lock:
+            self.sent[request] = kind
+
+    def add(self, item: Try | Run | Disturbance) -> None:
+        """Write something down."""
+        with self._lock:
+            if isinstance(item, Try):
+                self.tries.append(item)
+            elif isinstance(item, Run):
+                self.runs.append(item)
+            else:
+                self.disturbances.append(item)
+
+    def summary(self) -> str:
+        """Tell how much was tried, for the output of a run."""
+        answered = sum(made.status == 200 and made.whole for made in self.tries)
+        refused = sum(made.status in NOT_RUN for made in self.tries)
+        names = collections.Counter(d.what for d in self.disturbances)
+        faults = ", ".join(f"{name} {count}" for name, count in sorted(names.items()))
+        return (
+            f"{len(self.tries)} requests, {answered} answered, {refused} refused, "
+            f"{len(self.runs)} runs; {faults}"
+        )
+
+    def replace(self, old: Disturbance, new: Disturbance) -> None:
+        """Write down the end of a disturbance."""
+        with self._lock:
+            self.disturbances.remove(old)
+            self.disturbances.append(new)
+
+    def is_calm(self, gateway: str, start: float, end: float) -> bool:
+        """Whether nothing unplanned touched a gateway in a span, or shortly before."""
+        name = gateway.partition("#")[0]
+        return not any(
+            d.start <= end and d.end + CALM_AFTER_S >= start
+            for d in self.disturbances
+            if not d.planned and d.target in (ALL, name)
+        )
+
+
+class Judge:
+    """Holds a record against the promises."""
+
+    def __init__(self, ledger: Ledger, drain_s: float, config_s: float) -> None:
+        self._ledger = ledger
+        self._drain_s = drain_s
+        self._config_s = config_s
+        self._tries = {t.request: t for t in ledger.tries}
+        self._runs: dict[str, list[Run]] = {}
+        for run in ledger.runs:
+            self._runs.setdefault(run.request, []).append(run)
+
+    def broken(self) -> list[str]:
+        """Give a line for each promise that was not kept."""
+        checks = (
+            self._unasked,
+            self._at_most_once,
+            self._refusals_are_true,
+            self._answers_are_whole,
+            self._stops_cut_nothing,
+            self._final_in_time,
+            self._leaving_endpoints,
+            self._revoked_keys,
+        )
+        return [line for check in checks for line in check()]
+
+    def _unasked(self) -> typing.Iterator[str]:
+        for run in self._ledger.runs:
+            if self._ledger.sent.get(run.request) != run.kind:
+                yield f"unasked: {run.endpoint} ran {run.request} as {run.kind}"
+            elif run.workspace != "ws" or run.leaked_key or not run.body_right:
+                yield f"changed: {run.endpoint} ran {run}"
+
+    def _at_most_once(self) -> typing.Iterator[str]:
+        for request, runs in self._runs.items():
+            if runs[0].kind == "unsafe" and len(runs) > 1:
+                yield f"twice: {request} on {[run.endpoint for run in runs]}"
+
+    def _refusals_are_true(self) -> typing.Iterator[str]:
+        for made in self._ledger.tries:
+            ran = made.request in self._runs
+            # A failed run of what may be repeated may end in a refusal.
+            if made.status in NOT_RUN and ran and made.kind == "unsafe":
+                yield f"false refusal: {made.request} got {made.status}, and ran"
+
+    def _answers_are_whole(self) -> typing.Iterator[str]:
+        for made in self._ledger.tries:
+            if made.status != 200:
+                continue
+            numbers = list(made.events)
+            if numbers != list(range(1, len(numbers) + 1)):
+                yield f"out of order: {made.request} got events {numbers}"
+            if made.whole and not made.right:
+                yield f"wrong answer: {made}"
+
+    def _stops_cut_nothing(self) -> typing.Iterator[str]:
+        for made in self._ledger.tries:
+            if made.whole or made.status in NOT_RUN or made.request not in self._runs:
+                continue
+            if made.ended_at >= made.deadline - SLACK_S:
+                continue
+            if self._ledger.is_calm(made.gateway, made.sent_at, made.ended_at):
+                yield f"cut: {made}"
+
+    def _final_in_time(self) -> typing.Iterator[str]:
+        for made in self._ledger.tries:
+            if made.ended_at <= made.deadline + SLACK_S:
+                continue
+            if self._ledger.is_calm(made.gateway, made.sent_at, made.ended_at):
+                yield f"late: {made}"
+
+    def _leaving_endpoints(self) -> typing.Iterator[str]:
+        for run in self._ledger.runs:
+            left = self._ledger.leaving.get(run.endpoint, run.at)
+            made = self._tries.get(run.request)
+            if run.at - left <= self._drain_s + SLACK_S or made is None:
+                continue
+            if self._ledger.is_calm(made.gateway, left, run.at):
+                after_s = run.at - left
+                yield f"leaving: {run.endpoint} got {run.request} {after_s:.1f} s on"
+
+    def _revoked_keys(self) -> typing.Iterator[str]:
+        """No revoked key is served late, nor served again by a process that knew."""
+        refused: dict[tuple[str, str], float] = {}
+        for made in sorted(self._ledger.tries, key=lambda t: t.sent_at):
+            taken_at = self._ledger.revoked.get(made.key)
+            if taken_at is None:
+                continue
+            who = made.gateway, made.key
+            if made.status == 401:
+                refused.setdefault(who, made.ended_at)
+            elif made.status == 200 and made.sent_at > refused.get(who, made.sent_at):
+                yield f"went back: {made}"
+            late = made.sent_at > taken_at + self._config_s + SLACK_S
+            calm = self._ledger.is_calm(made.gateway, taken_at, made.ended_at)
+            if late and calm and made.request in self._runs:
+                yield f"revoked key served: {made}"
--- /dev/null
+++ b/gaprock/test/testsoak.py
@@ -0,0 +1,72 @@
+"""A short seeded soak, the seeds that ever failed, and the soak's own judgement."""
+
+import pathlib
+import typing
+
+import pytest
+
+from gaprock.test import soak, soak_ledger
+
+SHORT_S: typing.Final = 6.0
+GATEWAYS: typing.Final = 3
+# The seed of each run; then those that ever failed, each with a line on its cause.
+SEEDS: typing.Final = (1, 2)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_promises_are_kept_through_faults(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    assert not soak.play(seed, SHORT_S, GATEWAYS, tmp_path)
+
+
+def made(request: str, kind: str, status: int, **more: object) -> soak_ledger.Try:
+    usual = soak_ledger.Try(
+        request, kind, "key", "g1#1", 10.0, 11.0, 14.0, status, True, True, ()
+    )
+    return usual._replace(**more)  # type: ignore[arg-type]
+
+
+def run(request: str, kind: str, at: float = 10.5) -> soak_ledger.Run:
+    return soak_ledger.Run(request, kind, "e1", at, "ws", False, True)
+
+
+def judged(*items: soak_ledger.Try | soak_ledger.Run | soak_ledger.Disturbance) -> str:
+    ledger = soak_ledger.Ledger()
+    for item in items:
+        ledger.add(item)
+        if isinstance(item, soak_ledger.Try):
+            ledger.note_sent(item.request, item.kind)
+    ledger.leaving["e1"] = 5.0 if any(i == LATE_RUN for i in items) else 100.0
+    ledger.revoked["old"] = 1.0
+    return " ".join(soak_ledger.Judge(ledger, 2.0, 2.0).broken())
+
+
+LATE_RUN: typing.Final = run("late", "safe", 19.0)
+KILL: typing.Final = soak_ledger.Disturbance("kill", "g1", False, 9.0, 9.5)
+STOP: typing.Final = soak_ledger.Disturbance("stop", "g1", True, 9.0, 9.5)
+
+
+def test_the_judgement_finds_what_is_broken() -> None:
+    assert not judged(made("a", "unsafe", 200), run("a", "unsafe"))
+    assert "unasked" in judged(run("b", "safe"))
+    assert "twice" in judged(
+        made("a", "unsafe", 502), run("a", "unsafe"), run("a", "unsafe", 10.6)
+    )
+    assert "false refusal" in judged(made("a", "unsafe", 503), run("a", "unsafe"))
+    assert "out of order" in judged(made("a", "gen", 200, events=(1, 3)))
+    assert "wrong answer" in judged(made("a", "safe", 200, right=False))
+    assert "leaving" in judged(made("late", "safe", 200), LATE_RUN)
+    assert "revoked" in judged(made("a", "safe", 200, key="old"), run("a", "safe"))
+    refused = made("a", "safe", 401, key="old", ended_at=9.0, sent_at=8.0)
+    assert "went back" in judged(refused, made("c", "safe", 200, key="old"))
+
+
+def test_the_judgement_knows_what_is_calm() -> None:
+    cut = made("a", "gen", 200, whole=False)
+    assert "cut" in judged(cut, run("a", "gen"))
+    assert "cut" in judged(cut, run("a", "gen"), STOP)
+    assert "cut" not in judged(cut, run("a", "gen"), KILL)
+    late = made("a", "safe", 504, ended_at=17.0)
+    assert "late" in judged(late)
+    assert "late" not in judged(late, KILL)
