Send fewer beats to gateways of other halls, and halts and new rows at once

Ruled out: request bodies, which the own hall's preference keeps in it. The pause between beats to another hall now grows with the number of peers there (0.2 s as before at two of them, 1 s from 15 on); what must be known at once goes to everybody at once. A beat that did not leave is tried again.

--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -114,7 +114,7 @@
         )
         address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
         self.mesh = mesh.Mesh(
-            cfg.vm, address, clock_, self.directory, self.rollouts, evidence_
+            cfg.vm, cfg.hall, address, clock_, self.directory, self.rollouts, evidence_
         )
         self.mesh.on_old_here = self._on_old
         self.writer = rollout_writer.RolloutWriter(
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -2,7 +2,9 @@
 
 Every gateway takes messages on one socket and has one more for each peer.  Beats carry
 loads, evidence and halts, so that these spread in a fraction of a second without a call
-to the store.  They also tell how new a gateway's rows are: one that the store does not
+to the store.  Bytes between halls are priced, so the more peers stand in other halls,
+the fewer beats they get; a halt or a newer row goes to everybody at once.  Beats also
+tell how new a gateway's rows are: one that the store does not
 answer asks a peer that is ahead for a copy.
 
 Peers are found once, through rows in the shared store; a gateway that starts later
@@ -20,6 +22,9 @@
 # Pause between beats while something changes, and otherwise, seconds.
 BUSY_BEAT_S: typing.Final = 0.2
 IDLE_BEAT_S: typing.Final = 1.0
+# What each peer in another hall adds to the pause between beats to such peers, seconds:
+# about 3 KB a second of beats, whatever their number, up to the idle pause.
+FAR_PEER_S: typing.Final = 0.07
 # A peer that is silent for this long counts no more, and is forgotten, seconds.
 SILENT_S: typing.Final = 2.5
 FORGET_S: typing.Final = 30.0
@@ -32,16 +37,43 @@
 ASK_PAUSE_S: typing.Final = 0.5
 
 
+class News(typing.NamedTuple):
+    """What a beat would tell, to see whether it is worth sending.
+
+    :param urgent: what every peer must know at once.
+    :param usual: loads and evidence.
+    """
+
+    urgent: object
+    usual: object
+
+
 class Peer:
     """Another gateway."""
 
-    __slots__ = ("name", "address", "sock", "heard_at", "tick", "beat", "asked_at")
+    __slots__ = (
+        "name",
+        "hall",
+        "address",
+        "sock",
+        "heard_at",
+        "tick",
+        "beat",
+        "asked_at",
+        "beat_at",
+        "told",
+    )
 
     def __init__(self, name: str, address: str, sock: typing.Any, now: float) -> None:
         self.name = name
+        # Unknown until its first beat.
+        self.hall = ""
         self.address = address
         self.sock = sock
         self.heard_at = now
+        # When it was last sent a beat, and what that told.
+        self.beat_at = -IDLE_BEAT_S
+        self.told = News((), ())
         # The evidence that it has been sent.
         self.tick = 0
         self.beat: mesh_messages.Beat | None = None
@@ -70,6 +102,7 @@
     def __init__(
         self,
         name: str,
+        hall: str,
         address: str,
         clock_: clock.Clock,
         directory_: directory.Directory,
@@ -77,6 +110,7 @@
         evidence_: evidence.EvidenceBook,
     ) -> None:
         self.name = name
+        self.hall = hall
         self.address = address
         self._clock = clock_
         self._directory = directory_
@@ -146,20 +180,17 @@
         inbox = context.socket(zmq.PULL)
         inbox.setsockopt(zmq.LINGER, 0)
         inbox.bind(self.address)
-        beat_at = -IDLE_BEAT_S
-        last_news: object = None
+        look_at = self._clock.now()
         while not self._stopped:
             self._connect_found(context)
             now = self._clock.now()
-            if now >= beat_at + BUSY_BEAT_S:
-                news = self._news()
-                if news != last_news or now >= beat_at + IDLE_BEAT_S:
-                    last_news, beat_at = news, now
-                    self._beat()
-                    self._forget_silent()
+            if now >= look_at:
+                look_at = now + BUSY_BEAT_S
+                self._beat_where_due(now)
+                self._forget_silent()
             if inbox.poll(int(BUSY_BEAT_S * 1000)):
                 self._read_all(inbox)
-        self._beat()
+        self._beat(list(self._peers.values()), self._clock.now())
         for peer in self._peers.values():
             peer.sock.close(linger=100)
         inbox.close()
@@ -185,14 +216,32 @@
         with self._lock:
             self._peers[address] = peer
 
-    def _news(self) -> object:
-        """Give what is worth a beat before the idle one is due."""
-        rolls = [
-            (n.service, n.revision, n.halted, n.on_old) for n in self._rollout_news()
+    def _beat_where_due(self, now: float) -> None:
+        news = self._news()
+        peers = list(self._peers.values())
+        far = sum(self._is_far(peer) for peer in peers)
+        due = [
+            peer
+            for peer in peers
+            if is_due(peer, now, news, beat_pause(self._is_far(peer), far))
         ]
+        for peer in self._beat(due, now):
+            peer.told = news
+
+    def _is_far(self, peer: Peer) -> bool:
+        return peer.hall not in ("", self.hall)
+
+    def _news(self) -> News:
+        """Give what is worth a beat before the idle one is due."""
+        rolls = self._rollout_news()
+        halts = [(n.service, n.revision, n.halted) for n in rolls]
+        on_old = [n.on_old for n in rolls]
         tick, _ = self._evidence.since(1 << 60)
         versions = self.source.versions() if self.source else []
-        return self._directory.own_loads(), rolls, tick, versions
+        return News(
+            (halts, versions, self.leaving),
+            (self._directory.own_loads(), on_old, tick),
+        )
 
     def _rollout_news(self) -> list[mesh_messages.RolloutNews]:
         now = self._clock.now()
@@ -207,15 +256,18 @@
             for r in self._rollouts.all()
         ]
 
-    def _beat(self) -> None:
+    def _beat(self, peers: list[Peer], now: float) -> list[Peer]:
+        """Send beats, and give the peers that were reached."""
+        reached = []
         versions = self.source.versions() if self.source else []
         loads = self._directory.own_loads()
         rolls = self._rollout_news()
-        for peer in list(self._peers.values()):
+        for peer in peers:
             tick, counters = self._evidence.since(peer.tick)
             own = [c for c in counters if c.source == self._evidence.source]
             beat = mesh_messages.Beat(
                 self.name,
+                self.hall,
                 self.address,
                 self._incarnation,
                 versions,
@@ -225,7 +277,9 @@
                 self.leaving,
             )
             if self._send(peer, beat):
-                peer.tick = tick
+                peer.tick, peer.beat_at = tick, now
+                reached.append(peer)
+        return reached
 
     def _send(self, peer: Peer, message: mesh_messages.Message) -> bool:
         try:
@@ -255,10 +309,11 @@
             return
         if peer.beat is None or peer.beat.incarnation != beat.incarnation:
             # A new process knows nothing of what the old one was told.
-            peer.tick = 0
+            peer.tick, peer.told = 0, News((), ())
             eventlog.info("peer-heard", peer=beat.sender, address=beat.address)
         now = self._clock.now()
-        peer.name, peer.beat, peer.heard_at = beat.sender, beat, now
+        peer.name, peer.hall = beat.sender, beat.hall
+        peer.beat, peer.heard_at = beat, now
         self._directory.take_loads(beat.sender, beat.loads)
         for news in beat.rollouts:
             self._rollouts.backdate(news.service, news.revision, now - news.age_s)
@@ -300,3 +355,24 @@
                 peer.sock.close(linger=0)
                 with self._lock:
                     del self._peers[peer.address]
+
+
+def beat_pause(is_far: bool, far_peers: int) -> float:
+    """Give the seconds between two beats to a peer while something changes.
+
+    :param is_far: whether the peer stands in another hall.
+    :param far_peers: how many peers do.
+    """
+    if not is_far:
+        return BUSY_BEAT_S
+    return min(IDLE_BEAT_S, max(BUSY_BEAT_S, FAR_PEER_S * far_peers))
+
+
+def is_due(peer: Peer, now: float, news: News, pause_s: float) -> bool:
+    """Whether a peer is to be sent a beat now."""
+    if news.urgent != peer.told.urgent:
+        return True
+    rested_s = now - peer.beat_at
+    if news.usual != peer.told.usual:
+        return rested_s >= pause_s
+    return rested_s >= IDLE_BEAT_S
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -27,6 +27,7 @@
 class Beat(msgspec.Struct, tag="b", array_like=True, frozen=True):
     """Sent every beat to every peer.
 
+    :param hall: where the sender stands.
     :param address: where the sender takes messages.
     :param versions: what its tables are up to date with, in the order of ``TABLES``.
     :param loads: what it has at each endpoint.
@@ -34,6 +35,7 @@
     """
 
     sender: str
+    hall: str
     address: str
     incarnation: str
     versions: list[int]
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -311,7 +311,7 @@
         self.book = make_rollouts(time)
         self.directory = directory.Directory(time, 2.0)
         self.mesh = mesh.Mesh(
-            "me", "", time, self.directory, self.book, evidence.EvidenceBook("me")
+            "me", "h1", "", time, self.directory, self.book, evidence.EvidenceBook("me")
         )
         self.on_old = 0
         self.mesh.on_old_here = lambda service: self.on_old
@@ -378,7 +378,7 @@
     case.store.answers = [8]
     rollout = case.book.take_order(order(), 7, time.now())
     news = mesh_messages.RolloutNews("llm", 7, 4.0, True, 0)
-    beat = mesh_messages.Beat("other", "tcp://x", "i", [], {}, [news], [], False)
+    beat = mesh_messages.Beat("other", "h2", "tcp://x", "i", [], {}, [news], [], False)
     again = mesh_messages.decode(mesh_messages.encode(beat))
     case.mesh._peers["tcp://x"] = mesh.Peer("other", "tcp://x", None, time.now())
     case.mesh._on_beat(again)  # type: ignore[arg-type]
@@ -386,6 +386,22 @@
     assert rollout.started_at == time.now() - 4.0
 
 
+def test_far_peers_get_fewer_beats_and_halts_at_once() -> None:
+    peer = mesh.Peer("other", "tcp://x", None, 0.0)
+    peer.beat_at, peer.told = 10.0, mesh.News("a", 1)
+    near, few, many = (
+        mesh.beat_pause(False, 20),
+        mesh.beat_pause(True, 2),
+        mesh.beat_pause(True, 14),
+    )
+    assert near == few == mesh.BUSY_BEAT_S < many <= mesh.IDLE_BEAT_S
+    assert mesh.is_due(peer, 10.3, mesh.News("a", 2), near)
+    assert not mesh.is_due(peer, 10.3, mesh.News("a", 2), many)
+    assert mesh.is_due(peer, 10.01, mesh.News("b", 1), many)
+    assert not mesh.is_due(peer, 10.9, mesh.News("a", 1), near)
+    assert mesh.is_due(peer, 11.0, mesh.News("a", 1), near)
+
+
 # -- Settings --
 
 
