--- a/gaprock/test/soak.py
+++ b/gaprock/test/soak.py
@@ -33,16 +33,26 @@
 RECOVER_S: typing.Final = 15.0
 SIGNAL_GAP_S: typing.Final = 0.2
 
-Fault = typing.Callable[["Soak"], None]
-FAULTS: typing.Final[list[Fault]] = []
+# One seed in so many plays planned work alone, so that all promises hold throughout.
+PLANNED_EVERY: typing.Final = 3
 
+Step = typing.Callable[["Soak"], None]
+FAULTS: typing.Final[list[Step]] = []
+PLANNED: typing.Final[list[Step]] = []
 
-def fault(function: Fault) -> Fault:
+
+def fault(function: Step) -> Step:
     """Register a fault."""
     FAULTS.append(function)
     return function
 
 
+def planned(function: Step) -> Step:
+    """Register planned work, which is to harm nobody."""
+    PLANNED.append(function)
+    return function
+
+
 class Soak:
     """One seed's run."""
 
@@ -84,7 +94,6 @@
         target: str,
         begin: typing.Callable[[], object],
         end: typing.Callable[[], object],
-        planned: bool = False,
     ) -> None:
         """Begin a disturbance now, end it later, and write it down."""
         lasts_s = self.rng.uniform(*FAULT_S)
@@ -92,7 +101,7 @@
         def work() -> None:
             start = self.ledger.now()
             # It is written down before it begins, so that a check never misses it.
-            mark = soak_ledger.Disturbance(what, target, planned, start, start + 3600)
+            mark = soak_ledger.Disturbance(what, target, False, start, start + 3600)
             self.ledger.add(mark)
             begin()
             time.sleep(lasts_s)
@@ -103,9 +112,10 @@
         self.later(work)
 
     def _disturb(self) -> None:
+        steps = PLANNED if self._seed % PLANNED_EVERY == 0 else FAULTS + PLANNED
         until = time.monotonic() + self._seconds
         while time.monotonic() < until:
-            self.rng.choice(FAULTS)(self)
+            self.rng.choice(steps)(self)
             time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
         for thread in self._threads:
             thread.join(soak_fleet.STOP_WAIT_S)
@@ -134,7 +144,7 @@
 # -- Faults of processes --
 
 
-def _restart(soak: Soak, number: int, planned: bool) -> None:
+def _restart(soak: Soak, number: int, is_planned: bool) -> None:
     gateway = soak.rng.choice(soak.fleet.gateways)
     pause_s = soak.rng.uniform(0.0, 0.5)
 
@@ -145,7 +155,7 @@
             start = soak.ledger.now()
             what = signal.Signals(number).name
             mark = soak_ledger.Disturbance(
-                what, gateway.name, planned, start, start + 3600
+                what, gateway.name, is_planned, start, start + 3600
             )
             soak.ledger.add(mark)
             gateway.end(number)
@@ -161,13 +171,13 @@
 @fault
 def kill(soak: Soak) -> None:
     """A gateway is killed and started again."""
-    _restart(soak, signal.SIGKILL, planned=False)
+    _restart(soak, signal.SIGKILL, is_planned=False)
 
 
-@fault
+@planned
 def planned_stop(soak: Soak) -> None:
     """A gateway is told to stop, and started again when it is gone."""
-    _restart(soak, signal.SIGTERM, planned=True)
+    _restart(soak, signal.SIGTERM, is_planned=True)
 
 
 @fault
@@ -182,7 +192,7 @@
     )
 
 
-@fault
+@planned
 def settings_change(soak: Soak) -> None:
     """The settings file changes, and the process is told, now and then twice."""
     gateway = soak.rng.choice(soak.fleet.gateways)
@@ -211,7 +221,7 @@
     )
 
 
-@fault
+@planned
 def store_forgets(soak: Soak) -> None:
     """The store forgets its history."""
     soak.fleet.store.compact()
@@ -263,17 +273,17 @@
 
 @fault
 def endpoint_fails(soak: Soak) -> None:
-    """An endpoint fails part of its requests, or is slow."""
+    """An endpoint fails or refuses part of its requests, or is slow."""
     endpoint = soak.rng.choice(list(soak.fleet.endpoints.values()))
-    failing, slow_s = soak.rng.choice([(0.5, 0.0), (1.0, 0.0), (0.0, 0.4)])
-
-    def begin() -> None:
-        endpoint.failing, endpoint.slow_s = failing, slow_s
-
-    def end() -> None:
-        endpoint.failing = endpoint.slow_s = 0.0
-
-    soak.during("endpoint fails", soak_ledger.ALL, begin, end)
+    name, value = soak.rng.choice(
+        [("failing", 0.5), ("failing", 1.0), ("refusing", 0.6), ("slow_s", 0.4)]
+    )
+    soak.during(
+        f"endpoint {name}",
+        soak_ledger.ALL,
+        lambda: setattr(endpoint, name, value),
+        lambda: setattr(endpoint, name, 0.0),
+    )
 
 
 @fault
@@ -291,7 +301,7 @@
     soak.fleet.add_endpoint(endpoint.service)
 
 
-@fault
+@planned
 def endpoint_leaves(soak: Soak) -> None:
     """An endpoint is replaced: the new one first, then the old one drains."""
     endpoint = soak.rng.choice(list(soak.fleet.endpoints.values()))
@@ -314,14 +324,14 @@
 # -- The operator --
 
 
-@fault
+@planned
 def config_change(soak: Soak) -> None:
     """Newer configurations come, now and then in quick succession."""
     for _ in range(soak.rng.choice([1, 1, 4])):
         soak.fleet.publish()
 
 
-@fault
+@planned
 def key_taken_away(soak: Soak) -> None:
     """A key is taken away for good."""
     if len(soak.fleet.keys) > 1:
--- a/gaprock/test/soak_callers.py
+++ b/gaprock/test/soak_callers.py
@@ -14,6 +14,8 @@
 # Longest a caller's socket waits, seconds: past every time limit and its slack.
 SOCKET_S: typing.Final = 12.0
 PAUSE_S: typing.Final = 0.05
+# Share of requests that carry a key which was taken away.
+REVOKED_SHARE: typing.Final = 0.1
 EVENT_ID: typing.Final = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -75,7 +77,9 @@
     """Make a request and write it down; a connection that failed is closed."""
     assert conn is not None
     request = f"{rng.getrandbits(64):016x}"
-    key = rng.choice(fleet.keys + list(fleet.ledger.revoked))
+    revoked = list(fleet.ledger.revoked)
+    use_revoked = revoked and rng.random() < REVOKED_SHARE
+    key = rng.choice(revoked if use_revoked else fleet.keys)
     label, sent_at = gateway.label, fleet.ledger.now()
     fleet.ledger.note_sent(request, kind)
     status, whole, right, events = 0, False, False, b""
--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -25,8 +25,14 @@
 # Wait for a process that was told to stop, and for a ready one, seconds.
 STOP_WAIT_S: typing.Final = 20.0
 READY_WAIT_S: typing.Final = 30.0
+# Longest that a route holds a request, milliseconds.
+ROUTE_MS: typing.Final = 4500
 MAX_EVENTS: typing.Final = 12
+# Pause between two events, and that of one stream in so many, seconds: some outlast the
+# first part of a planned stop.
 EVENT_S: typing.Final = 0.02
+LONG_EVENT_S: typing.Final = 0.3
+LONG_EVERY: typing.Final = 6
 SLOTS: typing.Final = 16
 
 
@@ -35,6 +41,12 @@
     return 1 + hashlib.sha256(request.encode()).digest()[0] % MAX_EVENTS
 
 
+def pause_of(request: str) -> float:
+    """Give the pause between the events of a request's stream."""
+    mark = hashlib.sha256(request.encode()).digest()[1]
+    return EVENT_S if mark % LONG_EVERY else LONG_EVENT_S
+
+
 def body_of(request: str) -> bytes:
     """Give a request's body, so that an endpoint can tell a changed one."""
     return f"body of {request}".encode()
@@ -46,15 +58,14 @@
 
 
 class Endpoint:
-    """A stand-in behind a relay.
-
-    :param failing: share of the requests that it fails, 0 to 1.
-    """
+    """A stand-in behind a relay."""
 
     def __init__(self, name: str, service: str, ledger: soak_ledger.Ledger) -> None:
         self.name = name
         self.service = service
+        # Shares of the requests that it runs and fails, and that it does not run.
         self.failing = 0.0
+        self.refusing = 0.0
         self.slow_s = 0.0
         self._ledger = ledger
         self.fake = backend.Backend(name)
@@ -86,6 +97,10 @@
             return
         request = seen.headers.get("x-request-id", "")
         kind = seen.target.split("/")[1]
+        mark = hashlib.sha256(f"{request}{self.name}".encode()).digest()
+        if mark[0] < 256 * self.refusing:
+            backend.refuse(503)(fake, seen, conn)
+            return
         run = soak_ledger.Run(
             request,
             kind,
@@ -97,7 +112,6 @@
         )
         self._ledger.add(run)
         time.sleep(self.slow_s)
-        mark = hashlib.sha256(f"{request}{self.name}".encode()).digest()
         if mark[1] < 256 * self.failing:
             self._fail(seen, conn, mark[2])
         elif kind == "gen":
@@ -132,7 +146,7 @@
         conn.sendall(start)
         for number in range(int(seen.headers.get("last-event-id", "0")) + 1, last + 1):
             conn.sendall(backend.chunk(backend.event(number, request)))
-            time.sleep(EVENT_S)
+            time.sleep(pause_of(request))
         if whole:
             conn.sendall(b"0\r\n\r\n")
 
@@ -258,6 +272,8 @@
         self.config_number += 3
         tenants = [{"Name": "ws", "ApiKeys": self.keys}]
         document = gatewaysite.config(self.config_number, Tenants=tenants)
+        for item in typing.cast(list[dict[str, object]], document["Routes"]):
+            item["TimeoutMs"] = ROUTE_MS
         self.store.put("op", "config", document)
 
     def add_endpoint(self, service: str) -> Endpoint:
@@ -279,7 +295,7 @@
             gateway.store_relay.heal()
         for endpoint in list(self.endpoints.values()):
             endpoint.relay.heal()
-            endpoint.failing = endpoint.slow_s = 0.0
+            endpoint.failing = endpoint.refusing = endpoint.slow_s = 0.0
 
     def wait_ready(self) -> bool:
         """Wait until every gateway is ready; a bounded time."""
--- a/gaprock/test/soak_ledger.py
+++ b/gaprock/test/soak_ledger.py
@@ -14,6 +14,8 @@
 CALM_AFTER_S: typing.Final = 4.0
 # Slack of all promises with a time in them, seconds: the machine of a soak is busy.
 SLACK_S: typing.Final = 2.0
+# An answer that breaks off later may have run into its caller's time, seconds.
+CUT_WITHIN_S: typing.Final = 3.8
 # Statuses which say that a request has not run and never will.
 NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
 # Who a disturbance touches when it touches everybody.
@@ -186,7 +188,7 @@
         for made in self._ledger.tries:
             if made.whole or made.status in NOT_RUN or made.request not in self._runs:
                 continue
-            if made.ended_at >= made.deadline - SLACK_S:
+            if made.ended_at - made.sent_at >= CUT_WITHIN_S:
                 continue
             if self._ledger.is_calm(made.gateway, made.sent_at, made.ended_at):
                 yield f"cut: {made}"
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -131,6 +131,53 @@
     assert exchange.behind(0, 6)
 
 
+def test_a_follower_that_rests_takes_copies_and_polls_again() -> None:
+    fake = metastore.MetaStoreFake()
+    fake.start()
+    kept, rests = Kept(), [True]
+    client = store.PlatformStore(f"127.0.0.1:{fake.port}")
+    steady = clock.MonotonicClock()
+    one = followers.Follower("t", client, steady, kept, 0.0, lambda: rests[0])
+    exchange = followers.RowExchange([one], steady)
+    fake.put("t", "a", 1)
+    one.start()
+    gatewaysite.wait_until(lambda: one.resting, "it rests once it has read the table")
+    assert not exchange.reads()
+    calls = len(fake.calls)
+    version = fake.put("t", "b", 2)
+    assert exchange.behind(0, version) and not exchange.behind(0, version, is_far=True)
+    one.take_copy(page(version, ("a", b"1", 1), ("b", b"2", version)))
+    assert sorted(kept.rows) == ["a", "b"] and len(fake.calls) == calls
+    fake.put("t", "c", 3)
+    rests[0] = False
+    gatewaysite.wait_until(lambda: sorted(kept.rows) == ["a", "b", "c"], "polls")
+    assert not one.resting
+    one.stop()
+    fake.stop()
+
+
+def test_the_first_two_of_a_hall_read_for_the_others(time: clock.ManualClock) -> None:
+    case = WriterCase(time)
+
+    def hear(name: str, hall: str = "h1", reads: bool = True) -> None:
+        beat = mesh_messages.Beat(
+            name, hall, name, "i", [], reads, {}, [], [], [], False
+        )
+        case.mesh._peers[name] = mesh.Peer(name, name, None, time.now())
+        case.mesh._on_beat(beat)
+
+    hear("a")
+    hear("b", hall="h2")
+    hear("c", reads=False)
+    # After us by name: it may count on us, so we may not count on it.
+    hear("z")
+    assert not case.mesh.has_readers()
+    hear("c")
+    assert case.mesh.has_readers()
+    time.advance(mesh.READER_HEARD_S + 0.1)
+    assert not case.mesh.has_readers()
+
+
 def test_the_store_is_followed_through_lost_history_and_outages() -> None:
     fake = metastore.MetaStoreFake()
     fake.start()
@@ -223,11 +270,13 @@
     book.take_order(order(), 7, time.now())
     session = sorted(on_new(book))[0]
     names = [f"e{number}" for number in range(20)]
-    assert len(book.narrow("llm", session, names)) == 2
+    assert len(book.narrow("llm", session, names, names[:2])) == 2
+    # With enough of them in the own hall, its own share of those.
+    assert list(book.narrow("llm", session, names, names[13:])) == names[13:14]
     old = next(f"s{n}" for n in range(99) if not book.fits("llm", "v2", f"s{n}"))
-    assert list(book.narrow("llm", old, names)) == names
+    assert list(book.narrow("llm", old, names, names)) == names
     time.advance(19.0)
-    assert list(book.narrow("llm", session, names)) == names
+    assert list(book.narrow("llm", session, names, names)) == names
 
 
 def judged(failed: bool, took_s: float = 0.1) -> rollouts.Judged:
@@ -378,7 +427,9 @@
     case.store.answers = [8]
     rollout = case.book.take_order(order(), 7, time.now())
     news = mesh_messages.RolloutNews("llm", 7, 4.0, True, 0)
-    beat = mesh_messages.Beat("other", "h2", "tcp://x", "i", [], {}, [news], [], False)
+    beat = mesh_messages.Beat(
+        "other", "h2", "tcp://x", "i", [], True, {}, [], [news], [], False
+    )
     again = mesh_messages.decode(mesh_messages.encode(beat))
     case.mesh._peers["tcp://x"] = mesh.Peer("other", "tcp://x", None, time.now())
     case.mesh._on_beat(again)  # type: ignore[arg-type]
--- a/gaprock/test/testrouting.py
+++ b/gaprock/test/testrouting.py
@@ -166,6 +166,27 @@
     assert not book.is_set_aside(sound, time.now())
 
 
+def test_an_endpoint_that_others_find_dark_is_doubted_until_it_speaks(
+    time: clock.ManualClock,
+) -> None:
+    book = directory.Directory(time, 2.0)
+    book.replace({f"e{n}": row() for n in range(6)})
+    first, second, *_ = book.usable("app", set())
+    time.advance(1.0)
+    book.take_dark("other", [first.name, second.name])
+    assert first.is_doubted and second.is_doubted
+    time.advance(0.1)
+    book.heard(first)
+    book.take_dark("other", [first.name, second.name])
+    assert not first.is_doubted and second.is_doubted
+    book.take_dark("other", [])
+    assert not second.is_doubted
+    # One that finds most of them dark is cut off itself.
+    time.advance(1.0)
+    book.take_dark("other", [f"e{n}" for n in range(4)])
+    assert not any(e.is_doubted for e in book.usable("app", set()))
+
+
 def test_unread_prompts_are_counted_in_and_out(time: clock.ManualClock) -> None:
     book = directory.Directory(time, drain_s=2.0)
     book.replace({"a": row()})
@@ -197,9 +218,22 @@
     assert policy.choose([], rng) is None
 
 
-def ask(largest_s: float, climbs_left: int = 2) -> policy_api.ModelAsk:
+def test_a_kept_prefix_is_worth_a_shorter_wait_only() -> None:
+    policy = policy_routing.LeastFilled()
+    rng = random.Random(1)
+    load = messages.EndpointLoad("holder", "", [], 2, 0, 10, 2, 0.0)
+    holder = policy_api.Candidate("", load, 0, True, True, 1.0, saved=4.0)
+    assert policy.choose([holder, candidate("idle", 0, True)], rng) is holder
+    busy = policy_api.Candidate("", load, 0, True, True, 4.0, saved=2.0)
+    idle = candidate("idle", 0, True)
+    assert policy.choose([busy, idle], rng) is idle
+
+
+def ask(
+    largest_s: float, climbs_left: int = 2, usual_s: float = 0.0
+) -> policy_api.ModelAsk:
     models = [routes.ModelCost("small", 0.01), routes.ModelCost("large", 0.2)]
-    return policy_api.ModelAsk(models, 1000, 100, 1.0, climbs_left, largest_s)
+    return policy_api.ModelAsk(models, 1000, 100, 1.0, climbs_left, largest_s, usual_s)
 
 
 def test_doubt_climbs_while_the_larger_model_is_in_time() -> None:
@@ -215,6 +249,25 @@
     assert policy.climb(ask(0.8), "small", 5) is None
 
 
+def test_a_long_prompt_climbs_on_free_engines() -> None:
+    policy = policy_models.ExpectedGain()
+    # Its own length makes it slow; nobody waits.
+    assert policy.climb(ask(0.8), "small", 5) == "large"
+    assert policy.climb(ask(0.8), "small", 60) == "large"
+    assert policy.climb(ask(0.8), "small", 80) is None
+    # It would be late for sure.
+    assert policy.climb(ask(1.4), "small", 60) is None
+
+
+def test_second_answers_give_way_to_those_who_wait() -> None:
+    policy = policy_models.ExpectedGain()
+    assert policy.climb(ask(0.45, usual_s=0.45), "small", 60) is None
+    assert policy.climb(ask(0.45, usual_s=0.45), "small", 5) == "large"
+    assert policy.climb(ask(0.8, usual_s=0.8), "small", 0) is None
+    assert policy.climb(ask(0.1, climbs_left=0), "small", 5) is None
+    assert policy.climb(ask(0.1), "large", 5) is None
+
+
 def test_the_time_of_a_token_is_learned() -> None:
     pace = reading_pace.ReadingPace()
     for number in range(1000):
