Ask large models by expected gain, keep prompts together, read the store for a hall

Now a larger model is asked where that is expected to gain enough; busy engines make it want more, and long prompts give way first. A gateway that is behind waits until a peer has been ahead for 0.4 s, and every beat of another that is as far behind started that wait anew; with 15 of them it never ended. The gateway's program and its parts are two modules; a whole body is read and a failed send is logged in one place each.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -2,10 +2,12 @@
 
 Membership comes from the shared store: an endpoint is ready, leaving, or gone.  Load is
 counted by ourselves and told by other gateways.  Health is learned from our own
-requests only: an endpoint that takes no connection, falls silent or fails more than its
-peers is set aside for a while, then tried with one request that may be repeated.
+requests: an endpoint that takes no connection, falls silent or fails more than its
+peers is set aside for a while, then tried with one request that may be repeated.  An
+endpoint that another gateway found dark is avoided until we hear from it ourselves.
 """
 
+import collections
 import random
 import threading
 import typing
@@ -14,6 +16,11 @@
 
 # A leaving endpoint is used for this share of the time that it may still be sent to.
 LEAVING_SHARE: typing.Final = 0.5
+# Rows may lapse while the store is away; those of live endpoints are back about two
+# seconds after its return.  A row found missing within the first time is taken for such
+# a one, and its endpoint is used for this share of the time that a leaving one may be.
+LAPSES_SEEN_S: typing.Final = 1.0
+LAPSED_SHARE: typing.Final = 0.85
 # Pauses of an endpoint that took no connection, first and longest, seconds.
 FIRST_PAUSE_S: typing.Final = 0.5
 LONGEST_PAUSE_S: typing.Final = 4.0
@@ -27,6 +34,8 @@
 # at with a new connection, at most so often, seconds.
 SILENT_S: typing.Final = 0.5
 LOOK_EVERY_S: typing.Final = 0.5
+# A gateway that finds more than this share of a service dark is likely cut off itself.
+DARK_SHARE: typing.Final = 0.5
 
 
 class Load(typing.NamedTuple):
@@ -48,6 +57,7 @@
         "row",
         "leave_at",
         "row_gone",
+        "lapsed",
         "running",
         "reading",
         "others",
@@ -55,6 +65,8 @@
         "sent_at",
         "looked_at",
         "is_dark",
+        "doubters",
+        "doubted_at",
         "paused_until",
         "pause_s",
         "on_trial",
@@ -69,6 +81,8 @@
         self.leave_at = clock.NEVER
         # Whether its row is missing from the store.
         self.row_gone = False
+        # Whether its row likely lapsed while the store was away.
+        self.lapsed = False
         # Requests of ours, and of other gateways by their names.
         self.running = 0
         self.reading = 0.0
@@ -79,6 +93,9 @@
         # When a silent endpoint was last looked at, and whether it took no connection.
         self.looked_at = 0.0
         self.is_dark = False
+        # The gateways that find it dark, and since when the first of them does.
+        self.doubters: set[str] = set()
+        self.doubted_at = 0.0
         # Set aside until then; the next pause, and whether a trial request is out.
         self.paused_until = 0.0
         self.pause_s = FIRST_PAUSE_S
@@ -101,6 +118,11 @@
         """Prompts that all gateways together have there and that are not read yet."""
         return self.reading + sum(load.reading for load in self.others.values())
 
+    @property
+    def is_doubted(self) -> bool:
+        """Whether others find it dark and it has told us nothing since."""
+        return bool(self.doubters) and self.heard_at < self.doubted_at
+
     def silent(self, now: float) -> bool:
         """Whether it has requests of ours and says nothing."""
         return self.running > 0 and now - max(self.heard_at, self.sent_at) > SILENT_S
@@ -114,6 +136,8 @@
         self._drain_s = drain_s
         self._lock = threading.Lock()
         self._endpoints: dict[str, Endpoint] = {}
+        # Until when missing rows are taken for lapsed ones.
+        self._lapses_until = 0.0
         self._rng = random.Random()
 
     # -- Membership --
@@ -127,6 +151,10 @@
             for name, row in rows.items():
                 self._update(name, row)
 
+    def store_returned(self) -> None:
+        """Note that the store answers again; called before its first rows are taken."""
+        self._lapses_until = self._clock.now() + LAPSES_SEEN_S
+
     def update(self, name: str, row: gateway_api.EndpointRow | None) -> None:
         """Take one change; ``None`` says that the row is gone."""
         with self._lock:
@@ -159,7 +187,7 @@
                 draining=row.draining,
             )
         endpoint.row = row
-        endpoint.row_gone = False
+        endpoint.row_gone = endpoint.lapsed = False
         if row.draining:
             self._leave(endpoint, "draining")
         elif endpoint.leave_at != clock.NEVER:
@@ -168,14 +196,22 @@
             eventlog.info("endpoint-back", endpoint=name)
 
     def _row_gone(self, endpoint: Endpoint) -> None:
-        if not endpoint.row_gone:
-            endpoint.row_gone = True
+        if endpoint.row_gone:
+            return
+        endpoint.row_gone = True
+        is_new = endpoint.leave_at == clock.NEVER
+        endpoint.lapsed = is_new and self._clock.now() < self._lapses_until
+        if endpoint.lapsed:
+            self._leave(endpoint, "row-lapsed", LAPSED_SHARE)
+        else:
             self._leave(endpoint, "row-gone")
 
-    def _leave(self, endpoint: Endpoint, reason: str) -> None:
+    def _leave(
+        self, endpoint: Endpoint, reason: str, share: float = LEAVING_SHARE
+    ) -> None:
         if endpoint.leave_at != clock.NEVER:
             return
-        endpoint.leave_at = self._clock.now() + LEAVING_SHARE * self._drain_s
+        endpoint.leave_at = self._clock.now() + share * self._drain_s
         eventlog.info("endpoint-leaving", endpoint=endpoint.name, reason=reason)
 
     # -- Choice --
@@ -183,7 +219,8 @@
     def usable(self, service: str, excluded: set[str]) -> list[Endpoint]:
         """Give the endpoints of a service that may get a request now.
 
-        Those that are leaving come in only when there is no other.
+        Those that are leaving come in only when there is no other; one whose row
+        lapsed is likely to come back and is used as before for a while.
         """
         now = self._clock.now()
         with self._lock:
@@ -194,7 +231,7 @@
                 and e.name not in excluded
                 and now < e.leave_at
             ]
-        staying = [e for e in live if e.leave_at == clock.NEVER]
+        staying = [e for e in live if e.leave_at == clock.NEVER or e.lapsed]
         return staying or live
 
     def is_set_aside(self, endpoint: Endpoint, now: float) -> bool:
@@ -269,6 +306,11 @@
             if not failed:
                 self._resume(endpoint)
 
+    def replaced(self, endpoint: Endpoint) -> None:
+        """Set an endpoint aside for long: another one answers at its address."""
+        endpoint.pause_s = LONGEST_PAUSE_S
+        self.unreachable(endpoint, "another endpoint answers")
+
     def unreachable(self, endpoint: Endpoint, reason: str) -> None:
         """Set an endpoint aside, longer each time."""
         with self._lock:
@@ -311,6 +353,30 @@
                 if e.running
             }
 
+    def dark(self) -> list[str]:
+        """Give the endpoints that we find dark."""
+        with self._lock:
+            return sorted(e.name for e in self._endpoints.values() if e.is_dark)
+
+    def take_dark(self, gateway: str, names: typing.Collection[str]) -> None:
+        """Take the endpoints that another gateway finds dark."""
+        now = self._clock.now()
+        with self._lock:
+            sizes: dict[str, int] = collections.Counter()
+            found: dict[str, int] = collections.Counter()
+            for endpoint in self._endpoints.values():
+                sizes[endpoint.row.service] += 1
+                found[endpoint.row.service] += endpoint.name in names
+            for endpoint in self._endpoints.values():
+                service = endpoint.row.service
+                likely = found[service] <= max(1, DARK_SHARE * sizes[service])
+                if endpoint.name not in names or not likely:
+                    endpoint.doubters.discard(gateway)
+                elif gateway not in endpoint.doubters:
+                    if not endpoint.doubters:
+                        endpoint.doubted_at = now
+                    endpoint.doubters.add(gateway)
+
     def take_loads(self, gateway: str, loads: dict[str, Load]) -> None:
         """Take another gateway's requests by endpoint."""
         with self._lock:
--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -1,5 +1,9 @@
 """Follows the shared store's tables, one thread each, and hands the rows on.
 
+Each poll is a priced call, so in a hall with many gateways two of them poll and the
+others rest: they take the readers' copies, and poll again as soon as a reader falls
+silent or loses the store (``mesh.Mesh.has_readers`` decides who rests).
+
 A follower reads its table whole, then waits for changes with a long poll.  When the
 store forgot the changes it reads anew; when the store does not answer, what is known
 stays in force, peers' copies are taken, and the next try comes after a jittered pause.
@@ -16,6 +20,8 @@
 # Pauses after a failure, first and longest, seconds.
 FIRST_PAUSE_S: typing.Final = 0.1
 LONGEST_PAUSE_S: typing.Final = 1.0
+# Pause between two looks at whether to poll again, seconds.
+REST_LOOK_S: typing.Final = 0.2
 # A peer that is ahead for this long has news that the store did not tell, seconds.
 BEHIND_S: typing.Final = 0.4
 
@@ -37,6 +43,8 @@
         clock_: clock.Clock,
         sink: Sink,
         gather_s: float = 0.0,
+        may_rest: typing.Callable[[], bool] = lambda: False,
+        on_back: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self.table = table
         self._store = store
@@ -44,6 +52,11 @@
         self._sink = sink
         # Changes that come so close together are read in one call.
         self._gather_s = gather_s
+        # Whether others read the store for us.
+        self._may_rest = may_rest
+        self.resting = False
+        # Told when the store answers again, before its rows are taken.
+        self._on_back = on_back
         self._lock = threading.RLock()
         self._rows: dict[str, gateway_api.Row] = {}
         # What the rows are up to date with; -1 before the first reading.
@@ -86,11 +99,19 @@
 
     def _run(self) -> None:
         pause_s = FIRST_PAUSE_S
-        is_read = False
+        is_read = has_rested = False
         while not self._stopped.is_set():
+            self.resting = is_read and self.connected and self._may_rest()
+            if self.resting:
+                has_rested = True
+                self._stopped.wait(REST_LOOK_S)
+                continue
             try:
-                # After a failure, a call without a wait shows whether it is back.
-                is_read = self._step(is_read, POLL_S if self.connected else 0.0)
+                # After a failure or a rest, a call without a wait shows whether the
+                # store answers; a connection that rested may be dead.
+                wait_s = POLL_S if self.connected and not has_rested else 0.0
+                has_rested = False
+                is_read = self._step(is_read, wait_s)
             except gateway_api.HistoryGone:
                 eventlog.warning("history-gone", table=self.table, version=self.version)
                 is_read = False
@@ -111,12 +132,14 @@
         """
         if not is_read:
             page = self._store.read(self.table)
+            self._note_answer()
             with self._lock:
                 if page.version >= self.version:
                     newest = max((row.version for row in page.rows), default=0)
                     self._take_whole(page, max(self.changed, newest))
             return True
         page = self._store.follow(self.table, self.version, wait_s)
+        self._note_answer()
         with self._lock:
             self._take_changes(page)
         if page.rows:
@@ -152,6 +175,10 @@
             changed = gateway_api.Page(fresh, page.version, page.store_now)
             self._sink.take_page(changed, whole=False)
 
+    def _note_answer(self) -> None:
+        if not self.connected:
+            self._on_back()
+
     def _note_lost(self, exc: gateway_api.StoreError) -> None:
         if self.connected:
             self.lost_at = self._clock.now()
@@ -174,32 +201,44 @@
     :param followers: in the order of ``mesh_messages.TABLES``.
     """
 
-    __slots__ = ("_followers", "_clock", "_behind_at")
+    __slots__ = ("_followers", "_clock", "_missed")
 
     def __init__(self, followers: list[Follower], clock_: clock.Clock) -> None:
         self._followers = followers
         self._clock = clock_
-        # Since when a peer has been ahead, by table.
-        self._behind_at: dict[int, float] = {}
+        # The newest change that a peer told of and we lack, and since when, by table.
+        self._missed: dict[int, tuple[int, float]] = {}
 
     def versions(self) -> list[int]:
         """Give the newest change of each table."""
         return [follower.changed for follower in self._followers]
 
-    def behind(self, table: int, version: int) -> bool:
+    def reads(self) -> bool:
+        """Whether we read the store ourselves, and it answers."""
+        return all(f.connected and not f.resting for f in self._followers)
+
+    def behind(self, table: int, version: int, is_far: bool = False) -> bool:
         """Whether a peer's copy would help.
 
         The store may hang without a word, so a peer that stays ahead for longer than
-        the store's own news takes is enough.
+        the store's own news takes is enough.  One who rests asks at once, but first in
+        its own hall.
         """
         if not 0 <= table < len(self._followers):
             return False
         follower = self._followers[table]
+        now = self._clock.now()
+        newest, since = self._missed.get(table, (0, now))
+        newest = max(newest, version)
+        if newest <= follower.changed:
+            self._missed.pop(table, None)
+            return False
+        # A peer that is as far behind as we are does not end the wait.
+        self._missed[table] = newest, since
         if version <= follower.changed:
-            self._behind_at.pop(table, None)
             return False
-        now = self._clock.now()
-        since = self._behind_at.setdefault(table, now)
+        if follower.resting and not is_far:
+            return True
         return not follower.connected or now >= since + BEHIND_S
 
     def copy(self, table: int) -> mesh_messages.Rows:
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -87,6 +87,19 @@
         if reading:
             directory_.read(self.endpoint, reading)
 
+    def read_whole(self, deadline: float) -> bytes:
+        """Read the body to its end.
+
+        :raises Failed: when it broke off or took too long.
+        """
+        pieces: list[bytes] = []
+        try:
+            while (data := self.exchange.read_data(deadline)) is not None:
+                pieces.append(data)
+        except (http_exchange.Broken, http_exchange.TimedOut) as exc:
+            raise Failed(f"body: {str(exc) or DEADLINE}") from exc
+        return b"".join(pieces)
+
     def finish(self, directory_: directory.Directory) -> None:
         """Close the connection and count the request out; again does nothing."""
         if self._done:
@@ -140,7 +153,8 @@
             self._await_head(call, attempt, may_give_up)
         except (NotRun, Failed) as exc:
             attempt.finish(self._directory)
-            self._log(call, attempt, str(exc), isinstance(exc, NotRun))
+            outcome = "not-run" if isinstance(exc, NotRun) else "failed"
+            self.note_failure(call, attempt, outcome, str(exc))
             raise
         except BaseException:
             attempt.finish(self._directory)
@@ -271,8 +285,10 @@
         head, endpoint = attempt.head, attempt.endpoint
         if head.not_run:
             call.excluded.add(endpoint.name)
-            if head.wrong_endpoint:
-                self._directory.unreachable(endpoint, "another endpoint answers")
+            # A model that the caller named may be what the endpoint refuses.
+            ours = bool(attempt.model) or not call.route.models
+            if head.wrong_endpoint and ours:
+                self._directory.replaced(endpoint)
             raise NotRun(f"refused with status {head.status}")
         call.has_run = True
         wrong = head.echo and head.echo != call.info.request
@@ -282,10 +298,13 @@
             self._directory.answered(endpoint, failed=True)
             raise Failed("not an answer to this request")
 
-    def _log(
-        self, call: gateway_call.Call, attempt: Attempt, detail: str, not_run: bool
+    def note_failure(
+        self, call: gateway_call.Call, attempt: Attempt, outcome: str, detail: str
     ) -> None:
-        outcome = "not-run" if not_run else "failed"
+        """Count and log a send that brought no whole answer.
+
+        :param outcome: ``not-run``, ``failed`` before an answer, ``broken`` within one.
+        """
         self._metrics.sends.labels(call.service, outcome).inc()
         eventlog.info(
             "send-failed",
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -2,6 +2,7 @@
 
 import random
 import typing
+import zlib
 
 from gaprock import (
     clock,
@@ -67,13 +68,16 @@
             if self._rollouts.fits(call.service, e.row.version, call.session)
         ]
         narrowed = self._rollouts.narrow(
-            call.service, call.session, [e.name for e in fitting]
+            call.service,
+            call.session,
+            [e.name for e in fitting],
+            [e.name for e in fitting if e.row.hall == self._hall],
         )
         fitting = [e for e in fitting if e.name in narrowed]
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
         mean = self._mean_prompt.get(call.service, reading)
         self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (reading - mean)
-        chosen = self._best(good or fitting, mean)
+        chosen = self._best(call, good or fitting, reading, mean)
         if chosen is None:
             return None
         eventlog.info(
@@ -94,18 +98,30 @@
     def _is_avoided(
         self, call: gateway_call.Call, endpoint: directory.Endpoint, now: float
     ) -> bool:
+        if endpoint.is_doubted:
+            return not self._may_try(call)
         if not self._directory.is_set_aside(endpoint, now):
             # The first request after a pause is a trial; not with one that may not
             # be repeated.
             return bool(endpoint.paused_until) and not call.route.repeatable
         if now < endpoint.paused_until or endpoint.on_trial:
             return True
-        return not (call.route.repeatable and self._rng.random() < TRIAL_CHANCE)
+        return not self._may_try(call)
+
+    def _may_try(self, call: gateway_call.Call) -> bool:
+        """Whether a call is one of the few that try an endpoint that likely fails."""
+        return call.route.repeatable and self._rng.random() < TRIAL_CHANCE
 
     def _best(
-        self, endpoints: list[directory.Endpoint], mean_prompt: float
+        self,
+        call: gateway_call.Call,
+        endpoints: list[directory.Endpoint],
+        reading: float,
+        mean_prompt: float,
     ) -> directory.Endpoint | None:
         by_name = {e.name: e for e in endpoints}
+        holder = self._holder(call, endpoints)
+        saved = reading * call.info.shared_share / max(1.0, mean_prompt)
         candidates = [
             policy_api.Candidate(
                 "",
@@ -114,10 +130,30 @@
                 ),
                 0,
                 e.row.hall == self._hall,
-                False,
+                e is holder,
                 e.unread / max(1.0, mean_prompt),
+                saved if e is holder else 0.0,
             )
             for e in endpoints
         ]
         chosen = self._routing.choose(candidates, self._rng)
         return None if chosen is None else by_name[chosen.name]
+
+    def _holder(
+        self, call: gateway_call.Call, endpoints: list[directory.Endpoint]
+    ) -> directory.Endpoint | None:
+        """Give the endpoint that likely keeps a prompt's shared parts.
+
+        The highest hash of part and endpoint, in our own hall if that has any: all
+        gateways of a hall send the same prompts there without a word between them, and
+        when an endpoint goes only its own prompts move.
+        """
+        if not call.info.shared_parts:
+            return None
+        near = [e for e in endpoints if e.row.hall == self._hall]
+        part = call.info.shared_parts[-1][0]
+        return max(
+            near or endpoints,
+            key=lambda e: zlib.crc32(f"{part}@{e.name}".encode()),
+            default=None,
+        )
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -1,11 +1,7 @@
 """``gaprock-gateway``: an entry that sends to endpoints itself.
 
-The process starts in this order: settings, ports, then the rows of the shared store.
-It is ready when it knows the configuration, the endpoints and the outcomes of rollouts.
-
-A planned stop: the readiness check fails at once; what still comes is served while it
-can end in time, later requests are told to come back elsewhere, and the process ends
-when nothing is open, or just before it would be killed.
+This module is the program: command line, settings, signals.  What a gateway consists of
+and how it stops is in ``gateway_node``.
 """
 
 import argparse
@@ -17,33 +13,7 @@
 import types
 import typing
 
-from gaprock import (
-    clock,
-    directory,
-    errors,
-    eventlog,
-    evidence,
-    followers,
-    gateway_api,
-    gateway_attempt,
-    gateway_choose,
-    gateway_http,
-    gateway_metrics,
-    gateway_models,
-    gateway_own,
-    gateway_relay,
-    gateway_rows,
-    gateway_serve,
-    ids,
-    mesh,
-    options,
-    periodic,
-    plugin,
-    policy_api,
-    retry_window,
-    rollout_writer,
-    rollouts,
-)
+from gaprock import clock, errors, eventlog, gateway_api, gateway_node, options, plugin
 
 DESCRIPTION: typing.Final = (
     "Serves callers on a platform that writes a settings file, and sends their "
@@ -52,287 +22,8 @@
 EXIT_DONE: typing.Final = 0
 EXIT_SETTINGS: typing.Final = 2
 SETTINGS_VARIABLE: typing.Final = "GAPROCK_SETTINGS"
-METRICS_PATH: typing.Final = "/metrics"
-# Each open call has a thread; some more answer those that are refused.
-SPARE_THREADS: typing.Final = 24
-# Calls that a megabyte of memory carries, from the measured growth of about 0.25 MB a
-# call, with half of the memory left for everything else.
-CALLS_PER_MB: typing.Final = 1.1
-MAX_CALLS: typing.Final = 320
-# A call has its caller's connection and one to an endpoint; files, the store, peers and
-# the ports have the others; so many callers may rest whatever is left.
-DESCRIPTORS_PER_CALL: typing.Final = 2
-OTHER_DESCRIPTORS: typing.Final = 400
-MIN_RESTING: typing.Final = 100
 # A thread's stack, bytes; the deepest path takes a fraction of it.
 STACK_BYTES: typing.Final = 256 * 1024
-# Periods of the background tasks, seconds.
-ROLLOUT_STEP_S: typing.Final = 0.2
-HOUSEKEEPING_S: typing.Final = 1.0
-# Each reading of changes is a priced call, so changes are gathered: orders for a
-# moment, endpoints for a share of the time that a leaving one may still be sent to.
-GATHER_ORDERS_S: typing.Final = 0.1
-GATHER_SHARE: typing.Final = 0.25
-# The store is taken as away when it has not answered for this long, seconds.
-STALE_S: typing.Final = 1.0
-# A planned stop: every request is taken for this long, seconds, or this share of the
-# time until the process is killed; later ones only if their time ends before that.  A
-# bound learned from the routes' answers, twice the longest of late, cut streams on
-# loaded engines.
-TAKE_ALL_S: typing.Final = 2.8
-TAKE_ALL_SHARE: typing.Final = 0.4
-END_AT: typing.Final = 0.92
-# Callers that the balancer still sends come within this time, seconds.
-LINGER_S: typing.Final = 3.5
-# Between the last request that is taken and the end, seconds.
-CLOSING_S: typing.Final = 0.15
-
-
-class Gateway:
-    """One gateway process: its parts and its background tasks."""
-
-    def __init__(
-        self,
-        cfg: options.Options,
-        clock_: clock.Clock,
-        store: gateway_api.SharedStore,
-        dialect: gateway_api.Dialect,
-    ) -> None:
-        self.cfg = cfg
-        self.clock = clock_
-        self.store = store
-        self.dialect = dialect
-        self.metrics = gateway_metrics.GatewayMetrics()
-        bounds = cfg.bounds
-        evidence_ = evidence.EvidenceBook(f"{cfg.vm}/{ids.new_token()}")
-        self.directory = directory.Directory(clock_, bounds.drain_s)
-        self.rollouts = rollouts.Rollouts(
-            clock_,
-            bounds.canary_share,
-            plugin.find(policy_api.Guard, cfg.guard)(),
-            evidence_,
-        )
-        address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
-        self.mesh = mesh.Mesh(
-            cfg.vm, cfg.hall, address, clock_, self.directory, self.rollouts, evidence_
-        )
-        self.mesh.on_old_here = self._on_old
-        self.writer = rollout_writer.RolloutWriter(
-            cfg.vm, clock_, store, dialect, self.rollouts, self.mesh
-        )
-        self.orders = gateway_rows.OrderRows(clock_, dialect, self.rollouts)
-        self.followers = self._make_followers()
-        self.mesh.source = followers.RowExchange(self.followers, clock_)
-        self.own_rows = gateway_own.OwnRowsTask(
-            cfg.vm,
-            clock_,
-            store,
-            dialect.tables.own,
-            self.mesh,
-            self.rollouts,
-            self.orders,
-            self.writer,
-            self.followers,
-        )
-        self.budget = retry_window.RetryWindow(
-            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
-        )
-        self.server = self._make_server()
-        self.leaving = False
-        threads = self._max_calls() + SPARE_THREADS
-        self.port = gateway_http.Port(
-            gateway_http.parse_address(cfg.listen),
-            threads,
-            self.server.serve,
-            clock_,
-            lambda: self.leaving,
-            self._max_resting(),
-        )
-        self.ready_port = gateway_http.TextPort(
-            gateway_http.parse_address(cfg.ready_listen),
-            {dialect.ready_path: self._answer_ready},
-        )
-        self.metrics_port = None
-        if cfg.metrics_port:
-            self.metrics_port = gateway_http.TextPort(
-                (cfg.host, cfg.metrics_port), {METRICS_PATH: self._answer_metrics}
-            )
-        self._tasks = [
-            periodic.Periodic("rollouts", ROLLOUT_STEP_S, self._step_rollouts),
-            periodic.Periodic("housekeeping", HOUSEKEEPING_S, self._keep_house),
-        ]
-        self._limits_of = -1
-
-    # -- Start and stop --
-
-    def start(self) -> None:
-        """Open the ports and begin to follow the store."""
-        self.port.start()
-        self.ready_port.start()
-        if self.metrics_port is not None:
-            self.metrics_port.start()
-        self.mesh.start()
-        threading.Thread(target=self.own_rows.run, name="own-rows", daemon=True).start()
-        for task in self._tasks:
-            task.start()
-
-    def stop(self) -> None:
-        """Carry out a planned stop; no request in flight is cut before its time."""
-        now = self.clock.now()
-        grace_s = self.cfg.bounds.grace_s
-        self.leaving = True
-        self.mesh.leaving = True
-        self.server.take_all_until = now + min(TAKE_ALL_S, TAKE_ALL_SHARE * grace_s)
-        self.server.end_at = now + END_AT * grace_s
-        eventlog.info("leaving", open=self.server.open_calls, grace_s=grace_s)
-        # Callers come until the balancer has noticed, and longer on kept connections.
-        threading.Event().wait(min(LINGER_S, 0.5 * grace_s))
-        drained = self.server.wait_idle(self.server.end_at)
-        # From here on every request is told to come back, so that none is under way
-        # when the process ends; callers on kept connections hear that it closes.
-        self.server.end_at = self.server.take_all_until = self.clock.now()
-        threading.Event().wait(CLOSING_S)
-        self.server.wait_idle(self.clock.now() + CLOSING_S)
-        eventlog.info("drained", whole=drained, open=self.server.open_calls)
-        self.mesh.stop()
-
-    def close(self) -> None:
-        """Close the ports and end the background tasks."""
-        for task in self._tasks:
-            task.stop()
-        for follower in self.followers:
-            follower.stop()
-        self.mesh.stop()
-        ports = [p for p in (self.port, self.ready_port, self.metrics_port) if p]
-        stops = [threading.Thread(target=port.stop) for port in ports]
-        for stop in stops:
-            stop.start()
-        for stop in stops:
-            stop.join()
-
-    def reload(self, cfg: options.Options) -> None:
-        """Take what a changed settings file may change while we run."""
-        bounds = cfg.bounds
-        self.cfg.bounds = bounds
-        self.budget.set_bounds(
-            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
-        )
-        eventlog.info("reloaded", grace_s=bounds.grace_s)
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether all that a request needs is known."""
-        known = all(follower.version >= 0 for follower in self.followers)
-        return known and self.orders.table is not None
-
-    # -- Parts --
-
-    def _make_followers(self) -> list[followers.Follower]:
-        tables = self.dialect.tables
-        endpoint_rows = gateway_rows.EndpointRows(self.dialect, self.directory)
-        outcome_rows = gateway_rows.OutcomeRows(
-            self.dialect, self.rollouts, self.writer
-        )
-        gather_s = GATHER_SHARE * self.cfg.bounds.drain_s
-        sinks: list[tuple[str, followers.Sink, float]] = [
-            (tables.orders, self.orders, GATHER_ORDERS_S),
-            (tables.endpoints, endpoint_rows, gather_s),
-            (tables.outcomes, outcome_rows, 0.0),
-        ]
-        return [
-            followers.Follower(name, self.store, self.clock, sink, wait_s)
-            for name, sink, wait_s in sinks
-        ]
-
-    def _make_server(self) -> gateway_serve.Server:
-        cfg = self.cfg
-        chooser = gateway_choose.Chooser(
-            cfg.hall,
-            self.clock,
-            self.directory,
-            self.rollouts,
-            plugin.find(policy_api.Routing, cfg.gateway_routing)(),
-        )
-        sender = gateway_attempt.Sender(
-            self.clock, self.dialect, self.directory, self.metrics
-        )
-        models = gateway_models.ModelPicker(
-            self.clock,
-            self.directory,
-            self.rollouts,
-            plugin.find(policy_api.ModelChoice, cfg.model_choice)(),
-            self.budget,
-            lambda: self.orders.table.services if self.orders.table else {},
-        )
-        relay = gateway_relay.Relay(
-            self.clock,
-            self.directory,
-            sender,
-            self.rollouts,
-            models,
-            self.metrics,
-        )
-        return gateway_serve.Server(
-            self.clock,
-            self.dialect,
-            self.orders,
-            chooser,
-            sender,
-            relay,
-            self.budget,
-            self.metrics,
-            self._max_calls(),
-            self._is_stale,
-            lambda: self.is_ready,
-        )
-
-    def _max_calls(self) -> int:
-        if self.cfg.max_calls:
-            return self.cfg.max_calls
-        return min(MAX_CALLS, int(CALLS_PER_MB * self.cfg.memory_mb))
-
-    def _max_resting(self) -> int:
-        """Give the callers' connections that may rest: what descriptors are left."""
-        calls = DESCRIPTORS_PER_CALL * self._max_calls()
-        return max(MIN_RESTING, self.cfg.max_fds - calls - OTHER_DESCRIPTORS)
-
-    def _on_old(self, service: str) -> int:
-        """Give our requests on the old version of a service."""
-        for rollout in self.rollouts.all():
-            if rollout.order.service == service:
-                return self.directory.running_besides(service, rollout.order.to_version)
-        return 0
-
-    def _is_stale(self) -> bool:
-        orders = self.followers[0]
-        return not orders.connected and self.clock.now() > orders.lost_at + STALE_S
-
-    # -- Tasks --
-
-    def _step_rollouts(self) -> None:
-        self.rollouts.look()
-        if not self.leaving:
-            self.writer.step()
-
-    def _keep_house(self) -> None:
-        self.directory.forget_gone()
-        self.budget.members = 1 + len(self.mesh.living())
-        table = self.orders.table
-        if table is not None and table.number != self._limits_of:
-            self._limits_of = table.number
-            self.port.set_limits(table.limits.body_bytes, table.limits.idle_s)
-
-    def _answer_ready(self) -> tuple[int, bytes]:
-        return (200 if self.is_ready and not self.leaving else 503), b""
-
-    def _answer_metrics(self) -> tuple[int, bytes]:
-        table = self.orders.table
-        self.metrics.config_number.set(table.number if table else 0)
-        self.metrics.log_lines_dropped.set(eventlog.dropped_lines())
-        for follower in self.followers:
-            gauge = self.metrics.store_connected.labels(follower.table)
-            gauge.set(follower.connected)
-        return 200, self.metrics.render()
 
 
 def load_options(path: str) -> options.Options:
@@ -365,7 +56,7 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, on_signal)
     store = plugin.find(gateway_api.SharedStore, cfg.shared_store)
-    gateway = Gateway(
+    gateway = gateway_node.Gateway(
         cfg,
         clock.MonotonicClock(),
         store(cfg.store_address),  # type: ignore[call-arg]
@@ -387,7 +78,7 @@
     eventlog.info("stopped")
 
 
-def _reload(gateway: Gateway, path: str) -> None:
+def _reload(gateway: gateway_node.Gateway, path: str) -> None:
     try:
         gateway.reload(load_options(path))
     except errors.GaprockError as exc:
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -15,7 +15,6 @@
     eventlog,
     gateway_attempt,
     gateway_call,
-    gateway_metrics,
     gateway_models,
     gateway_source,
     http_exchange,
@@ -58,14 +57,12 @@
         sender: gateway_attempt.Sender,
         rollouts_: rollouts.Rollouts,
         models: gateway_models.ModelPicker,
-        metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._clock = clock_
         self.directory = directory_
         self._sender = sender
         self._rollouts = rollouts_
         self._models = models
-        self._metrics = metrics
 
     def run(
         self, call: gateway_call.Call, reply: gateway_call.Reply, sends: Sends
@@ -180,16 +177,12 @@
         source: gateway_source.Source,
     ) -> None:
         """Give an answer that is no stream as it is."""
-        head, pieces = source.attempt.head, []
+        head = source.attempt.head
         try:
-            while (
-                data := source.attempt.exchange.read_data(call.deadline)
-            ) is not None:
-                pieces.append(data)
-        except (http_exchange.Broken, http_exchange.TimedOut) as exc:
-            detail = str(exc) or "deadline"
-            raise gateway_call.GivenUp(errorcodes.OUTCOME_UNKNOWN, detail) from exc
-        reply.whole(head.status, head.headers, b"".join(pieces))
+            body = source.attempt.read_whole(call.deadline)
+        except gateway_attempt.Failed as exc:
+            raise gateway_call.GivenUp(errorcodes.OUTCOME_UNKNOWN, str(exc)) from exc
+        reply.whole(head.status, head.headers, body)
 
     # -- After the caller has the head --
 
@@ -362,15 +355,7 @@
         if detail != "deadline":
             call.excluded.add(attempt.endpoint.name)
         self.directory.answered(attempt.endpoint, failed=True)
-        self._metrics.sends.labels(call.service, "broken").inc()
-        eventlog.info(
-            "send-broken",
-            request=call.info.request,
-            endpoint=attempt.endpoint.name,
-            model=attempt.model or "none",
-            send=call.sends,
-            detail=detail,
-        )
+        self._sender.note_failure(call, attempt, "broken", detail)
 
 
 class _Stopped(Exception):
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -317,20 +317,17 @@
 
         :raises gateway_attempt.Failed: when it broke off or took too long.
         """
-        pieces: list[bytes] = []
         try:
-            while (data := attempt.exchange.read_data(call.deadline)) is not None:
-                pieces.append(data)
-        except (http_exchange.Broken, http_exchange.TimedOut) as exc:
+            body = attempt.read_whole(call.deadline)
+        except gateway_attempt.Failed:
             call.excluded.add(attempt.endpoint.name)
             self._relay.note_answer(call, attempt, failed=True, blame_version=False)
-            detail = str(exc) or "deadline"
-            raise gateway_attempt.Failed(f"body: {detail}") from exc
+            raise
         finally:
             attempt.finish(self._relay.directory)
         failed = attempt.head.status >= gateway_attempt.SERVER_ERROR
         self._relay.note_answer(call, attempt, failed, blame_version=True)
-        return b"".join(pieces)
+        return body
 
     # -- Ends --
 
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -33,6 +33,10 @@
 # Pauses before a lost connection is opened again, milliseconds.
 RECONNECT_MS: typing.Final = 200
 RECONNECT_MAX_MS: typing.Final = 2000
+# A gateway reads the store for others of its hall if it was heard within this time,
+# seconds, a little more than the idle beat; so many of them are enough.
+READER_HEARD_S: typing.Final = 1.3
+READERS: typing.Final = 2
 # Pause before rows are asked for again, seconds.
 ASK_PAUSE_S: typing.Final = 0.5
 
@@ -86,7 +90,10 @@
     def versions(self) -> list[int]:
         """Give what each table is up to date with."""
 
-    def behind(self, table: int, version: int) -> bool:
+    def reads(self) -> bool:
+        """Whether we read the store ourselves, and it answers."""
+
+    def behind(self, table: int, version: int, is_far: bool) -> bool:
         """Whether a peer's copy would help."""
 
     def copy(self, table: int) -> mesh_messages.Rows:
@@ -164,6 +171,25 @@
                 if peer.heard_at >= since and peer.beat and not peer.beat.leaving
             ]
 
+    def has_readers(self) -> bool:
+        """Whether enough gateways of our hall read the store, so that we need not.
+
+        Only those before us by name count, so that the first ones always read.
+        """
+        since = self._clock.now() - READER_HEARD_S
+        with self._lock:
+            readers = [
+                peer
+                for peer in self._peers.values()
+                if peer.heard_at >= since
+                and peer.beat is not None
+                and peer.beat.reads_store
+                and not peer.beat.leaving
+                and peer.hall == self.hall
+                and peer.name < self.name
+            ]
+        return len(readers) >= READERS
+
     def on_old_version(self, service: str) -> int:
         """Give the requests on a service's old version, over all living gateways."""
         since = self._clock.now() - SILENT_S
@@ -238,8 +264,9 @@
         on_old = [n.on_old for n in rolls]
         tick, _ = self._evidence.since(1 << 60)
         versions = self.source.versions() if self.source else []
+        reads = self.source is not None and self.source.reads()
         return News(
-            (halts, versions, self.leaving),
+            (halts, versions, reads, self.leaving, self._directory.dark()),
             (self._directory.own_loads(), on_old, tick),
         )
 
@@ -260,7 +287,8 @@
         """Send beats, and give the peers that were reached."""
         reached = []
         versions = self.source.versions() if self.source else []
-        loads = self._directory.own_loads()
+        reads_store = self.source is not None and self.source.reads()
+        loads, dark = self._directory.own_loads(), self._directory.dark()
         rolls = self._rollout_news()
         for peer in peers:
             tick, counters = self._evidence.since(peer.tick)
@@ -271,7 +299,9 @@
                 self.address,
                 self._incarnation,
                 versions,
+                reads_store,
                 loads,
+                dark,
                 rolls,
                 own,
                 self.leaving,
@@ -315,6 +345,7 @@
         peer.name, peer.hall = beat.sender, beat.hall
         peer.beat, peer.heard_at = beat, now
         self._directory.take_loads(beat.sender, beat.loads)
+        self._directory.take_dark(beat.sender, beat.dark)
         for news in beat.rollouts:
             self._rollouts.backdate(news.service, news.revision, now - news.age_s)
             if news.halted:
@@ -330,7 +361,7 @@
         if self.source is None or now < peer.asked_at + ASK_PAUSE_S:
             return
         for table, version in enumerate(peer.beat.versions):
-            if self.source.behind(table, version):
+            if self.source.behind(table, version, self._is_far(peer)):
                 peer.asked_at = now
                 self._send(peer, mesh_messages.RowsWanted(self.address, table))
 
@@ -350,6 +381,7 @@
             if silent_s > SILENT_S and peer.beat is not None:
                 eventlog.warning("peer-silent", peer=peer.name, silent_s=silent_s)
                 self._directory.take_loads(peer.name, {})
+                self._directory.take_dark(peer.name, ())
                 peer.beat = None
             if silent_s > FORGET_S:
                 peer.sock.close(linger=0)
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -30,7 +30,9 @@
     :param hall: where the sender stands.
     :param address: where the sender takes messages.
     :param versions: what its tables are up to date with, in the order of ``TABLES``.
+    :param reads_store: whether it reads the store itself, and that answers.
     :param loads: what it has at each endpoint.
+    :param dark: endpoints that take no connection from it.
     :param evidence: counters that changed since the last beat to this peer.
     """
 
@@ -39,7 +41,9 @@
     address: str
     incarnation: str
     versions: list[int]
+    reads_store: bool
     loads: dict[str, directory.Load]
+    dark: list[str]
     rollouts: list[RolloutNews]
     evidence: list[messages.Evidence]
     leaving: bool
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -131,6 +131,7 @@
         "same_hall",
         "holds_prefix",
         "unread",
+        "saved",
     )
 
     def __init__(
@@ -141,6 +142,7 @@
         same_hall: bool,
         holds_prefix: bool,
         unread: float = 0.0,
+        saved: float = 0.0,
     ) -> None:
         self.agent = agent
         self.load = load
@@ -151,6 +153,8 @@
         self.holds_prefix = holds_prefix
         # Prompts ahead that are not read yet, in mean prompts.
         self.unread = unread
+        # What the endpoint likely need not read again, in mean prompts.
+        self.saved = saved
 
     @property
     def name(self) -> str:
@@ -179,6 +183,7 @@
     :param left_s: seconds left to the goal.
     :param climbs_left: further sends that the request and the budget allow.
     :param largest_s: seconds that the largest model's first event would take now.
+    :param usual_s: the same for a prompt of usual length; shows how busy engines are.
     """
 
     models: list[routes.ModelCost]
@@ -187,6 +192,7 @@
     left_s: float
     climbs_left: int
     largest_s: float
+    usual_s: float
 
 
 class ModelChoice(plugin.Plugin):
--- a/gaprock/retry_window.py
+++ b/gaprock/retry_window.py
@@ -66,14 +66,13 @@
         with self._lock:
             return self._left(service, now)
 
-    def take(self, service: str, now: float, reserve: float = 0.0) -> bool:
+    def take(self, service: str, now: float) -> bool:
         """Ask for a repeat.
 
-        :param reserve: repeats that must be left for more important uses.
         :returns: whether it may be sent; it is counted then.
         """
         with self._lock:
-            if self._left(service, now) < 1.0 + reserve:
+            if self._left(service, now) < 1.0:
                 return False
             self._windows[service].repeats.append(now)
             return True
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -244,15 +244,18 @@
         return (version == rollout.order.to_version) == on_new
 
     def narrow(
-        self, service: str, session: str, names: list[str]
+        self, service: str, session: str, names: list[str], near: list[str]
     ) -> typing.Collection[str]:
         """Give the endpoints that a session's request may go to.
 
         The share of an unproved version goes to the same share of its endpoints, so
-        that each of them is at least as loaded as all of them will be; a version that
-        fails only under load shows it while few requests are exposed.
+        that each of them is about as loaded as all of them will be; a version that
+        fails only under load shows it while few requests are exposed.  Where the own
+        hall has enough of them, it is a share of those: what others have there is known
+        best, and the wait behind that is no fault of the version.
 
         :param names: the usable endpoints of the session's version.
+        :param near: those of them in the own hall.
         """
         found = self.side(service, session)
         if found is None or not found[1]:
@@ -260,6 +263,8 @@
         share = self.share(found[0])
         if share >= 1.0:
             return names
+        if in_hall := round(share * len(near)):
+            return sorted(near)[:in_hall]
         return sorted(names)[: max(1, int(share * len(names)))]
 
     # -- Evidence --
--- a/gaprock/test/gatewaysite.py
+++ b/gaprock/test/gatewaysite.py
@@ -6,7 +6,7 @@
 import typing
 import uuid
 
-from gaprock import clock, eventlog, gateway_api, gateway_main, options, plugin
+from gaprock import clock, eventlog, gateway_api, gateway_node, options, plugin
 from gaprock.test import site
 from gaprock.test.fakes import backend, metastore
 
@@ -110,7 +110,7 @@
             change(cfg)
         self.cfg = cfg
         store = plugin.find(gateway_api.SharedStore, "platform")
-        self.gateway = gateway_main.Gateway(
+        self.gateway = gateway_node.Gateway(
             cfg,
             clock.MonotonicClock(),
             store(cfg.store_address),  # type: ignore[call-arg]
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -125,6 +125,8 @@
     exchange = followers.RowExchange([one], time)
     assert not exchange.behind(0, 6)
     time.advance(followers.BEHIND_S + 0.1)
+    # Another one that is as far behind says nothing against it.
+    assert not exchange.behind(0, 5)
     assert exchange.behind(0, 6)
     assert not exchange.behind(0, 5)
     one.lost_at = time.now()
--- a/gaprock/test/testgateway.py
+++ b/gaprock/test/testgateway.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gaprock import gateway_main, options
+from gaprock import gateway_node, options
 from gaprock.test import gatewaysite
 from gaprock.test.fakes import backend
 
@@ -512,7 +512,7 @@
         cfg.mesh_port = gatewaysite.free_port()
 
     with gatewaysite.GatewaySite(with_mesh) as first:
-        second = gateway_main.Gateway(
+        second = gateway_node.Gateway(
             other_options(first.cfg),
             first.gateway.clock,
             first.gateway.store,
@@ -531,9 +531,52 @@
         second.close()
 
 
-def other_options(cfg: options.Options) -> options.Options:
+def test_gateways_that_rest_get_the_configuration_from_readers() -> None:
+    def with_mesh(cfg: options.Options) -> None:
+        cfg.mesh_port = gatewaysite.free_port()
+
+    with gatewaysite.GatewaySite(with_mesh) as first:
+        others = [
+            gateway_node.Gateway(
+                other_options(first.cfg, f"gateway-{n}", first.cfg.hall),
+                first.gateway.clock,
+                first.gateway.store,
+                first.gateway.dialect,
+            )
+            for n in (2, 3, 4)
+        ]
+        for other in others:
+            other.start()
+        last = others[-1]
+        gatewaysite.wait_until(lambda: last.is_ready, "it is ready")
+        gatewaysite.wait_until(last.mesh.has_readers, "it hears two readers")
+        for number in range(2, 30):
+            # Its poll that is under way ends with the first change; then it rests.
+            first.store.put("op", "config", gatewaysite.config(number))
+            first.store.put("servers", f"e{number}", {})
+            first.store.put("status", f"s{number}", {})
+            gatewaysite.wait_until(
+                lambda: last.orders.table is not None
+                and last.orders.table.number == number,
+                f"configuration {number}",
+            )
+            if all(follower.resting for follower in last.followers):
+                break
+        assert all(follower.resting for follower in last.followers)
+        first.store.put("op", "config", gatewaysite.config(50))
+        gatewaysite.wait_until(
+            lambda: last.orders.table is not None and last.orders.table.number == 50,
+            "the configuration by way of a reader",
+        )
+        for other in others:
+            other.close()
+
+
+def other_options(
+    cfg: options.Options, name: str = "gateway-2", hall: str = "h2"
+) -> options.Options:
     other = options.Options()
-    other.vm, other.hall, other.host = "gateway-2", "h2", cfg.host
+    other.vm, other.hall, other.host = name, hall, cfg.host
     other.listen = f"127.0.0.1:{gatewaysite.free_port()}"
     other.ready_listen = f"127.0.0.1:{gatewaysite.free_port()}"
     other.store_address = cfg.store_address
--- a/gaprock/test/testrouting.py
+++ b/gaprock/test/testrouting.py
@@ -133,6 +133,26 @@
     assert names(book) == {"b"}
 
 
+def test_rows_that_lapsed_with_the_store_away_are_used_until_they_are_back(
+    time: clock.ManualClock,
+) -> None:
+    book = directory.Directory(time, drain_s=2.0)
+    book.replace({"a": row(), "b": row(), "c": row()})
+    time.advance(10.0)
+    book.store_returned()
+    book.replace({"c": row()})
+    assert {e.name for e in book.usable("app", set())} == {"a", "b", "c"}
+    time.advance(1.5)
+    book.update("a", row())
+    assert {e.name for e in book.usable("app", set())} == {"a", "b", "c"}
+    # One that stays away is gone, before the time is over that it may be sent to.
+    time.advance(0.4)
+    assert {e.name for e in book.usable("app", set())} == {"a", "c"}
+    # Without an outage a missing row is one of an endpoint that leaves.
+    book.update("a", None)
+    assert {e.name for e in book.usable("app", set())} == {"c"}
+
+
 def test_an_endpoint_is_tried_again_by_one_request_after_a_pause(
     time: clock.ManualClock,
 ) -> None:
@@ -264,6 +284,9 @@
     assert policy.climb(ask(0.45, usual_s=0.45), "small", 60) is None
     assert policy.climb(ask(0.45, usual_s=0.45), "small", 5) == "large"
     assert policy.climb(ask(0.8, usual_s=0.8), "small", 0) is None
+    # A long prompt gives way first.
+    assert policy.climb(ask(0.3, usual_s=0.3), "small", 50) == "large"
+    assert policy.climb(ask(0.9, usual_s=0.3), "small", 50) is None
     assert policy.climb(ask(0.1, climbs_left=0), "small", 5) is None
     assert policy.climb(ask(0.1), "large", 5) is None
 
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -157,9 +157,38 @@
     _proof(
         "a process that stops refuses in the end",
         "testgateway.py::test_a_process_at_its_end_takes_nothing_more",
-        "gateway_main.py",
+        "gateway_node.py",
         "        self.server.end_at = self.server.take_all_until = self.clock.now()\n",
     ),
+    _proof(
+        "halts and newer rows go to far peers at once",
+        "testfleet.py::test_far_peers_get_fewer_beats_and_halts_at_once",
+        "mesh.py",
+        "    if news.urgent != peer.told.urgent:\n",
+        "    if False:\n",
+    ),
+    _proof(
+        "a gateway that finds most endpoints dark is not believed",
+        "testrouting.py::test_an_endpoint_that_others_find_dark_is_doubted_until_it"
+        "_speaks",
+        "directory.py",
+        "likely = found[service] <= max(1, DARK_SHARE * sizes[service])",
+        "likely = True",
+    ),
+    _proof(
+        "prompts with a part in common go to one endpoint",
+        "testgateway.py::test_prompts_with_a_part_in_common_go_to_one_endpoint",
+        "gateway_choose.py",
+        "        part = call.info.shared_parts[-1][0]\n",
+        "        part = call.info.request\n",
+    ),
+    _proof(
+        "second answers give way to those who wait",
+        "testrouting.py::test_second_answers_give_way_to_those_who_wait",
+        "policy_models.py",
+        "wanted = CALM_GAIN + strain * (1.0 - CALM_GAIN)",
+        "wanted = CALM_GAIN",
+    ),
 )
 
 ALL: typing.Final = (*proofs.PROOFS, *PROOFS)
