--- a/gaprock/daemon.py
+++ b/gaprock/daemon.py
@@ -2,11 +2,9 @@
 
 import signal
 import sys
-import threading
-import types
 import typing
 
-from gaprock import errors, eventlog, options, options_flags
+from gaprock import errors, eventlog, options, options_flags, signals
 
 EXIT_DONE: typing.Final = 0
 EXIT_SETTINGS: typing.Final = 2
@@ -25,17 +23,11 @@
 def run(cfg: options.Options, make: typing.Callable[[], Daemon]) -> None:
     """Run a daemon until SIGTERM or SIGINT; further signals change nothing."""
     eventlog.start(cfg.vm, cfg.verbose)
-    stopped = threading.Event()
-
-    def on_signal(number: int, frame: types.FrameType | None) -> None:
-        stopped.set()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    stops = signals.Signals(signal.SIGTERM, signal.SIGINT)
     daemon = make()
     daemon.start()
     eventlog.info("started", hall=cfg.hall)
-    stopped.wait()
+    stops.wait()
     daemon.stop()
     eventlog.info("stopped")
 
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -10,10 +10,18 @@
 import signal
 import sys
 import threading
-import types
 import typing
 
-from gaprock import clock, errors, eventlog, gateway_api, gateway_node, options, plugin
+from gaprock import (
+    clock,
+    errors,
+    eventlog,
+    gateway_api,
+    gateway_node,
+    options,
+    plugin,
+    signals,
+)
 
 DESCRIPTION: typing.Final = (
     "Serves callers on a platform that writes a settings file, and sends their "
@@ -46,15 +54,7 @@
     eventlog.start(cfg.vm, cfg.verbose, bounded=True)
     threading.stack_size(STACK_BYTES)
     plugin.load_all(plugin.GATEWAY_MODULES)
-    wanted: list[int] = []
-    wake = threading.Event()
-
-    def on_signal(number: int, frame: types.FrameType | None) -> None:
-        wanted.append(number)
-        wake.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, on_signal)
+    taken = signals.Signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     store = plugin.find(gateway_api.SharedStore, cfg.shared_store)
     gateway = gateway_node.Gateway(
         cfg,
@@ -66,13 +66,7 @@
     # What the start made lives as long as the process; the collector need not look.
     gc.freeze()
     eventlog.info("started", hall=cfg.hall, listen=cfg.listen)
-    while True:
-        wake.wait()
-        wake.clear()
-        stop = any(n != signal.SIGHUP for n in wanted)
-        wanted.clear()
-        if stop:
-            break
+    while taken.wait() == signal.SIGHUP:
         _reload(gateway, cfg.settings)
     gateway.stop()
     eventlog.info("stopped")
