Ignore SIGHUP before the imports of a start, and take kept prefixes out again

The module that starts now ignores it first, imports the program after that, and signals are taken before the settings are read. The test sends SIGHUP as soon as the kernel shows it ignored; without the change that moment comes only after the imports, so the test shows the order, not the instant before it. The soak says now when a process ended by itself.

Second: prompts with a shared part were sent to one endpoint of the hall. When engines are full the subjects in demand wait for their own endpoint.

--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -150,17 +150,6 @@
     session: str
     resume_after: int | None
 
-    @property
-    def shared_parts(self) -> list[tuple[str, int]]:
-        """The parts that other prompts have too: all but the last."""
-        return self.parts[:-1]
-
-    @property
-    def shared_share(self) -> float:
-        """The share of the prompt that other prompts have too."""
-        shared = sum(tokens for _, tokens in self.shared_parts)
-        return min(1.0, shared / self.tokens_in) if self.tokens_in else 0.0
-
 
 class SendInfo(typing.NamedTuple):
     """What the gateway says to an endpoint with a request.
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -2,7 +2,6 @@
 
 import random
 import typing
-import zlib
 
 from gaprock import (
     clock,
@@ -77,7 +76,7 @@
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
         mean = self._mean_prompt.get(call.service, reading)
         self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (reading - mean)
-        chosen = self._best(call, good or fitting, reading, mean)
+        chosen = self._best(good or fitting, mean)
         if chosen is None:
             return None
         eventlog.info(
@@ -113,15 +112,9 @@
         return call.route.repeatable and self._rng.random() < TRIAL_CHANCE
 
     def _best(
-        self,
-        call: gateway_call.Call,
-        endpoints: list[directory.Endpoint],
-        reading: float,
-        mean_prompt: float,
+        self, endpoints: list[directory.Endpoint], mean_prompt: float
     ) -> directory.Endpoint | None:
         by_name = {e.name: e for e in endpoints}
-        holder = self._holder(call, endpoints)
-        saved = reading * call.info.shared_share / max(1.0, mean_prompt)
         candidates = [
             policy_api.Candidate(
                 "",
@@ -130,30 +123,10 @@
                 ),
                 0,
                 e.row.hall == self._hall,
-                e is holder,
+                False,
                 e.unread / max(1.0, mean_prompt),
-                saved if e is holder else 0.0,
             )
             for e in endpoints
         ]
         chosen = self._routing.choose(candidates, self._rng)
         return None if chosen is None else by_name[chosen.name]
-
-    def _holder(
-        self, call: gateway_call.Call, endpoints: list[directory.Endpoint]
-    ) -> directory.Endpoint | None:
-        """Give the endpoint that likely keeps a prompt's shared parts.
-
-        The highest hash of part and endpoint, in our own hall if that has any: all
-        gateways of a hall send the same prompts there without a word between them, and
-        when an endpoint goes only its own prompts move.
-        """
-        if not call.info.shared_parts:
-            return None
-        near = [e for e in endpoints if e.row.hall == self._hall]
-        part = call.info.shared_parts[-1][0]
-        return max(
-            near or endpoints,
-            key=lambda e: zlib.crc32(f"{part}@{e.name}".encode()),
-            default=None,
-        )
--- a/gaprock/gateway_main.py
+++ b/gaprock/gateway_main.py
@@ -1,103 +1,20 @@
-"""``gaprock-gateway``: an entry that sends to endpoints itself.
+"""``gaprock-gateway``: where the program starts; ``gateway_program`` is all of it.
 
-This module is the program: command line, settings, signals.  What a gateway consists of
-and how it stops is in ``gateway_node``.
+SIGHUP says that the settings changed, and its default ends a process.  The imports of a
+start take a second on a small machine, so it is ignored before them; the settings are
+read later anyway.
 """
 
-import argparse
-import gc
-import os
 import signal
 import sys
-import threading
-import typing
-
-from gaprock import (
-    clock,
-    errors,
-    eventlog,
-    gateway_api,
-    gateway_node,
-    options,
-    plugin,
-    signals,
-)
-
-DESCRIPTION: typing.Final = (
-    "Serves callers on a platform that writes a settings file, and sends their "
-    "requests to endpoints directly."
-)
-EXIT_DONE: typing.Final = 0
-EXIT_SETTINGS: typing.Final = 2
-SETTINGS_VARIABLE: typing.Final = "GAPROCK_SETTINGS"
-# A thread's stack, bytes; the deepest path takes a fraction of it.
-STACK_BYTES: typing.Final = 256 * 1024
-
-
-def load_options(path: str) -> options.Options:
-    """Read a settings file.
-
-    :raises errors.GaprockError: when it is not valid.
-    """
-    # The only module that knows the file's form; a connector of another platform
-    # would bring its own.
-    from gaprock.platform import settings
-
-    cfg = options.Options()
-    cfg.settings = path
-    settings.load(path, cfg)
-    return cfg
-
-
-def run(cfg: options.Options) -> None:
-    """Run a gateway until SIGTERM or SIGINT; SIGHUP reads the settings again."""
-    eventlog.start(cfg.vm, cfg.verbose, bounded=True)
-    threading.stack_size(STACK_BYTES)
-    plugin.load_all(plugin.GATEWAY_MODULES)
-    taken = signals.Signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    store = plugin.find(gateway_api.SharedStore, cfg.shared_store)
-    gateway = gateway_node.Gateway(
-        cfg,
-        clock.MonotonicClock(),
-        store(cfg.store_address),  # type: ignore[call-arg]
-        plugin.find(gateway_api.Dialect, cfg.dialect)(),
-    )
-    gateway.start()
-    # What the start made lives as long as the process; the collector need not look.
-    gc.freeze()
-    eventlog.info("started", hall=cfg.hall, listen=cfg.listen)
-    while taken.wait() == signal.SIGHUP:
-        _reload(gateway, cfg.settings)
-    gateway.stop()
-    eventlog.info("stopped")
-
-
-def _reload(gateway: gateway_node.Gateway, path: str) -> None:
-    try:
-        gateway.reload(load_options(path))
-    except errors.GaprockError as exc:
-        # What was in force stays in force.
-        eventlog.warning("reload-refused", error=exc)
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the program; give its exit code."""
-    parser = argparse.ArgumentParser("gaprock-gateway", description=DESCRIPTION)
-    parser.add_argument(
-        "--settings",
-        default=os.environ.get(SETTINGS_VARIABLE, ""),
-        help=f"path of the settings file; default ${SETTINGS_VARIABLE}",
-    )
-    args = parser.parse_args(argv)
-    try:
-        cfg = load_options(args.settings)
-    except errors.GaprockError as exc:
-        print(f"gaprock-gateway: {exc}", file=sys.stderr)
-        return EXIT_SETTINGS
-    run(cfg)
-    # Threads of callers that are cut off do not hold up the end.
-    sys.stdout.flush()
-    os._exit(EXIT_DONE)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from gaprock import gateway_program
+
+    return gateway_program.main(argv)
 
 
 if __name__ == "__main__":
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -131,7 +131,6 @@
         "same_hall",
         "holds_prefix",
         "unread",
-        "saved",
     )
 
     def __init__(
@@ -142,7 +141,6 @@
         same_hall: bool,
         holds_prefix: bool,
         unread: float = 0.0,
-        saved: float = 0.0,
     ) -> None:
         self.agent = agent
         self.load = load
@@ -153,8 +151,6 @@
         self.holds_prefix = holds_prefix
         # Prompts ahead that are not read yet, in mean prompts.
         self.unread = unread
-        # What the endpoint likely need not read again, in mean prompts.
-        self.saved = saved
 
     @property
     def name(self) -> str:
--- a/gaprock/policy_routing.py
+++ b/gaprock/policy_routing.py
@@ -18,6 +18,8 @@
 # A prompt of mean length that is not read yet holds up all that runs beside it; it
 # counts as this much of an endpoint's slots.
 UNREAD_FILL: typing.Final = 0.15
+# An endpoint that holds the prompt's prefix may be this much fuller.
+PREFIX_FILL: typing.Final = 0.1
 
 
 def expected_wait(candidate: policy_api.Candidate) -> float:
@@ -71,10 +73,8 @@
 class LeastFilled(policy_api.Routing):
     """The emptiest endpoint, where the own hall and a kept prefix count as room.
 
-    What need not be read again counts against the prompts that wait there, so a holder
-    of a long prefix is preferred until the wait is longer than the reading.  For
-    gateways, which tell each other their loads several times a second, so that the best
-    of all is better than the better of two.
+    For gateways, which tell each other their loads several times a second, so that
+    the best of all is better than the better of two.
     """
 
     __slots__ = ()
@@ -87,10 +87,11 @@
         return min(candidates, key=lambda c: (self._cost(c), rng.random()))
 
     def _cost(self, candidate: policy_api.Candidate) -> float:
-        to_read = candidate.unread - candidate.saved
-        fill = expected_fill(candidate) + UNREAD_FILL * to_read
+        fill = expected_fill(candidate) + UNREAD_FILL * candidate.unread
         if not candidate.same_hall:
             fill += HALL_FILL
+        if candidate.holds_prefix:
+            fill -= PREFIX_FILL
         return fill
 
 
--- a/gaprock/test/soak.py
+++ b/gaprock/test/soak.py
@@ -123,6 +123,9 @@
     def _recover(self) -> list[str]:
         """End all faults and wait until everything is served again."""
         self.fleet.heal()
+        for gateway in self.fleet.gateways:
+            if (code := gateway.exit_code()) is not None:
+                return [f"recovery: {gateway.name} ended by itself, code {code}"]
         if not self.fleet.wait_ready():
             return ["recovery: not all gateways became ready"]
         deadline = time.monotonic() + RECOVER_S
--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -208,6 +208,10 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def exit_code(self) -> int | None:
+        """Give the code that the process ended with; ``None`` while it runs."""
+        return self.process.poll() if self.process is not None else None
+
     def end(self, number: int) -> None:
         """Send a signal and wait for the end; a process that hangs is killed."""
         self.signal(number)
--- a/gaprock/test/testsignals.py
+++ b/gaprock/test/testsignals.py
@@ -2,12 +2,13 @@
 
 import pathlib
 import signal
+import subprocess
 import time
 import typing
 
 import pytest
 
-from gaprock.test import soak_fleet, soak_ledger
+from gaprock.test import gatewaysite, soak_fleet, soak_ledger
 
 # Signals that meet a stopped process are taken by any of its threads, by chance.
 TIMES: typing.Final = 3
@@ -33,3 +34,28 @@
         assert gateway.process.wait(soak_fleet.STOP_WAIT_S) == 0
         gateway.start()
         assert fleet.wait_ready()
+
+
+def test_a_change_of_settings_during_the_start_ends_nothing(
+    fleet: soak_fleet.Fleet,
+) -> None:
+    gateway = fleet.gateways[0]
+    gateway.end(signal.SIGKILL)
+    gateway.start()
+    assert gateway.process is not None
+    # Once the interpreter runs the program, and before its imports are done.
+    gatewaysite.wait_until(
+        lambda: ignores(gateway.process, signal.SIGHUP), "SIGHUP is ignored"
+    )
+    gateway.signal(signal.SIGHUP)
+    assert fleet.wait_ready()
+    assert gateway.process.poll() is None
+
+
+def ignores(process: "subprocess.Popen[bytes] | None", number: int) -> bool:
+    """Whether a process ignores or handles a signal, as the kernel sees it."""
+    assert process is not None
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    masks = dict(line.split(":", 1) for line in status.splitlines() if ":" in line)
+    ignored = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(ignored >> (number - 1) & 1)
