--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -375,8 +375,17 @@
                 elif gateway not in endpoint.doubters:
                     if not endpoint.doubters:
                         endpoint.doubted_at = now
+                        self._log_doubt(endpoint, gateway, now)
                     endpoint.doubters.add(gateway)
 
+    def _log_doubt(self, endpoint: Endpoint, gateway: str, now: float) -> None:
+        eventlog.info(
+            "endpoint-doubted",
+            endpoint=endpoint.name,
+            by=gateway,
+            heard_s=now - endpoint.heard_at if endpoint.heard_at else "never",
+        )
+
     def take_loads(self, gateway: str, loads: dict[str, Load]) -> None:
         """Take another gateway's requests by endpoint."""
         with self._lock:
--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -101,7 +101,7 @@
         pause_s = FIRST_PAUSE_S
         is_read = has_rested = False
         while not self._stopped.is_set():
-            self.resting = is_read and self.connected and self._may_rest()
+            self._set_resting(is_read and self.connected and self._may_rest())
             if self.resting:
                 has_rested = True
                 self._stopped.wait(REST_LOOK_S)
@@ -175,6 +175,13 @@
             changed = gateway_api.Page(fresh, page.version, page.store_now)
             self._sink.take_page(changed, whole=False)
 
+    def _set_resting(self, resting: bool) -> None:
+        if resting is self.resting:
+            return
+        self.resting = resting
+        event = "store-left-to-readers" if resting else "store-read-again"
+        eventlog.info(event, table=self.table, version=self.version)
+
     def _note_answer(self) -> None:
         if not self.connected:
             self._on_back()
