Give the soak's gateways the sites' grace time

Cause: soak seed 2022 cut a stream in a planned stop: it was taken 1.7 s after SIGTERM, would have taken 3.6 s, and the grace time was 5 s. A stop takes streams for 40 % of the grace time, which cannot hold for such a length; the users' rule leaves out those that are at work in its last sixth. Ruled out: a lost end (all twelve events had come, and the log ends with open=1). 8 s are what both sites give; the check is as strict as before.

--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -21,7 +21,9 @@
 
 DRAIN_S: typing.Final = 2.0
 CONFIG_S: typing.Final = 2.0
-GRACE_S: typing.Final = 5.0
+# As on the users' sites: a stop takes streams for 2.8 s, and the longest one of a soak
+# (LONG_EVENT_S) ends before the rest of this is over.
+GRACE_S: typing.Final = 8.0
 # Wait for a process that was told to stop, and for a ready one, seconds.
 STOP_WAIT_S: typing.Final = 20.0
 READY_WAIT_S: typing.Final = 30.0
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -13,7 +13,9 @@
 # 1000: a SIGTERM that met a paused process was taken by a thread that does not wake the
 #   main one (testsignals, a stop that meets a paused process).
 # 1031: a SIGHUP during the start ended the process (testsignals, during the start).
-FAILED: typing.Final = (1000, 1031)
+# 2022: a stream taken 1.7 s after SIGTERM was cut at the end of a grace time of 5 s,
+#   shorter than its own 3.6 s allow; the soak's grace time is that of the sites now.
+FAILED: typing.Final = (1000, 1031, 2022)
 SEEDS: typing.Final = (1, *FAILED)
 
 
