--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -176,7 +176,7 @@
         self.max_calls = 0
         # Names of the plug-ins that choose an endpoint and a model.
         self.gateway_routing = "least-filled"
-        self.model_choice = "expected-gain"
+        self.model_choice = "confidence"
         self.bounds = SiteBounds()
 
         # -- Command line --
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -179,7 +179,6 @@
     :param left_s: seconds left to the goal.
     :param climbs_left: further sends that the request and the budget allow.
     :param largest_s: seconds that the largest model's first event would take now.
-    :param usual_s: the same for a prompt of usual length; shows how busy engines are.
     """
 
     models: list[routes.ModelCost]
@@ -188,7 +187,6 @@
     left_s: float
     climbs_left: int
     largest_s: float
-    usual_s: float
 
 
 class ModelChoice(plugin.Plugin):
