End a request at once whose time is over before its send

Cause: a send that finds the time over says not run without having sent anything, and the loop took that for an endpoint without a connection and chose again, for ever: a core was used up until the caller left. Before: the new test gets no answer within its wait. After: 504, not run, at once.

--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -234,7 +234,7 @@
                 )
             except gateway_attempt.NotRun as exc:
                 # Nothing was sent to an endpoint that took no connection.
-                if call.sends == sends:
+                if call.sends == sends and self._clock.now() < call.deadline:
                     continue
                 if not self._may_send_again(call):
                     raise self._refused(call, str(exc)) from exc
--- a/gaprock/test/testgateway.py
+++ b/gaprock/test/testgateway.py
@@ -260,6 +260,17 @@
     assert fake.seen[0].closed.wait(5)
 
 
+@pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x"])
+def test_a_request_whose_time_is_over_before_its_send_ends_at_once(
+    site: gatewaysite.GatewaySite, target: str
+) -> None:
+    fake = site.add("a", "app")
+    # The send is not begun; the request once looked for an endpoint for ever then.
+    answer = site.call(target, X_Deadline_Ms="0.001")
+    assert answer.status == 504
+    assert not fake.seen
+
+
 def test_a_caller_that_leaves_stops_its_endpoints_work(
     site: gatewaysite.GatewaySite,
 ) -> None:
