Choose endpoints by what they have to read, and keep prompts where they were read

What is sent to an endpoint is noted by model and part, bounded by the engine's memory, and told to the other gateways with their beats; an endpoint's load and a candidate's cost count only what has to be read there. Ruled out: a bonus for the hall's hashed endpoint (measured before, worse when full).

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -12,7 +12,7 @@
 import threading
 import typing
 
-from gaprock import clock, eventlog, gateway_api
+from gaprock import clock, eventlog, gateway_api, prefix_cache
 
 # A leaving endpoint is used for this share of the time that it may still be sent to.
 LEAVING_SHARE: typing.Final = 0.5
@@ -34,6 +34,11 @@
 # at with a new connection, at most so often, seconds.
 SILENT_S: typing.Final = 0.5
 LOOK_EVERY_S: typing.Final = 0.5
+# Share of an engine's memory that is taken as room for parts of prompts; running
+# requests have the rest.
+CACHE_SHARE: typing.Final = 0.8
+# Prompts that are kept to be told to other gateways.
+TOLD_PROMPTS: typing.Final = 1000
 # A gateway that finds more than this share of a service dark is likely cut off itself.
 DARK_SHARE: typing.Final = 0.5
 
@@ -49,6 +54,17 @@
     reading: float
 
 
+class Prompt(typing.NamedTuple):
+    """What a send makes an endpoint read.
+
+    :param reading: what is not kept there, in tokens of the largest model.
+    :param marks: all of its parts.
+    """
+
+    reading: float
+    marks: list[prefix_cache.Mark]
+
+
 class Endpoint:
     """One endpoint; its numbers are guarded by the directory's lock."""
 
@@ -61,6 +77,7 @@
         "running",
         "reading",
         "others",
+        "cache",
         "heard_at",
         "sent_at",
         "looked_at",
@@ -87,6 +104,8 @@
         self.running = 0
         self.reading = 0.0
         self.others: dict[str, Load] = {}
+        # The parts of prompts that it likely keeps.
+        self.cache = prefix_cache.PrefixCache()
         # When bytes last came from it, and when the oldest unanswered send was.
         self.heard_at = 0.0
         self.sent_at = 0.0
@@ -139,6 +158,21 @@
         # Until when missing rows are taken for lapsed ones.
         self._lapses_until = 0.0
         self._rng = random.Random()
+        # Memory of a service's engines, in tokens.
+        self._memory: dict[str, int] = {}
+        # Prompts that we sent, as (endpoint, marks), and how many there ever were.
+        self._prompts: collections.deque[tuple[str, list[prefix_cache.Mark]]] = (
+            collections.deque(maxlen=TOLD_PROMPTS)
+        )
+        self._prompt_count = 0
+
+    def set_memory(self, tokens: dict[str, int]) -> None:
+        """Take the memory of each service's engines, in tokens."""
+        self._memory = tokens
+
+    def has_memory(self, service: str) -> bool:
+        """Whether the memory of a service's engines is known."""
+        return self._memory.get(service, 0) > 0
 
     # -- Membership --
 
@@ -255,21 +289,26 @@
 
     # -- What our requests tell --
 
-    def begin(self, endpoint: Endpoint, reading: float) -> None:
-        """Count a request that is about to be sent.
-
-        :param reading: its prompt, in tokens of the largest model.
-        """
+    def begin(self, endpoint: Endpoint, prompt: Prompt) -> None:
+        """Count a request that is about to be sent."""
         now = self._clock.now()
         with self._lock:
             if not endpoint.running:
                 endpoint.sent_at = now
             endpoint.running += 1
-            endpoint.reading += reading
+            endpoint.reading += prompt.reading
+            if prompt.marks:
+                self._use(endpoint, prompt.marks)
+                self._prompts.append((endpoint.name, prompt.marks))
+                self._prompt_count += 1
             if endpoint.paused_until and now >= endpoint.paused_until:
                 endpoint.on_trial = True
                 endpoint.is_dark = False
 
+    def _use(self, endpoint: Endpoint, marks: list[prefix_cache.Mark]) -> None:
+        room = CACHE_SHARE * self._memory.get(endpoint.row.service, 0)
+        endpoint.cache.use(marks, int(room))
+
     def read(self, endpoint: Endpoint, reading: float) -> None:
         """Note that a prompt was read, since its answer has begun."""
         with self._lock:
@@ -353,6 +392,23 @@
                 if e.running
             }
 
+    def prompts_since(
+        self, count: int
+    ) -> tuple[int, list[tuple[str, list[prefix_cache.Mark]]]]:
+        """Give our prompts after the first so many, and how many there are now."""
+        with self._lock:
+            new = min(len(self._prompts), self._prompt_count - count)
+            last = list(self._prompts)[len(self._prompts) - new :] if new else []
+            return self._prompt_count, last
+
+    def take_prompts(self, prompts: list[tuple[str, list[prefix_cache.Mark]]]) -> None:
+        """Take the prompts that another gateway sent."""
+        with self._lock:
+            for name, marks in prompts:
+                endpoint = self._endpoints.get(name)
+                if endpoint is not None:
+                    self._use(endpoint, marks)
+
     def dark(self) -> list[str]:
         """Give the endpoints that we find dark."""
         with self._lock:
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -132,12 +132,12 @@
         endpoint: directory.Endpoint,
         model: str,
         resume_after: int | None,
-        reading: float,
+        prompt: directory.Prompt,
         may_give_up: typing.Callable[[], bool],
     ) -> Attempt:
         """Send a call and wait for the head of its answer.
 
-        :param reading: the prompt, in tokens of the largest model.
+        :param prompt: what it makes the endpoint read.
         :param may_give_up: whether the call could be sent elsewhere.
         :raises NotRun: when the endpoint did not run it.
         :raises Failed: when it may have.
@@ -145,8 +145,8 @@
         """
         reply.caller.check()
         exchange = http_exchange.Exchange(endpoint.address, reply.caller, self._clock)
-        attempt = Attempt(endpoint, model, exchange, reading)
-        self._directory.begin(endpoint, reading)
+        attempt = Attempt(endpoint, model, exchange, prompt.reading)
+        self._directory.begin(endpoint, prompt)
         try:
             self._connect(call, attempt)
             self._hand_over(call, attempt, resume_after)
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -10,6 +10,7 @@
     gateway_call,
     messages,
     policy_api,
+    prefix_cache,
     rollouts,
     routes,
 )
@@ -53,11 +54,12 @@
         return self._rng.choices(pools, weights)[0].service
 
     def endpoint(
-        self, call: gateway_call.Call, reading: float
-    ) -> directory.Endpoint | None:
+        self, call: gateway_call.Call, model: str, weight: float
+    ) -> tuple[directory.Endpoint, directory.Prompt] | None:
         """Choose the endpoint of the next send; ``None`` when there is none.
 
-        :param reading: the prompt, in tokens of the largest model.
+        :param weight: the work of the model's token, that of the largest being 1.
+        :returns: the endpoint, and what the prompt makes it read.
         """
         now = self._clock.now()
         usable = self._directory.usable(call.service, call.excluded)
@@ -74,11 +76,18 @@
         )
         fitting = [e for e in fitting if e.name in narrowed]
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
-        mean = self._mean_prompt.get(call.service, reading)
-        self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (reading - mean)
-        chosen = self._best(good or fitting, mean)
+        whole = weight * call.info.tokens_in
+        mean = self._mean_prompt.get(call.service, whole)
+        self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (whole - mean)
+        marks = prefix_cache.marks_of(model, call.info.parts) if weight else []
+        readings = {
+            e.name: weight * max(0, call.info.tokens_in - e.cache.kept(marks))
+            for e in fitting
+        }
+        chosen = self._best(good or fitting, readings, mean)
         if chosen is None:
             return None
+        reading = readings[chosen.name]
         eventlog.info(
             "route",
             request=call.info.request,
@@ -90,9 +99,11 @@
             choice=chosen.name,
             load=chosen.load,
             unread=chosen.unread,
+            reading=reading,
+            whole=whole,
             heard_s=now - chosen.heard_at,
         )
-        return chosen
+        return chosen, directory.Prompt(reading, marks)
 
     def _is_avoided(
         self, call: gateway_call.Call, endpoint: directory.Endpoint, now: float
@@ -112,7 +123,10 @@
         return call.route.repeatable and self._rng.random() < TRIAL_CHANCE
 
     def _best(
-        self, endpoints: list[directory.Endpoint], mean_prompt: float
+        self,
+        endpoints: list[directory.Endpoint],
+        readings: dict[str, float],
+        mean_prompt: float,
     ) -> directory.Endpoint | None:
         by_name = {e.name: e for e in endpoints}
         candidates = [
@@ -124,7 +138,7 @@
                 0,
                 e.row.hall == self._hall,
                 False,
-                e.unread / max(1.0, mean_prompt),
+                (e.unread + readings[e.name]) / max(1.0, mean_prompt),
             )
             for e in endpoints
         ]
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -312,6 +312,8 @@
         if table is not None and table.number != self._limits_of:
             self._limits_of = table.number
             self.port.set_limits(table.limits.body_bytes, table.limits.idle_s)
+            services = table.services.values()
+            self.directory.set_memory({s.name: s.memory for s in services})
 
     def _answer_ready(self) -> tuple[int, bytes]:
         return (200 if self.is_ready and not self.leaving else 503), b""
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -219,8 +219,7 @@
         :raises gateway_call.GivenUp: when no endpoint would.
         """
         while True:
-            reading = self._reading(call, model)
-            endpoint = self._find_endpoint(call, reply, reading)
+            endpoint, prompt = self._find_endpoint(call, reply, model)
             sends = call.sends
             try:
                 attempt = self._sender.send(
@@ -229,7 +228,7 @@
                     endpoint,
                     model,
                     resume_after,
-                    reading,
+                    prompt,
                     lambda: self.may_repeat(call),
                 )
             except gateway_attempt.NotRun as exc:
@@ -267,26 +266,17 @@
             return False
         return self._budget.left(call.service, now) >= 1.0
 
-    def _reading(self, call: gateway_call.Call, model: str) -> float:
-        """Give the length of a prompt in tokens of the largest model, by price."""
-        table = self._source.table
-        service = table.services.get(call.service) if table else None
-        if service is None or not service.models:
-            return 0.0
-        dearest = max(known.cost for known in service.models)
-        cost = service.cost_of(model) if model else dearest
-        return call.info.tokens_in * cost / dearest if dearest else 0.0
-
     def _find_endpoint(
-        self, call: gateway_call.Call, reply: gateway_call.Reply, reading: float
-    ) -> directory.Endpoint:
+        self, call: gateway_call.Call, reply: gateway_call.Reply, model: str
+    ) -> tuple[directory.Endpoint, directory.Prompt]:
         """Choose an endpoint, waiting a moment for one when there is none."""
         give_up_at = self._clock.now() + WAIT_SHARE * call.route.goal_s
         give_up_at = min(give_up_at, call.deadline)
+        weight = self._weight(call, model)
         while True:
-            endpoint = self._chooser.endpoint(call, reading)
-            if endpoint is not None:
-                return endpoint
+            chosen = self._chooser.endpoint(call, model, weight)
+            if chosen is not None:
+                return chosen
             now = self._clock.now()
             if now >= give_up_at:
                 raise self._refused(call, "no usable endpoint")
@@ -296,6 +286,16 @@
                 call.excluded.clear()
             threading.Event().wait(WAIT_LOOK_S)
 
+    def _weight(self, call: gateway_call.Call, model: str) -> float:
+        """Give the work of a model's token, that of the largest being 1, by price."""
+        table = self._source.table
+        service = table.services.get(call.service) if table else None
+        if service is None or not service.models:
+            return 0.0
+        dearest = max(known.cost for known in service.models)
+        cost = service.cost_of(model) if model else dearest
+        return cost / dearest if dearest else 0.0
+
     def _refused(self, call: gateway_call.Call, detail: str) -> gateway_call.GivenUp:
         """Give a call up that no endpoint took."""
         if call.has_run:
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -62,6 +62,7 @@
         "sock",
         "heard_at",
         "tick",
+        "prompts",
         "beat",
         "asked_at",
         "beat_at",
@@ -80,6 +81,8 @@
         self.told = News((), ())
         # The evidence that it has been sent.
         self.tick = 0
+        # How many of our prompts it was told.
+        self.prompts = 0
         self.beat: mesh_messages.Beat | None = None
         self.asked_at = 0.0
 
@@ -291,6 +294,7 @@
         loads, dark = self._directory.own_loads(), self._directory.dark()
         rolls = self._rollout_news()
         for peer in peers:
+            prompt_count, prompts = self._directory.prompts_since(peer.prompts)
             tick, counters = self._evidence.since(peer.tick)
             own = [c for c in counters if c.source == self._evidence.source]
             beat = mesh_messages.Beat(
@@ -301,6 +305,7 @@
                 versions,
                 reads_store,
                 loads,
+                prompts,
                 dark,
                 rolls,
                 own,
@@ -308,6 +313,7 @@
             )
             if self._send(peer, beat):
                 peer.tick, peer.beat_at = tick, now
+                peer.prompts = prompt_count
                 reached.append(peer)
         return reached
 
@@ -340,12 +346,14 @@
         if peer.beat is None or peer.beat.incarnation != beat.incarnation:
             # A new process knows nothing of what the old one was told.
             peer.tick, peer.told = 0, News((), ())
+            peer.prompts = 0
             eventlog.info("peer-heard", peer=beat.sender, address=beat.address)
         now = self._clock.now()
         peer.name, peer.hall = beat.sender, beat.hall
         peer.beat, peer.heard_at = beat, now
         self._directory.take_loads(beat.sender, beat.loads)
         self._directory.take_dark(beat.sender, beat.dark)
+        self._directory.take_prompts(beat.prompts)
         for news in beat.rollouts:
             self._rollouts.backdate(news.service, news.revision, now - news.age_s)
             if news.halted:
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gaprock import directory, messages
+from gaprock import directory, messages, prefix_cache
 
 # Row tables that a beat gives versions of, in this order.
 TABLES: typing.Final = ("orders", "endpoints", "outcomes")
@@ -32,6 +32,7 @@
     :param versions: what its tables are up to date with, in the order of ``TABLES``.
     :param reads_store: whether it reads the store itself, and that answers.
     :param loads: what it has at each endpoint.
+    :param prompts: what it sent since the last beat to this peer, as (endpoint, marks).
     :param dark: endpoints that take no connection from it.
     :param evidence: counters that changed since the last beat to this peer.
     """
@@ -43,6 +44,7 @@
     versions: list[int]
     reads_store: bool
     loads: dict[str, directory.Load]
+    prompts: list[tuple[str, list[prefix_cache.Mark]]]
     dark: list[str]
     rollouts: list[RolloutNews]
     evidence: list[messages.Evidence]
--- a/gaprock/platform/documents.py
+++ b/gaprock/platform/documents.py
@@ -54,6 +54,7 @@
 
 class EngineDoc(msgspec.Struct, frozen=True):
     Models: list[ModelDoc] = []
+    KvCapacity: int = 0
 
 
 class ServiceDoc(msgspec.Struct, frozen=True):
@@ -170,7 +171,8 @@
 def _service(doc: ServiceDoc) -> routes.Service:
     models = doc.Engine.Models if doc.Engine else []
     costs = [routes.ModelCost(item.Name, item.Cost) for item in models]
-    return routes.Service(doc.Name, costs)
+    memory = doc.Engine.KvCapacity if doc.Engine else 0
+    return routes.Service(doc.Name, costs, memory)
 
 
 def _keys(tenants: list[TenantDoc]) -> dict[str, routes.Workspace]:
--- a/gaprock/routes.py
+++ b/gaprock/routes.py
@@ -40,13 +40,15 @@
     """A group of endpoints that do the same.
 
     :param models: the models of an engine, empty for a plain service.
+    :param memory: tokens that an engine has room for; 0 for a plain service.
     """
 
-    __slots__ = ("name", "models")
+    __slots__ = ("name", "models", "memory")
 
-    def __init__(self, name: str, models: list[ModelCost]) -> None:
+    def __init__(self, name: str, models: list[ModelCost], memory: int = 0) -> None:
         self.name = name
         self.models = models
+        self.memory = memory
 
     def cost_of(self, model: str) -> float:
         """Give the price of a model; 0 for one that the service does not list."""
--- a/gaprock/test/gatewaysite.py
+++ b/gaprock/test/gatewaysite.py
@@ -13,6 +13,7 @@
 KEY: typing.Final = "key-of-ws"
 HOST: typing.Final = "host.example"
 MODELS: typing.Final = ["small", "large"]
+COSTS: typing.Final = [{"Name": "small", "Cost": 0.01}, {"Name": "large", "Cost": 0.2}]
 
 wait_until = site.wait_until
 
@@ -42,7 +43,6 @@
 
 def config(version: int, **more: object) -> dict[str, object]:
     """Write a configuration with one route of each kind."""
-    models = [{"Name": "small", "Cost": 0.01}, {"Name": "large", "Cost": 0.2}]
     return {
         "Version": version,
         "Routes": [
@@ -50,7 +50,7 @@
             route("/safe/", "safe", "app"),
             route("/unsafe/", "unsafe", "app"),
         ],
-        "Services": [{"Name": "llm", "Engine": {"Models": models}}, {"Name": "app"}],
+        "Services": [{"Name": "llm", "Engine": {"Models": COSTS}}, {"Name": "app"}],
         "Limits": {"BodyBytes": 10_000, "IdleMs": 15_000},
         "Tenants": [{"Name": "ws", "ApiKeys": [KEY]}],
         **more,
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -163,7 +163,7 @@
 
     def hear(name: str, hall: str = "h1", reads: bool = True) -> None:
         beat = mesh_messages.Beat(
-            name, hall, name, "i", [], reads, {}, [], [], [], False
+            name, hall, name, "i", [], reads, {}, [], [], [], [], False
         )
         case.mesh._peers[name] = mesh.Peer(name, name, None, time.now())
         case.mesh._on_beat(beat)
@@ -430,7 +430,7 @@
     rollout = case.book.take_order(order(), 7, time.now())
     news = mesh_messages.RolloutNews("llm", 7, 4.0, True, 0)
     beat = mesh_messages.Beat(
-        "other", "h2", "tcp://x", "i", [], True, {}, [], [news], [], False
+        "other", "h2", "tcp://x", "i", [], True, {}, [], [], [news], [], False
     )
     again = mesh_messages.decode(mesh_messages.encode(beat))
     case.mesh._peers["tcp://x"] = mesh.Peer("other", "tcp://x", None, time.now())
--- /dev/null
+++ b/gaprock/test/testprompts.py
@@ -0,0 +1,118 @@
+"""Prompts that endpoints keep: what is remembered, told to others, and chosen by."""
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from gaprock import clock, directory, messages, policy_api, policy_routing, prefix_cache
+from gaprock.test import gatewaysite, testrouting
+from gaprock.test.fakes import backend
+
+PARTS = [("shared", 300), ("subject", 500), ("own", 200)]
+
+
+def test_a_prompt_is_kept_for_its_model_up_to_the_first_other_part() -> None:
+    cache = prefix_cache.PrefixCache()
+    cache.use(prefix_cache.marks_of("small", PARTS), 10_000)
+    other_own = [*PARTS[:2], ("other", 100)]
+    other_first = [("else", 300), *PARTS[1:]]
+    assert cache.kept(prefix_cache.marks_of("small", PARTS)) == 1000
+    assert cache.kept(prefix_cache.marks_of("small", other_own)) == 800
+    assert cache.kept(prefix_cache.marks_of("small", other_first)) == 0
+    assert cache.kept(prefix_cache.marks_of("large", PARTS)) == 0
+
+
+def test_the_part_used_longest_ago_gives_way_from_its_end() -> None:
+    cache = prefix_cache.PrefixCache()
+    old = prefix_cache.marks_of("m", [("a", 400), ("b", 400)])
+    cache.use(old, 1000)
+    cache.use(prefix_cache.marks_of("m", [("c", 500)]), 1000)
+    assert cache.kept(old) == 400
+
+
+@hypothesis.settings(derandomize=True, max_examples=100)
+@hypothesis.given(
+    st.lists(st.lists(st.tuples(st.sampled_from("abcd"), st.integers(1, 60))))
+)
+def test_no_more_is_kept_than_there_is_room(
+    prompts: list[list[tuple[str, int]]],
+) -> None:
+    cache = prefix_cache.PrefixCache()
+    seen: dict[int, int] = {}
+    for parts in prompts:
+        marks = prefix_cache.marks_of("m", parts)
+        cache.use(marks, 100)
+        seen.update(marks)
+    kept = [k for k in seen if cache.kept([prefix_cache.Mark(k, 1)])]
+    assert sum(seen[k] for k in kept) <= 100
+
+
+def fleet() -> list[directory.Directory]:
+    books = [directory.Directory(clock.ManualClock(100.0), 2.0) for _ in range(2)]
+    for book in books:
+        book.replace({"a": testrouting.row()})
+        book.set_memory({"app": 10_000})
+    return books
+
+
+def test_prompts_are_told_to_other_gateways_once() -> None:
+    here, there = fleet()
+    marks = prefix_cache.marks_of("m", PARTS)
+    count, first = here.prompts_since(0)
+    assert (count, first) == (0, [])
+    here.begin(here.usable("app", set())[0], directory.Prompt(900.0, marks))
+    count, told = here.prompts_since(0)
+    there.take_prompts(told)
+    assert there.usable("app", set())[0].cache.kept(marks) == 1000
+    assert here.prompts_since(count) == (count, [])
+
+
+def test_a_peer_that_was_told_nothing_gets_no_more_than_is_remembered() -> None:
+    here, _ = fleet()
+    endpoint = here.usable("app", set())[0]
+    for number in range(directory.TOLD_PROMPTS + 5):
+        marks = prefix_cache.marks_of("m", [(str(number), 1)])
+        here.begin(endpoint, directory.Prompt(1.0, marks))
+    count, told = here.prompts_since(0)
+    assert (count, len(told)) == (directory.TOLD_PROMPTS + 5, directory.TOLD_PROMPTS)
+    assert here.prompts_since(count - 2)[1] == told[-2:]
+
+
+def candidate(name: str, unread: float) -> policy_api.Candidate:
+    load = messages.EndpointLoad(name, "", [], 1, 0, 64, 1, 0.0)
+    return policy_api.Candidate("", load, 0, True, False, unread)
+
+
+def test_a_kept_prompt_goes_first_until_its_endpoint_has_more_to_read() -> None:
+    policy = policy_routing.LeastFilled()
+    rng = random.Random(1)
+    reads_all = candidate("reads-all", 1.0)
+    assert policy.choose([reads_all, candidate("keeps", 0.2)], rng) is not reads_all
+    assert policy.choose([reads_all, candidate("keeps", 1.2)], rng) is reads_all
+
+
+@pytest.fixture(name="site")
+def make_site() -> "gatewaysite.GatewaySite":
+    return gatewaysite.GatewaySite()
+
+
+def test_a_second_request_of_a_subject_goes_where_its_prompt_is_kept(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    with site:
+        engine = {"Models": gatewaysite.COSTS, "KvCapacity": 100_000}
+        services = [{"Name": "llm", "Engine": engine}, {"Name": "app"}]
+        site.store.put("op", "config", gatewaysite.config(2, Services=services))
+        fakes = [site.add(f"engine-{n}", "llm") for n in range(4)]
+        gatewaysite.wait_until(lambda: site.gateway.directory.has_memory("llm"), "room")
+        prompt = {"X_Token_Counts": "5000,20", "X_Prompt_Prefix": "s:4900,own:100"}
+        for fake in fakes:
+            fake.usual = backend.stream_to(3)
+        site.generate(**prompt)
+        first = [fake for fake in fakes if fake.seen]
+        for number in range(8):
+            own = f"s:4900,own{number}:100"
+            site.generate(X_Token_Counts="5000,20", X_Prompt_Prefix=own)
+        assert [fake for fake in fakes if fake.seen] == first
