Climb to the soonest model that is likely sure, and keep what is likely right

Cause: a model as likely right as wrong says 50 of 100; asking again below 70 drops answers that are good, and always the largest model reads three times what the middle one would. Change: doubtful is below 50; of the larger models those count that will likely be sure, by the gains seen in climbs; the soonest of them is asked, by what endpoints keep of the prompt. Climbing shrinks with the time that model would take.

--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -84,6 +84,7 @@
         "service",
         "model",
         "endpoint",
+        "opinion",
         "first_at",
         "wrote_at",
         "longest_gap_s",
@@ -120,6 +121,8 @@
         # What the answer came from, for the log.
         self.model = ""
         self.endpoint = ""
+        # The model that was asked last, and its confidence.
+        self.opinion: tuple[str, float | None] = ("", None)
         # When the caller got the first and the last bytes, and the longest pause
         # between two writes, seconds.
         self.first_at = 0.0
--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -178,7 +178,7 @@
     :param tokens_out: the most that is made.
     :param left_s: seconds left to the goal.
     :param climbs_left: further sends that the request and the budget allow.
-    :param largest_s: seconds that the largest model's first event would take now.
+    :param first_s: seconds that each model's first event would take now.
     """
 
     models: list[routes.ModelCost]
@@ -186,7 +186,7 @@
     tokens_out: int
     left_s: float
     climbs_left: int
-    largest_s: float
+    first_s: list[float]
 
 
 class ModelChoice(plugin.Plugin):
@@ -209,6 +209,11 @@
         """
         raise NotImplementedError
 
+    def learn(
+        self, model: str, confidence: float, larger: str, larger_confidence: float
+    ) -> None:
+        """Take what two models said of their answers to the same request."""
+
 
 class Choice(typing.NamedTuple):
     """The versions to try for a request, in order, with the reason.
