Report from the logs alone where requests were lost or late, and why

Cause: what binds had to be read out of single requests' lines. gaprock report groups the lines by request and gives each one end and one reason; a gap in the log was mended for it: the end line now names the goal, the longest pause in time and the endpoint's status, the route line its route. Ruled out: callers that met a closed port leave no line; the spans in which a process was down are listed instead.

--- a/gaprock/ctl_main.py
+++ b/gaprock/ctl_main.py
@@ -15,6 +15,7 @@
 from gaprock import (
     config,
     ctl_client,
+    ctl_report,
     documents,
     errorcodes,
     errors,
@@ -176,6 +177,10 @@
         self._show(lines)
         return EXIT_DONE if lines else EXIT_REFUSED
 
+    def report(self, args: Args) -> int:
+        """Show where requests were lost or late, from log files."""
+        return ctl_report.run(args.log, args.html)
+
     # -- Helpers --
 
     def _publish(self, kind: str, document: documents.Document, revision: int) -> int:
@@ -299,6 +304,10 @@
         "--log", action="append", help="log file to search instead, or - for input"
     )
     explain.set_defaults(run=Commands.explain)
+    report = _command(commands, "report", "show where requests were lost, from logs")
+    report.add_argument("log", nargs="*", help="log files; none or - for input")
+    report.add_argument("--html", metavar="FILE", help="write a page with plots too")
+    report.set_defaults(run=Commands.report)
     return parser
 
 
--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -85,6 +85,7 @@
         "model",
         "endpoint",
         "opinion",
+        "status",
         "first_at",
         "wrote_at",
         "longest_gap_s",
@@ -121,6 +122,8 @@
         # What the answer came from, for the log.
         self.model = ""
         self.endpoint = ""
+        # The status that the caller got from an endpoint; 0 for none.
+        self.status = 0
         # The model that was asked last, and its confidence.
         self.opinion: tuple[str, float | None] = ("", None)
         # When the caller got the first and the last bytes, and the longest pause
@@ -144,6 +147,11 @@
         """Endpoints that it may still be sent to."""
         return self.route.attempts - self.sends
 
+    @property
+    def gap_goal_s(self) -> float:
+        """The longest pause between events in time; 0 for what is no stream."""
+        return self.route.gap_s if self.route.kind is routes.RouteKind.STREAM else 0.0
+
     @property
     def goal_at(self) -> float:
         """Until when an answer has its full value."""
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -91,6 +91,7 @@
         eventlog.info(
             "route",
             request=call.info.request,
+            route=call.route.name,
             service=call.service,
             config=call.config_number,
             usable=len(usable),
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -73,6 +73,7 @@
         source, events = self._open(call, reply, sends, model, resume_after)
         try:
             head = source.attempt.head
+            call.status = head.status
             if events is None:
                 self._give_whole(call, reply, source)
                 return
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -202,6 +202,7 @@
                     self.take_repeat(call, f"status {attempt.head.status}")
                     continue
             head, body = kept
+            call.status = head.status
             call.note_write(self._clock.now())
             reply.whole(head.status, head.headers, body)
             return
@@ -361,10 +362,13 @@
             config=call.config_number if call else 0,
             sends=call.sends if call else 0,
             result=result,
+            status=call.status if call else 0,
             endpoint=call.endpoint if call and call.endpoint else "none",
             model=call.model if call and call.model else "none",
             tokens_in=call.info.tokens_in if call else 0,
             first_s=first_s,
+            goal_s=call.route.goal_s if call else 0.0,
             gap_s=call.longest_gap_s if call else 0.0,
+            gap_goal_s=call.gap_goal_s if call else 0.0,
             took_s=took_s,
         )
--- /dev/null
+++ b/gaprock/report_text.py
@@ -0,0 +1,83 @@
+"""A report as text: tables by route, by reason and by moment, and the longest waits."""
+
+import typing
+
+from gaprock import report
+
+WIDTH: typing.Final = 44
+
+
+def render(found: report.Report) -> str:
+    """Write a report."""
+    parts = [
+        _head(found),
+        _table("route", _by_route(found)),
+        _reasons(found),
+        _table("second", _by_moment(found)),
+        _longest(found),
+        _down(found),
+    ]
+    return "\n\n".join(part for part in parts if part) + "\n"
+
+
+def _head(found: report.Report) -> str:
+    lines = found.found
+    text = f"{len(found.verdicts)} requests in {lines.lines} lines"
+    count, some = lines.unread
+    if count:
+        shown = "".join(f"\n  {example}" for example in some)
+        text += f"; {count} lines could not be read, such as{shown}"
+    return text
+
+
+def _by_route(found: report.Report) -> list[tuple[str, list[int]]]:
+    return [
+        (name, [counts[ended] for ended in report.Ended])
+        for name, counts in found.by_route().items()
+    ]
+
+
+def _by_moment(found: report.Report) -> list[tuple[str, list[int]]]:
+    return [
+        (f"{moment:.0f}", [counts[ended] for ended in report.Ended])
+        for moment, counts in found.by_moment().items()
+    ]
+
+
+def _table(name: str, rows: list[tuple[str, list[int]]]) -> str:
+    titles = "".join(f"{ended.value:>13}" for ended in report.Ended)
+    lines = [f"{name:<20}{titles}"]
+    for title, counts in rows:
+        lines.append(f"{title[:19]:<20}" + "".join(f"{n:>13}" for n in counts))
+    return "\n".join(lines)
+
+
+def _reasons(found: report.Report) -> str:
+    """List the reasons, with the shares that add up to all that was not in time."""
+    reasons = found.by_reason()
+    if not reasons:
+        return "every request was answered in time"
+    total = sum(count for _, count in reasons)
+    lines = [f"why {total} requests were not answered well in time"]
+    for reason, count in reasons:
+        lines.append(f"{count:>6} {count / total:>6.1%}  {reason}")
+    return "\n".join(lines)
+
+
+def _longest(found: report.Report) -> str:
+    lines = ["longest waits for a first byte"]
+    for verdict in found.longest():
+        reason = verdict.reason or verdict.ended.value
+        lines.append(f"{verdict.waited_s:>8.2f} s  {verdict.request}  {reason}")
+    return "\n".join(lines)
+
+
+def _down(found: report.Report) -> str:
+    """List when processes took no callers; those who came then left no line."""
+    lines = []
+    for down in found.found.down:
+        since = down.since - found.found.first_at
+        word = "planned stop" if down.planned else "killed"
+        span_s = down.until - down.since
+        lines.append(f"{since:>8.1f} s  {down.process}  {word}, {span_s:.1f} s")
+    return "\n".join(["processes that were down", *lines]) if lines else ""
--- /dev/null
+++ b/gaprock/test/testreport.py
@@ -0,0 +1,204 @@
+"""The report on logs: what it says of each request, and of bad input."""
+
+import pathlib
+import typing
+
+import pytest
+
+from gaprock import ctl_main, ctl_report, logs, report, report_html, report_text
+
+GATEWAY = "gateway-1"
+
+
+def line(second: float, event: str, proc: str = GATEWAY, **fields: typing.Any) -> str:
+    """Write a line as a gateway does, with what a collector puts before it."""
+    pairs = " ".join(f"{name}={value}" for name, value in fields.items())
+    stamp = f"2026-01-01T00:00:{second:06.3f}Z"
+    return (
+        f"  {second:.4f} {proc} ts={stamp} level=INFO proc={proc} event={event} {pairs}"
+    )
+
+
+def ended(
+    second: float, request: str, result: str = "answered", **more: typing.Any
+) -> str:
+    fields: dict[str, typing.Any] = {
+        "route": "r",
+        "result": result,
+        "sends": 1,
+        "took_s": 1,
+        "goal_s": 1,
+    }
+    return line(second, "request", request=request, **(fields | more))
+
+
+def judged(*lines: str) -> report.Verdict:
+    found = report.Report(report.collect(lines))
+    assert len(found.verdicts) == 1
+    return found.verdicts[0]
+
+
+def test_a_line_is_read_whatever_stands_before_it() -> None:
+    found = logs.parse(line(1.5, "repeat", reason='"status 500, \\"x\\""', sends=2))
+    assert found is not None
+    assert (found.process, found.event) == (GATEWAY, "repeat")
+    assert found.fields["reason"] == 'status 500, "x"'
+    assert found.number("sends") == 2
+    assert logs.parse("Traceback (most recent call last):") is None
+    assert logs.parse("ts=never proc=x event=y") is None
+
+
+@pytest.mark.parametrize(
+    ("lines", "how", "reason"),
+    [
+        ([ended(2, "a", first_s=0.5)], report.Ended.IN_TIME, ""),
+        (
+            [ended(2, "a", "leaving", sends=0)],
+            report.Ended.REFUSED,
+            "refused: leaving",
+        ),
+        (
+            [
+                line(1, "send-failed", request="a", detail="deadline"),
+                ended(2, "a", "deadline-running"),
+            ],
+            report.Ended.FAILED,
+            "deadline-running: deadline",
+        ),
+        (
+            [ended(2, "a", status=500)],
+            report.Ended.FAILED,
+            "the endpoint's own failure",
+        ),
+        (
+            [
+                line(1, "route", request="a", unread=9000, reading=100),
+                line(3, "model", request="a", confidence=90),
+                ended(3, "a", first_s=2, took_s=2),
+            ],
+            report.Ended.LATE,
+            "late: the engine's queue",
+        ),
+        (
+            [
+                line(1, "route", request="a", unread=0, reading=100),
+                line(3, "model", request="a", confidence=90),
+                ended(3, "a", first_s=2, took_s=2),
+            ],
+            report.Ended.LATE,
+            "late: reading its own prompt",
+        ),
+        (
+            [ended(2, "a", first_s=0.1, gap_s=2, gap_goal_s=0.5)],
+            report.Ended.LATE,
+            "a pause between events",
+        ),
+        (
+            [
+                line(1, "model", request="a", confidence=20, climbs_left=1),
+                ended(2, "a", first_s=0.5),
+            ],
+            report.Ended.DOUBTFUL,
+            "doubtful: a larger model would be late or hold up others",
+        ),
+        (
+            [
+                line(1, "stream-cut", request="a", detail="stuck"),
+                ended(2, "a", first_s=0.5),
+            ],
+            report.Ended.FAILED,
+            "cut: stuck",
+        ),
+        (
+            [
+                line(1, "route", request="a", route="r"),
+                line(3, "started"),
+            ],
+            report.Ended.FAILED,
+            "cut: its gateway was killed",
+        ),
+        (
+            [line(1, "route", request="a", route="r")],
+            report.Ended.FAILED,
+            "open when the log ends",
+        ),
+        ([ended(2, "a", "caller-gone")], report.Ended.LEFT, "caller left"),
+    ],
+)
+def test_each_end_has_its_reason(
+    lines: list[str], how: report.Ended, reason: str
+) -> None:
+    verdict = judged(*lines)
+    assert (verdict.ended, verdict.reason) == (how, reason)
+
+
+def test_the_shares_of_the_reasons_add_up() -> None:
+    found = report.Report(
+        report.collect(
+            [ended(n, f"a{n}", "leaving", sends=0) for n in range(3)]
+            + [ended(5, "b", status=500), ended(6, "c", first_s=0.1)]
+        )
+    )
+    assert sum(count for _, count in found.by_reason()) == 4
+    text = report_text.render(found)
+    assert "75.0%  refused: leaving" in text
+    assert "25.0%  the endpoint's own failure" in text
+
+
+def test_a_planned_stop_is_told_from_a_kill() -> None:
+    found = report.collect(
+        [
+            line(1, "stopped"),
+            line(2, "started"),
+            line(3, "leaving", proc="gateway-2"),
+            line(4, "started", proc="gateway-2"),
+        ]
+    )
+    assert [(d.process, d.planned) for d in found.down] == [
+        (GATEWAY, True),
+        ("gateway-2", False),
+    ]
+
+
+def test_lines_that_cannot_be_read_are_counted_and_shown(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = tmp_path / "one.log"
+    log.write_text(f"garbage\n{ended(2, 'a', first_s=0.5)}\n\nmore garbage\n")
+    assert ctl_main.main(["report", str(log)]) == ctl_report.EXIT_DONE
+    text = capsys.readouterr().out
+    assert "2 lines could not be read" in text
+    assert "more garbage" in text
+    assert "every request was answered in time" in text
+
+
+def test_an_empty_log_and_a_missing_file_have_clear_ends(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = tmp_path / "empty.log"
+    log.write_text("")
+    assert ctl_main.main(["report", str(log)]) == ctl_report.EXIT_EMPTY
+    assert "no request in 0 lines" in capsys.readouterr().err
+    assert ctl_main.main(["report", str(tmp_path / "none")]) == ctl_report.EXIT_USAGE
+
+
+def test_the_page_stands_by_itself(tmp_path: pathlib.Path) -> None:
+    log, page = tmp_path / "one.log", tmp_path / "one.html"
+    log.write_text(ended(2, "a<b", first_s=0.5) + "\n" + ended(3, "c", status=500))
+    assert ctl_report.run([str(log)], str(page)) == ctl_report.EXIT_DONE
+    text = page.read_text()
+    assert text.count("<svg") == 2
+    assert "src=" not in text
+    assert "a&lt;b" in text
+
+
+def test_without_the_plots_library_the_page_is_refused(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    def refuse(found: report.Report) -> str:
+        raise report_html.NoPlots("pip install 'gaprock[plots]'")
+
+    monkeypatch.setattr(report_html, "render", refuse)
+    log = tmp_path / "one.log"
+    log.write_text(ended(2, "a", first_s=0.5))
+    assert ctl_report.run([str(log)], str(tmp_path / "p")) == ctl_report.EXIT_USAGE
