Open a connection between gateways anew when it goes silent

Cause: the sockets between gateways set no heartbeat of the protocol's, so an open connection that went silent for good without a reset took every beat, and nothing opened another one. Ruled out: the store's and the endpoints' connections have keep-alives and time-outs. Before: the new test waits in vain for a beat. After: it has one within 4 s. Conclusion: kept; a ping a second, about 20 bytes each way.

--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -33,6 +33,10 @@
 # Pauses before a lost connection is opened again, milliseconds.
 RECONNECT_MS: typing.Final = 200
 RECONNECT_MAX_MS: typing.Final = 2000
+# A connection on which a peer's socket answers nothing for this long, after a pause as
+# long, is opened anew, milliseconds.  One that had gone silent for good took every beat
+# and gave none to the peer; a ping and its answer are about 20 bytes.
+HEARTBEAT_MS: typing.Final = 1000
 # A gateway reads the store for others of its hall if it was heard within this time,
 # seconds, a little more than the idle beat; so many of them are enough.
 READER_HEARD_S: typing.Final = 1.3
@@ -233,13 +237,7 @@
                 self._add(context, address)
 
     def _add(self, context: typing.Any, address: str) -> None:
-        sock = context.socket(zmq.PUSH)
-        sock.setsockopt(zmq.LINGER, 0)
-        sock.setsockopt(zmq.SNDHWM, HIGH_WATER)
-        # Without a connection nothing is kept: a beat is old when it comes late.
-        sock.setsockopt(zmq.IMMEDIATE, 1)
-        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock = push_socket(context)
         sock.connect(address)
         peer = Peer("", address, sock, self._clock.now())
         with self._lock:
@@ -397,6 +395,20 @@
                     del self._peers[peer.address]
 
 
+def push_socket(context: typing.Any) -> typing.Any:
+    """Make the socket for what one peer is told."""
+    sock = context.socket(zmq.PUSH)
+    sock.setsockopt(zmq.LINGER, 0)
+    sock.setsockopt(zmq.SNDHWM, HIGH_WATER)
+    # Without a connection nothing is kept: a beat is old when it comes late.
+    sock.setsockopt(zmq.IMMEDIATE, 1)
+    sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_MS)
+    return sock
+
+
 def beat_pause(is_far: bool, far_peers: int) -> float:
     """Give the seconds between two beats to a peer while something changes.
 
--- a/gaprock/test/fakes/cutproxy.py
+++ b/gaprock/test/fakes/cutproxy.py
@@ -28,6 +28,8 @@
         # Directions whose bytes are held back, and the delay of all others, seconds.
         self.held: set[str] = set()
         self.delay_s = 0.0
+        # Connections that go on without passing anything; new ones are not among them.
+        self._mute: set[socket.socket] = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def cut(self) -> None:
@@ -49,6 +51,10 @@
                     continue
         self.cut()
 
+    def mute(self) -> None:
+        """Let the open connections go silent for good; new ones work."""
+        self._mute.update(sock for pair in self._pairs for sock in pair)
+
     def heal(self) -> None:
         """Let everything through again; what was silent is reset, as after a cut."""
         was_silent = bool(self.held) or not self.flowing.is_set()
@@ -81,6 +87,8 @@
         try:
             while data := source.recv(CHUNK):
                 self.flowing.wait()
+                if source in self._mute:
+                    continue
                 while direction in self.held:
                     time.sleep(HELD_LOOK_S)
                 time.sleep(self.delay_s)
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+import zmq
 
 from gaprock import (
     clock,
@@ -21,7 +22,7 @@
 )
 from gaprock.platform import store, wire
 from gaprock.test import gatewaysite
-from gaprock.test.fakes import metastore
+from gaprock.test.fakes import cutproxy, metastore
 
 
 @pytest.fixture
@@ -470,3 +471,32 @@
         "[TimingBounds]\nDrainMs = 1500\n"
     )
     assert gateway_program.load_options(str(path)).bounds.drain_s == 1.5
+
+
+def test_a_connection_between_gateways_that_went_silent_is_opened_anew() -> None:
+    context = zmq.Context()
+    inbox = context.socket(zmq.PULL)
+    port = inbox.bind_to_random_port("tcp://127.0.0.1")
+    proxy = cutproxy.CutProxy(port)
+    sock = mesh.push_socket(context)
+    sock.connect(proxy.address)
+
+    def is_heard() -> bool:
+        try:
+            sock.send(b"beat", zmq.NOBLOCK)
+        except zmq.Again:
+            # Not connected, or too much waits: the next try tells.
+            return False
+        return bool(inbox.poll(20)) and bool(inbox.recv())
+
+    try:
+        gatewaysite.wait_until(is_heard, "the first beat")
+        proxy.mute()
+        while inbox.poll(100):
+            inbox.recv()
+        gatewaysite.wait_until(is_heard, "a beat on a new connection")
+    finally:
+        for each in (sock, inbox):
+            each.close(linger=0)
+        context.term()
+        proxy.stop()
