Take a prompt as kept only once it was read

Cause: a prompt was noted as kept when it was sent. Ruled out: eviction; the two sends were 0.3 s apart. A send that ends without an answer leaves no mark.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -160,7 +160,7 @@
         self._rng = random.Random()
         # Memory of a service's engines, in tokens.
         self._memory: dict[str, int] = {}
-        # Prompts that we sent, as (endpoint, marks), and how many there ever were.
+        # Prompts that were read for us, as (endpoint, marks); how many there ever were.
         self._prompts: collections.deque[tuple[str, list[prefix_cache.Mark]]] = (
             collections.deque(maxlen=TOLD_PROMPTS)
         )
@@ -297,10 +297,6 @@
                 endpoint.sent_at = now
             endpoint.running += 1
             endpoint.reading += prompt.reading
-            if prompt.marks:
-                self._use(endpoint, prompt.marks)
-                self._prompts.append((endpoint.name, prompt.marks))
-                self._prompt_count += 1
             if endpoint.paused_until and now >= endpoint.paused_until:
                 endpoint.on_trial = True
                 endpoint.is_dark = False
@@ -309,10 +305,23 @@
         room = CACHE_SHARE * self._memory.get(endpoint.row.service, 0)
         endpoint.cache.use(marks, int(room))
 
-    def read(self, endpoint: Endpoint, reading: float) -> None:
-        """Note that a prompt was read, since its answer has begun."""
+    def read(self, endpoint: Endpoint, prompt: Prompt) -> None:
+        """Note that a prompt was read, since its answer has begun.
+
+        Only now is it kept: a prompt that comes while another of the same subject is
+        being read is read as well.
+        """
+        with self._lock:
+            endpoint.reading -= prompt.reading
+            if prompt.marks:
+                self._use(endpoint, prompt.marks)
+                self._prompts.append((endpoint.name, prompt.marks))
+                self._prompt_count += 1
+
+    def unread(self, endpoint: Endpoint, prompt: Prompt) -> None:
+        """Note that a prompt will not be read, since its send is over."""
         with self._lock:
-            endpoint.reading -= reading
+            endpoint.reading -= prompt.reading
 
     def end(self, endpoint: Endpoint) -> None:
         """Count a request that is done with."""
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -59,7 +59,7 @@
         "head",
         "sent_at",
         "tokens_ahead",
-        "_reading",
+        "_prompt",
         "_done",
     )
 
@@ -68,24 +68,24 @@
         endpoint: directory.Endpoint,
         model: str,
         exchange: http_exchange.Exchange,
-        reading: float,
+        prompt: directory.Prompt,
     ) -> None:
         self.endpoint = endpoint
         self.model = model
         self.exchange = exchange
         # Unread tokens at the endpoint when it was sent, its own prompt included.
         self.tokens_ahead = 0.0
-        # Its prompt, while that is not read, in tokens of the largest model.
-        self._reading = reading
+        # Its prompt, while that is not read.
+        self._prompt: directory.Prompt | None = prompt
         self.head: gateway_api.AnswerHead
         self.sent_at = 0.0
         self._done = False
 
     def note_read(self, directory_: directory.Directory) -> None:
         """Note that the endpoint has read the prompt; again does nothing."""
-        reading, self._reading = self._reading, 0.0
-        if reading:
-            directory_.read(self.endpoint, reading)
+        prompt, self._prompt = self._prompt, None
+        if prompt is not None:
+            directory_.read(self.endpoint, prompt)
 
     def read_whole(self, deadline: float) -> bytes:
         """Read the body to its end.
@@ -105,7 +105,9 @@
         if self._done:
             return
         self._done = True
-        self.note_read(directory_)
+        prompt, self._prompt = self._prompt, None
+        if prompt is not None:
+            directory_.unread(self.endpoint, prompt)
         self.exchange.close()
         directory_.end(self.endpoint)
 
@@ -145,7 +147,7 @@
         """
         reply.caller.check()
         exchange = http_exchange.Exchange(endpoint.address, reply.caller, self._clock)
-        attempt = Attempt(endpoint, model, exchange, prompt.reading)
+        attempt = Attempt(endpoint, model, exchange, prompt)
         self._directory.begin(endpoint, prompt)
         try:
             self._connect(call, attempt)
@@ -213,9 +215,9 @@
                 self._directory.answered(endpoint, failed=True)
                 raise Failed(str(exc)) from exc
         self._directory.heard(endpoint)
-        attempt.note_read(self._directory)
         attempt.head = self._dialect.read_answer(raw.status, raw.headers)
         self._check_head(call, attempt)
+        attempt.note_read(self._directory)
 
     def _look(
         self,
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -32,7 +32,8 @@
     :param versions: what its tables are up to date with, in the order of ``TABLES``.
     :param reads_store: whether it reads the store itself, and that answers.
     :param loads: what it has at each endpoint.
-    :param prompts: what it sent since the last beat to this peer, as (endpoint, marks).
+    :param prompts: what endpoints read for it since the last beat to this peer, as
+        (endpoint, marks).
     :param dark: endpoints that take no connection from it.
     :param evidence: counters that changed since the last beat to this peer.
     """
--- a/gaprock/test/testprompts.py
+++ b/gaprock/test/testprompts.py
@@ -62,7 +62,12 @@
     marks = prefix_cache.marks_of("m", PARTS)
     count, first = here.prompts_since(0)
     assert (count, first) == (0, [])
-    here.begin(here.usable("app", set())[0], directory.Prompt(900.0, marks))
+    endpoint, prompt = here.usable("app", set())[0], directory.Prompt(900.0, marks)
+    here.begin(endpoint, prompt)
+    # What is only being read is no help for another one yet.
+    assert endpoint.cache.kept(marks) == 0
+    assert here.prompts_since(0) == (0, [])
+    here.read(endpoint, prompt)
     count, told = here.prompts_since(0)
     there.take_prompts(told)
     assert there.usable("app", set())[0].cache.kept(marks) == 1000
@@ -74,12 +79,22 @@
     endpoint = here.usable("app", set())[0]
     for number in range(directory.TOLD_PROMPTS + 5):
         marks = prefix_cache.marks_of("m", [(str(number), 1)])
-        here.begin(endpoint, directory.Prompt(1.0, marks))
+        here.read(endpoint, directory.Prompt(1.0, marks))
     count, told = here.prompts_since(0)
     assert (count, len(told)) == (directory.TOLD_PROMPTS + 5, directory.TOLD_PROMPTS)
     assert here.prompts_since(count - 2)[1] == told[-2:]
 
 
+def test_a_send_that_brought_no_answer_leaves_nothing_behind() -> None:
+    here, _ = fleet()
+    endpoint = here.usable("app", set())[0]
+    prompt = directory.Prompt(900.0, prefix_cache.marks_of("m", PARTS))
+    here.begin(endpoint, prompt)
+    here.unread(endpoint, prompt)
+    assert endpoint.reading == 0.0
+    assert endpoint.cache.kept(prompt.marks) == 0
+
+
 def candidate(name: str, unread: float) -> policy_api.Candidate:
     load = messages.EndpointLoad(name, "", [], 1, 0, 64, 1, 0.0)
     return policy_api.Candidate("", load, 0, True, False, unread)
--- a/gaprock/test/testrouting.py
+++ b/gaprock/test/testrouting.py
@@ -214,7 +214,7 @@
     book.begin(endpoint, directory.Prompt(500.0, []))
     book.take_loads("other", {"a": directory.Load(2, 300.0)})
     assert (endpoint.load, endpoint.unread) == (3, 800.0)
-    book.read(endpoint, 500.0)
+    book.read(endpoint, directory.Prompt(500.0, []))
     book.end(endpoint)
     book.take_loads("other", {})
     assert (endpoint.load, endpoint.unread) == (0, 0.0)
