Take readiness back from a gateway that takes no new connection

Cause: readiness asked only what is known; a gateway whose accepting thread had ended said ready while the system's queue took callers that nobody served. Ruled out: busy threads and used-up descriptors, which leave the accepting thread at work (refusals come from spare threads). Before: the new test sees 200 for ever. After: 503, and a not-accepting line a second.

--- a/gaprock/gateway_http.py
+++ b/gaprock/gateway_http.py
@@ -193,10 +193,20 @@
         self._is_low = threading.Event()
         self._server.ConnectionClass = Connection
         self._server.keep_alive_conn_limit = max_resting
+        self._accepting: threading.Thread | None = None
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new connections are taken.
+
+        Without the thread that takes them, the system's queue still does, and callers
+        wait for an answer that never comes.
+        """
+        return self._accepting is not None and self._accepting.is_alive()
 
     def start(self) -> None:
         """Begin to listen."""
-        _start(self._server)
+        self._accepting = _start(self._server)
         threading.Thread(target=self._grow, name="grow", daemon=True).start()
 
     def _grow(self) -> None:
@@ -323,11 +333,16 @@
     eventlog.warning("http-server", detail=msg, place=place or "none")
 
 
-def _start(server: typing.Any) -> None:
-    """Open the port, and serve on threads."""
+def _start(server: typing.Any) -> threading.Thread:
+    """Open the port, and serve on threads.
+
+    :returns: the thread that takes new connections.
+    """
     server.prepare()
     name = f"http-{server.bind_addr[1]}"
-    threading.Thread(target=server.serve, name=name, daemon=True).start()
+    thread = threading.Thread(target=server.serve, name=name, daemon=True)
+    thread.start()
+    return thread
 
 
 def parse_address(text: str) -> tuple[str, int]:
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -306,6 +306,8 @@
             self.writer.step()
 
     def _keep_house(self) -> None:
+        if not self.port.is_accepting:
+            eventlog.warning("not-accepting", open=self.server.open_calls)
         self.directory.forget_gone()
         self.budget.members = 1 + len(self.mesh.living())
         table = self.orders.table
@@ -316,7 +318,8 @@
             self.directory.set_memory({s.name: s.memory for s in services})
 
     def _answer_ready(self) -> tuple[int, bytes]:
-        return (200 if self.is_ready and not self.leaving else 503), b""
+        is_ready = self.is_ready and self.port.is_accepting and not self.leaving
+        return (200 if is_ready else 503), b""
 
     def _answer_metrics(self) -> tuple[int, bytes]:
         table = self.orders.table
--- a/gaprock/test/testgateway.py
+++ b/gaprock/test/testgateway.py
@@ -467,6 +467,14 @@
         return gatewaysite.Answer(gatewaysite.read_all(sock)).status
 
 
+def test_a_gateway_that_takes_no_connection_is_not_ready(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    gatewaysite.wait_until(lambda: ready_status(site) == 200, "ready")
+    site.gateway.port.stop()
+    gatewaysite.wait_until(lambda: ready_status(site) == 503, "not ready")
+
+
 def test_readiness_follows_what_is_known_and_a_stop() -> None:
     site = gatewaysite.GatewaySite(short_grace)
     site.gateway.start()
