Let what waits at an engine fall with time, learn models' weights, switch mechanisms

Cause: a prompt counted as unread in full until its first event, so an engine that had nearly read a long one looked as full as at its start, and prompts went to other halls without need. A smaller model's token was weighed by its price (7 % and 51 % of the largest), while engines read it in 10 % and 27 % of the time. Change: an endpoint's backlog falls at 0.6 of the learned pace since something was last read, to a fifth at least; weights are learned from prompts that had nothing ahead. The switches for measuring come with it, since they are read there.

Unknown names are refused at the start.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -12,7 +12,15 @@
 import threading
 import typing
 
-from gaprock import clock, eventlog, gateway_api, prefix_cache
+from gaprock import (
+    backlog,
+    clock,
+    eventlog,
+    gateway_api,
+    mechanisms,
+    prefix_cache,
+    reading_pace,
+)
 
 # A leaving endpoint is used for this share of the time that it may still be sent to.
 LEAVING_SHARE: typing.Final = 0.5
@@ -59,10 +67,12 @@
 
     :param reading: what is not kept there, in tokens of the largest model.
     :param marks: all of its parts.
+    :param tokens: what is not kept there, in tokens of its own model.
     """
 
     reading: float
     marks: list[prefix_cache.Mark]
+    tokens: int = 0
 
 
 class Endpoint:
@@ -75,7 +85,7 @@
         "row_gone",
         "lapsed",
         "running",
-        "reading",
+        "backlog",
         "others",
         "cache",
         "heard_at",
@@ -102,8 +112,9 @@
         self.lapsed = False
         # Requests of ours, and of other gateways by their names.
         self.running = 0
-        self.reading = 0.0
         self.others: dict[str, Load] = {}
+        # The prompts of all gateways that it has not read yet.
+        self.backlog = backlog.Backlog()
         # The parts of prompts that it likely keeps.
         self.cache = prefix_cache.PrefixCache()
         # When bytes last came from it, and when the oldest unanswered send was.
@@ -132,11 +143,6 @@
         """Requests that all gateways together have there."""
         return self.running + sum(load.running for load in self.others.values())
 
-    @property
-    def unread(self) -> float:
-        """Prompts that all gateways together have there and that are not read yet."""
-        return self.reading + sum(load.reading for load in self.others.values())
-
     @property
     def is_doubted(self) -> bool:
         """Whether others find it dark and it has told us nothing since."""
@@ -158,6 +164,8 @@
         # Until when missing rows are taken for lapsed ones.
         self._lapses_until = 0.0
         self._rng = random.Random()
+        # How fast the engines read.
+        self.pace = reading_pace.ReadingPace()
         # Memory of a service's engines, in tokens.
         self._memory: dict[str, int] = {}
         # Prompts that were read for us, as (endpoint, marks); how many there ever were.
@@ -270,6 +278,8 @@
 
     def is_set_aside(self, endpoint: Endpoint, now: float) -> bool:
         """Whether an endpoint is paused, or its trial request is not back yet."""
+        if not mechanisms.SET_ASIDE.on:
+            return False
         if now < endpoint.paused_until or endpoint.on_trial:
             return True
         return self.fails_often(endpoint)
@@ -296,7 +306,7 @@
             if not endpoint.running:
                 endpoint.sent_at = now
             endpoint.running += 1
-            endpoint.reading += prompt.reading
+            endpoint.backlog.add(prompt.reading, now)
             if endpoint.paused_until and now >= endpoint.paused_until:
                 endpoint.on_trial = True
                 endpoint.is_dark = False
@@ -312,16 +322,24 @@
         being read is read as well.
         """
         with self._lock:
-            endpoint.reading -= prompt.reading
+            endpoint.backlog.remove(prompt.reading, self._clock.now())
             if prompt.marks:
                 self._use(endpoint, prompt.marks)
                 self._prompts.append((endpoint.name, prompt.marks))
                 self._prompt_count += 1
 
-    def unread(self, endpoint: Endpoint, prompt: Prompt) -> None:
+    def drop(self, endpoint: Endpoint, prompt: Prompt) -> None:
         """Note that a prompt will not be read, since its send is over."""
         with self._lock:
-            endpoint.reading -= prompt.reading
+            endpoint.backlog.remove(prompt.reading, self._clock.now())
+
+    def unread(self, endpoint: Endpoint) -> float:
+        """Give what an endpoint likely has to read, in tokens of the largest model."""
+        tokens_per_s = self.pace.tokens_per_s(endpoint.row.service)
+        with self._lock:
+            if not mechanisms.BACKLOG_FALLS.on:
+                return endpoint.backlog.told
+            return endpoint.backlog.left(self._clock.now(), tokens_per_s)
 
     def end(self, endpoint: Endpoint) -> None:
         """Count a request that is done with."""
@@ -338,6 +356,8 @@
 
     def claim_look(self, endpoint: Endpoint) -> bool:
         """Whether a silent endpoint is to be looked at now, by this caller."""
+        if not mechanisms.LOOKS.on:
+            return False
         now = self._clock.now()
         with self._lock:
             if not endpoint.silent(now) or now < endpoint.looked_at + LOOK_EVERY_S:
@@ -396,7 +416,7 @@
         """Give what we have at each endpoint."""
         with self._lock:
             return {
-                e.name: Load(e.running, round(e.reading))
+                e.name: Load(e.running, round(e.backlog.own))
                 for e in self._endpoints.values()
                 if e.running
             }
@@ -412,6 +432,8 @@
 
     def take_prompts(self, prompts: list[tuple[str, list[prefix_cache.Mark]]]) -> None:
         """Take the prompts that another gateway sent."""
+        if not mechanisms.TOLD_PROMPTS.on:
+            return
         with self._lock:
             for name, marks in prompts:
                 endpoint = self._endpoints.get(name)
@@ -425,6 +447,8 @@
 
     def take_dark(self, gateway: str, names: typing.Collection[str]) -> None:
         """Take the endpoints that another gateway finds dark."""
+        if not mechanisms.DOUBTED.on:
+            return
         now = self._clock.now()
         with self._lock:
             sizes: dict[str, int] = collections.Counter()
@@ -453,9 +477,13 @@
 
     def take_loads(self, gateway: str, loads: dict[str, Load]) -> None:
         """Take another gateway's requests by endpoint."""
+        if not mechanisms.TOLD_LOADS.on:
+            return
+        now = self._clock.now()
         with self._lock:
             for endpoint in self._endpoints.values():
                 load = loads.get(endpoint.name)
+                endpoint.backlog.take(gateway, load.reading if load else 0.0, now)
                 if load is not None:
                     endpoint.others[gateway] = load
                 else:
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -58,8 +58,9 @@
         "exchange",
         "head",
         "sent_at",
-        "tokens_ahead",
-        "_prompt",
+        "ahead",
+        "prompt",
+        "_is_waiting",
         "_done",
     )
 
@@ -73,19 +74,25 @@
         self.endpoint = endpoint
         self.model = model
         self.exchange = exchange
-        # Unread tokens at the endpoint when it was sent, its own prompt included.
-        self.tokens_ahead = 0.0
-        # Its prompt, while that is not read.
-        self._prompt: directory.Prompt | None = prompt
+        # Unread tokens at the endpoint when it was sent.
+        self.ahead = 0.0
+        self.prompt = prompt
+        # Whether the prompt still counts as unread.
+        self._is_waiting = True
         self.head: gateway_api.AnswerHead
         self.sent_at = 0.0
         self._done = False
 
     def note_read(self, directory_: directory.Directory) -> None:
         """Note that the endpoint has read the prompt; again does nothing."""
-        prompt, self._prompt = self._prompt, None
-        if prompt is not None:
-            directory_.read(self.endpoint, prompt)
+        if self._is_waiting:
+            self._is_waiting = False
+            directory_.read(self.endpoint, self.prompt)
+
+    @property
+    def tokens_ahead(self) -> float:
+        """Unread tokens when it was sent, its own prompt included."""
+        return self.ahead + self.prompt.reading
 
     def read_whole(self, deadline: float) -> bytes:
         """Read the body to its end.
@@ -105,9 +112,9 @@
         if self._done:
             return
         self._done = True
-        prompt, self._prompt = self._prompt, None
-        if prompt is not None:
-            directory_.unread(self.endpoint, prompt)
+        if self._is_waiting:
+            self._is_waiting = False
+            directory_.drop(self.endpoint, self.prompt)
         self.exchange.close()
         directory_.end(self.endpoint)
 
@@ -148,6 +155,7 @@
         reply.caller.check()
         exchange = http_exchange.Exchange(endpoint.address, reply.caller, self._clock)
         attempt = Attempt(endpoint, model, exchange, prompt)
+        attempt.ahead = self._directory.unread(endpoint)
         self._directory.begin(endpoint, prompt)
         try:
             self._connect(call, attempt)
@@ -192,7 +200,6 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         call.sends += 1
         attempt.sent_at = now
-        attempt.tokens_ahead = attempt.endpoint.unread
         attempt.exchange.send(call.inbound.method, call.inbound.target, headers, body)
 
     def _await_head(
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -8,6 +8,7 @@
     directory,
     eventlog,
     gateway_call,
+    mechanisms,
     messages,
     policy_api,
     prefix_cache,
@@ -26,6 +27,7 @@
     """The choice of services and endpoints; safe for all threads.
 
     :param hall: the hall that this gateway stands in.
+    :param services: the services of the configuration in force, by name.
     """
 
     def __init__(
@@ -35,12 +37,14 @@
         directory_: directory.Directory,
         rollouts_: rollouts.Rollouts,
         routing: policy_api.Routing,
+        services: typing.Callable[[], dict[str, routes.Service]],
     ) -> None:
         self._hall = hall
         self._clock = clock_
         self._directory = directory_
         self._rollouts = rollouts_
         self._routing = routing
+        self._services = services
         self._rng = random.Random()
         # Mean length of a service's prompts, in tokens of the largest model.
         self._mean_prompt: dict[str, float] = {}
@@ -54,11 +58,11 @@
         return self._rng.choices(pools, weights)[0].service
 
     def endpoint(
-        self, call: gateway_call.Call, model: str, weight: float
+        self, call: gateway_call.Call, model: str
     ) -> tuple[directory.Endpoint, directory.Prompt] | None:
         """Choose the endpoint of the next send; ``None`` when there is none.
 
-        :param weight: the work of the model's token, that of the largest being 1.
+        :param model: the model that is asked; empty for the one that the caller named.
         :returns: the endpoint, and what the prompt makes it read.
         """
         now = self._clock.now()
@@ -76,18 +80,19 @@
         )
         fitting = [e for e in fitting if e.name in narrowed]
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
+        service = self._services().get(call.service)
+        weight = self._directory.pace.weight(service, model) if service else 0.0
         whole = weight * call.info.tokens_in
         mean = self._mean_prompt.get(call.service, whole)
         self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (whole - mean)
-        marks = prefix_cache.marks_of(model, call.info.parts) if weight else []
-        readings = {
-            e.name: weight * max(0, call.info.tokens_in - e.cache.kept(marks))
-            for e in fitting
-        }
-        chosen = self._best(good or fitting, readings, mean)
+        marks: list[prefix_cache.Mark] = []
+        if weight and mechanisms.KEPT_PROMPTS.on:
+            marks = prefix_cache.marks_of(model, call.info.parts)
+        prompts = {e.name: self._prompt(call, e, marks, weight) for e in fitting}
+        chosen = self._best(good or fitting, prompts, mean)
         if chosen is None:
             return None
-        reading = readings[chosen.name]
+        prompt = prompts[chosen.name]
         eventlog.info(
             "route",
             request=call.info.request,
@@ -99,12 +104,23 @@
             good=len(good),
             choice=chosen.name,
             load=chosen.load,
-            unread=chosen.unread,
-            reading=reading,
+            unread=self._directory.unread(chosen),
+            reading=prompt.reading,
             whole=whole,
             heard_s=now - chosen.heard_at,
         )
-        return chosen, directory.Prompt(reading, marks)
+        return chosen, prompt
+
+    def _prompt(
+        self,
+        call: gateway_call.Call,
+        endpoint: directory.Endpoint,
+        marks: list[prefix_cache.Mark],
+        weight: float,
+    ) -> directory.Prompt:
+        """Give what a call would make an endpoint read."""
+        tokens = max(0, call.info.tokens_in - endpoint.cache.kept(marks))
+        return directory.Prompt(weight * tokens, marks, tokens)
 
     def _is_avoided(
         self, call: gateway_call.Call, endpoint: directory.Endpoint, now: float
@@ -126,7 +142,7 @@
     def _best(
         self,
         endpoints: list[directory.Endpoint],
-        readings: dict[str, float],
+        prompts: dict[str, directory.Prompt],
         mean_prompt: float,
     ) -> directory.Endpoint | None:
         by_name = {e.name: e for e in endpoints}
@@ -139,7 +155,8 @@
                 0,
                 e.row.hall == self._hall,
                 False,
-                (e.unread + readings[e.name]) / max(1.0, mean_prompt),
+                (self._directory.unread(e) + prompts[e.name].reading)
+                / max(1.0, mean_prompt),
             )
             for e in endpoints
         ]
--- a/gaprock/gateway_models.py
+++ b/gaprock/gateway_models.py
@@ -11,9 +11,9 @@
     eventlog,
     gateway_attempt,
     gateway_call,
+    mechanisms,
     policy_api,
     prefix_cache,
-    reading_pace,
     retry_window,
     rollouts,
     routes,
@@ -36,7 +36,6 @@
         "_choice",
         "_budget",
         "_services",
-        "_pace",
     )
 
     def __init__(
@@ -54,7 +53,6 @@
         self._choice = choice
         self._budget = budget
         self._services = services
-        self._pace = reading_pace.ReadingPace()
 
     def first(self, call: gateway_call.Call) -> str:
         """Choose the model; empty where the caller named it."""
@@ -106,8 +104,15 @@
     ) -> None:
         """Learn from the time to a first event."""
         took_s = self._clock.now() - attempt.sent_at
-        if not self._rollouts.is_unproved(call.service, attempt.endpoint.row.version):
-            self._pace.observe(call.service, attempt.tokens_ahead, took_s)
+        if self._rollouts.is_unproved(call.service, attempt.endpoint.row.version):
+            return
+        pace = self._directory.pace
+        pace.observe(call.service, attempt.tokens_ahead, took_s)
+        service = self._services().get(call.service)
+        if service is not None and attempt.model and attempt.prompt.reading:
+            ahead_share = attempt.ahead / attempt.prompt.reading
+            tokens = attempt.prompt.tokens
+            pace.observe_model(service, attempt.model, tokens, ahead_share, took_s)
 
     def expect_first(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
@@ -115,7 +120,7 @@
         """Give the seconds that a send's first event was expected to take, if known."""
         if not attempt.tokens_ahead:
             return None
-        return self._pace.expect(call.service, attempt.tokens_ahead)
+        return self._directory.pace.expect(call.service, attempt.tokens_ahead)
 
     def _ask(self, call: gateway_call.Call) -> policy_api.ModelAsk:
         service = self._services().get(call.service)
@@ -124,8 +129,8 @@
             known.get(name, routes.ModelCost(name, 0.0)) for name in call.route.models
         ]
         now = self._clock.now()
-        dearest = max((m.cost for m in models), default=0.0) or 1.0
-        budget_left = int(self._budget.left(call.service, now) - CLIMB_RESERVE)
+        reserve = CLIMB_RESERVE if mechanisms.CLIMB_RESERVE.on else 0.0
+        budget_left = int(self._budget.left(call.service, now) - reserve)
         # Before the first send, that send itself is not a climb.
         sends_left = call.sends_left if call.sends else call.sends_left - 1
         return policy_api.ModelAsk(
@@ -134,17 +139,23 @@
             call.info.tokens_out,
             call.goal_at - now,
             max(0, min(sends_left, budget_left)),
-            [self._first_s(call, m.name, m.cost / dearest) for m in models],
+            [self._first_s(call, service, m.name) if service else 0.0 for m in models],
         )
 
-    def _first_s(self, call: gateway_call.Call, model: str, weight: float) -> float:
+    def _first_s(
+        self, call: gateway_call.Call, service: routes.Service, model: str
+    ) -> float:
         """Give the seconds that a model's first event would take where it is least."""
-        marks = prefix_cache.marks_of(model, call.info.parts)
+        weight = self._directory.pace.weight(service, model)
+        marks: list[prefix_cache.Mark] = []
+        if mechanisms.KEPT_PROMPTS.on:
+            marks = prefix_cache.marks_of(model, call.info.parts)
         tokens = min(
             (
-                e.unread + weight * max(0, call.info.tokens_in - e.cache.kept(marks))
+                self._directory.unread(e)
+                + weight * max(0, call.info.tokens_in - e.cache.kept(marks))
                 for e in self._directory.usable(call.service, call.excluded)
             ),
             default=weight * call.info.tokens_in,
         )
-        return self._pace.expect(call.service, tokens)
+        return self._directory.pace.expect(call.service, tokens)
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -36,6 +36,7 @@
     retry_window,
     rollout_writer,
     rollouts,
+    routes,
 )
 
 METRICS_PATH: typing.Final = "/metrics"
@@ -244,6 +245,7 @@
             self.directory,
             self.rollouts,
             plugin.find(policy_api.Routing, cfg.gateway_routing)(),
+            self._services,
         )
         sender = gateway_attempt.Sender(
             self.clock, self.dialect, self.directory, self.metrics
@@ -254,7 +256,7 @@
             self.rollouts,
             plugin.find(policy_api.ModelChoice, cfg.model_choice)(),
             self.budget,
-            lambda: self.orders.table.services if self.orders.table else {},
+            self._services,
         )
         relay = gateway_relay.Relay(
             self.clock,
@@ -277,6 +279,10 @@
             lambda: self.is_ready,
         )
 
+    def _services(self) -> dict[str, routes.Service]:
+        """Give the services of the configuration in force, by name."""
+        return self.orders.table.services if self.orders.table else {}
+
     def _max_calls(self) -> int:
         if self.cfg.max_calls:
             return self.cfg.max_calls
--- a/gaprock/gateway_program.py
+++ b/gaprock/gateway_program.py
@@ -18,6 +18,7 @@
     eventlog,
     gateway_api,
     gateway_node,
+    mechanisms,
     options,
     plugin,
     signals,
@@ -87,11 +88,18 @@
         default=os.environ.get(SETTINGS_VARIABLE, ""),
         help=f"path of the settings file; default ${SETTINGS_VARIABLE}",
     )
+    parser.add_argument(
+        "--without",
+        default="",
+        metavar="NAME,...",
+        help="mechanisms to switch off, to measure what they are worth",
+    )
     args = parser.parse_args(argv)
     # Before the settings are read, so that no change of them is missed.
     taken = signals.Signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     try:
         cfg = load_options(args.settings)
+        mechanisms.switch_off(filter(None, args.without.split(",")))
     except errors.GaprockError as exc:
         print(f"gaprock-gateway: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -273,9 +273,8 @@
         """Choose an endpoint, waiting a moment for one when there is none."""
         give_up_at = self._clock.now() + WAIT_SHARE * call.route.goal_s
         give_up_at = min(give_up_at, call.deadline)
-        weight = self._weight(call, model)
         while True:
-            chosen = self._chooser.endpoint(call, model, weight)
+            chosen = self._chooser.endpoint(call, model)
             if chosen is not None:
                 return chosen
             now = self._clock.now()
@@ -287,16 +286,6 @@
                 call.excluded.clear()
             threading.Event().wait(WAIT_LOOK_S)
 
-    def _weight(self, call: gateway_call.Call, model: str) -> float:
-        """Give the work of a model's token, that of the largest being 1, by price."""
-        table = self._source.table
-        service = table.services.get(call.service) if table else None
-        if service is None or not service.models:
-            return 0.0
-        dearest = max(known.cost for known in service.models)
-        cost = service.cost_of(model) if model else dearest
-        return cost / dearest if dearest else 0.0
-
     def _refused(self, call: gateway_call.Call, detail: str) -> gateway_call.GivenUp:
         """Give a call up that no endpoint took."""
         if call.has_run:
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -17,7 +17,16 @@
 import msgspec
 import zmq
 
-from gaprock import clock, directory, eventlog, evidence, ids, mesh_messages, rollouts
+from gaprock import (
+    clock,
+    directory,
+    eventlog,
+    evidence,
+    ids,
+    mechanisms,
+    mesh_messages,
+    rollouts,
+)
 
 # Pause between beats while something changes, and otherwise, seconds.
 BUSY_BEAT_S: typing.Final = 0.2
@@ -183,6 +192,8 @@
 
         Only those before us by name count, so that the first ones always read.
         """
+        if not mechanisms.READERS.on:
+            return False
         since = self._clock.now() - READER_HEARD_S
         with self._lock:
             readers = [
--- a/gaprock/policy_models.py
+++ b/gaprock/policy_models.py
@@ -7,7 +7,7 @@
 
 import typing
 
-from gaprock import plugin, policy_api
+from gaprock import mechanisms, plugin, policy_api
 
 # Answers with less confidence than this are asked for again, 0 to 100: a model that is
 # as likely wrong as right says so much.  The further site's worth was 0.012 (+- 0.005)
@@ -72,6 +72,8 @@
         larger = self._likely_sure(ask, names, model, confidence)
         first_s = ask.first_s[names.index(larger)]
         relief = (first_s / ask.left_s - CALM) / (STRAINED - CALM)
+        if not mechanisms.STRAIN.on:
+            relief = 0.0
         if confidence >= DOUBTFUL * (1.0 - min(1.0, max(0.0, relief))):
             return None
         return larger
@@ -84,6 +86,8 @@
         A model that has the prompt already goes before a smaller one that has not.
         """
         likely = [names[-1]]
+        if not mechanisms.MIDDLE_MODELS.on:
+            return names[-1]
         for larger in names[names.index(model) + 1 : -1]:
             total, count = self._gain(model, larger)
             if confidence + total / count >= DOUBTFUL:
--- a/gaprock/policy_routing.py
+++ b/gaprock/policy_routing.py
@@ -7,7 +7,7 @@
 import random
 import typing
 
-from gaprock import plugin, policy_api
+from gaprock import mechanisms, plugin, policy_api
 
 # An endpoint that likely holds the prompt's prefix may be this much more loaded.
 PREFIX_TOLERANCE: typing.Final = 1.25
@@ -87,8 +87,10 @@
         return min(candidates, key=lambda c: (self._cost(c), rng.random()))
 
     def _cost(self, candidate: policy_api.Candidate) -> float:
-        fill = expected_fill(candidate) + UNREAD_FILL * candidate.unread
-        if not candidate.same_hall:
+        fill = expected_fill(candidate)
+        if mechanisms.UNREAD.on:
+            fill += UNREAD_FILL * candidate.unread
+        if not candidate.same_hall and mechanisms.HALL.on:
             fill += HALL_FILL
         if candidate.holds_prefix:
             fill -= PREFIX_FILL
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -19,7 +19,15 @@
 import typing
 import zlib
 
-from gaprock import clock, eventlog, evidence, gateway_api, messages, policy_api
+from gaprock import (
+    clock,
+    eventlog,
+    evidence,
+    gateway_api,
+    mechanisms,
+    messages,
+    policy_api,
+)
 
 # Share of the allowed exposure that is used while a version is unproved.
 CANARY_USE: typing.Final = 0.8
@@ -261,7 +269,7 @@
         if found is None or not found[1]:
             return names
         share = self.share(found[0])
-        if share >= 1.0:
+        if share >= 1.0 or not mechanisms.CANARY_PLACE.on:
             return names
         if in_hall := round(share * len(near)):
             return sorted(near)[:in_hall]
--- /dev/null
+++ b/gaprock/test/testmechanisms.py
@@ -0,0 +1,75 @@
+"""Switching mechanisms off: by name, checked, and with an effect."""
+
+import random
+
+import pytest
+
+from gaprock import (
+    clock,
+    directory,
+    errors,
+    gateway_program,
+    mechanisms,
+    policy_models,
+    policy_routing,
+    prefix_cache,
+)
+from gaprock.test import testrouting
+
+
+@pytest.fixture(autouse=True)
+def all_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Leave no switch as a test set it."""
+    for mechanism in mechanisms.by_name.values():
+        monkeypatch.setattr(mechanism, "on", True)
+
+
+def test_an_unknown_name_is_refused_and_nothing_is_switched() -> None:
+    with pytest.raises(errors.GaprockError, match="no mechanism nothing"):
+        mechanisms.switch_off(["hall", "nothing"])
+    assert mechanisms.HALL.on
+
+
+def test_the_program_refuses_an_unknown_name(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(gateway_program, "load_options", lambda path: None)
+    argv = ["--settings", "x", "--without", "nothing"]
+    assert gateway_program.main(argv) == gateway_program.EXIT_SETTINGS
+    assert "no mechanism nothing" in capsys.readouterr().err
+
+
+def test_without_the_hall_the_emptier_endpoint_goes_first() -> None:
+    policy = policy_routing.LeastFilled()
+    near = testrouting.candidate("near", 4, True)
+    far = testrouting.candidate("far", 3, False)
+    rng = random.Random(1)
+    assert policy.choose([near, far], rng) is near
+    mechanisms.switch_off(["hall"])
+    assert policy.choose([near, far], rng) is far
+
+
+def test_without_the_middle_models_the_largest_is_asked() -> None:
+    policy = policy_models.Confidence()
+    mechanisms.switch_off(["middle-models"])
+    assert policy.climb(testrouting.ask_three(), "small", 45) == "large"
+
+
+def test_without_strain_a_slow_model_is_asked_as_well() -> None:
+    policy = policy_models.Confidence()
+    assert policy.climb(testrouting.ask(0.8), "small", 5) is None
+    mechanisms.switch_off(["strain"])
+    assert policy.climb(testrouting.ask(0.8), "small", 5) == "large"
+
+
+def test_without_told_loads_and_prompts_only_our_own_count() -> None:
+    book = directory.Directory(clock.ManualClock(100.0), 2.0)
+    book.replace({"a": testrouting.row()})
+    book.set_memory({"app": 1000})
+    endpoint = book.usable("app", set())[0]
+    marks = prefix_cache.marks_of("m", [("a", 10)])
+    mechanisms.switch_off(["told-loads", "told-prompts"])
+    book.take_loads("other", {"a": directory.Load(2, 300.0)})
+    book.take_prompts([("a", marks)])
+    assert (endpoint.load, endpoint.backlog.told) == (0, 0.0)
+    assert endpoint.cache.kept(marks) == 0
--- a/gaprock/test/testprompts.py
+++ b/gaprock/test/testprompts.py
@@ -90,8 +90,8 @@
     endpoint = here.usable("app", set())[0]
     prompt = directory.Prompt(900.0, prefix_cache.marks_of("m", PARTS))
     here.begin(endpoint, prompt)
-    here.unread(endpoint, prompt)
-    assert endpoint.reading == 0.0
+    here.drop(endpoint, prompt)
+    assert endpoint.backlog.told == 0.0
     assert endpoint.cache.kept(prompt.marks) == 0
 
 
--- a/gaprock/test/testrouting.py
+++ b/gaprock/test/testrouting.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gaprock import (
+    backlog,
     clock,
     directory,
     event_stream,
@@ -213,11 +214,13 @@
     endpoint = book.usable("app", set())[0]
     book.begin(endpoint, directory.Prompt(500.0, []))
     book.take_loads("other", {"a": directory.Load(2, 300.0)})
-    assert (endpoint.load, endpoint.unread) == (3, 800.0)
+    assert (endpoint.load, endpoint.backlog.told) == (3, 800.0)
+    assert book.unread(endpoint) == 800.0
     book.read(endpoint, directory.Prompt(500.0, []))
     book.end(endpoint)
     book.take_loads("other", {})
-    assert (endpoint.load, endpoint.unread) == (0, 0.0)
+    assert (endpoint.load, endpoint.backlog.told) == (0, 0.0)
+    assert book.unread(endpoint) == 0.0
 
 
 def candidate(
@@ -286,6 +289,48 @@
     assert policy.climb(ask_three(), "small", 40) == "large"
 
 
+def test_a_backlog_falls_with_time_but_not_to_nothing() -> None:
+    waiting = backlog.Backlog()
+    waiting.add(1000.0, 10.0)
+    waiting.take("other", 500.0, 10.0)
+    read_s = backlog.READING_SHARE * 100.0
+    assert waiting.left(10.0, 100.0) == 1500.0
+    assert waiting.left(15.0, 100.0) == 1500.0 - 5.0 * read_s
+    assert waiting.left(99.0, 100.0) == backlog.LEFT_SHARE * 1500.0
+    # Whatever is read shows that the rest has still to be.
+    waiting.remove(1000.0, 99.0)
+    assert waiting.left(99.0, 100.0) == 500.0
+    waiting.take("other", 0.0, 100.0)
+    assert waiting.left(100.0, 100.0) == 0.0
+
+
+SERVICE = routes.Service(
+    "llm", [routes.ModelCost("small", 0.01), routes.ModelCost("large", 0.2)]
+)
+
+
+def test_what_a_models_token_weighs_is_learned_from_prompts_without_a_wait() -> None:
+    pace = reading_pace.ReadingPace()
+    assert pace.weight(SERVICE, "small") == pytest.approx(0.05)
+    assert pace.weight(SERVICE, "") == 1.0
+    for _ in range(100):
+        pace.observe_model(SERVICE, "small", 10_000, 0.0, 0.1 + reading_pace.OTHER_S)
+        pace.observe_model(SERVICE, "large", 10_000, 0.0, 0.5 + reading_pace.OTHER_S)
+        # Behind others, or too short: it tells nothing of its own pace.
+        pace.observe_model(SERVICE, "small", 10_000, 2.0, 9.0)
+        pace.observe_model(SERVICE, "small", 10, 0.0, 9.0)
+    assert pace.weight(SERVICE, "small") == pytest.approx(0.2, rel=0.01)
+
+
+def test_an_engines_reading_is_never_taken_as_endlessly_fast() -> None:
+    pace = reading_pace.ReadingPace()
+    for _ in range(1000):
+        pace.observe("s", 1000.0, 0.1)
+        pace.observe("s", 9000.0, 0.1)
+    most = reading_pace.MOST_TIMES / reading_pace.FIRST_SLOPE_S
+    assert pace.tokens_per_s("s") == pytest.approx(most)
+
+
 def test_the_time_of_a_token_is_learned() -> None:
     pace = reading_pace.ReadingPace()
     for number in range(1000):
