--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -177,7 +177,8 @@
     ),
     _proof(
         "a request whose time is over before its send ends at once",
-        "testgateway.py::test_a_request_whose_time_is_over_before_its_send_ends_at_once",
+        "testgateway.py::test_a_request_whose_time_is_over_before_its_send_ends_at"
+        "_once",
         "gateway_serve.py",
         "if call.sends == sends and self._clock.now() < call.deadline:",
         "if call.sends == sends:",
