Give a CURVE key that begins with a dash in one word with its flag

One random key in 85 begins with a dash, and as a word of its own it is taken for a flag. Ruled out: load and ports; the process ended on its arguments at once. Change: the test gives keys as one word and makes such keys each time; the flag's text says so for operators.

--- a/gaprock/options_flags.py
+++ b/gaprock/options_flags.py
@@ -147,7 +147,12 @@
     Flag("statsd_host", DAEMONS, "host of the statsd collector; empty: none", _any),
     Flag("statsd_port", DAEMONS, "port of the statsd collector", _port),
     Flag("verbose", DAEMONS, "log details as well", _any),
-    Flag("curve_public", DAEMONS, "public CURVE key; empty: plain TCP", _curve),
+    Flag(
+        "curve_public",
+        DAEMONS,
+        "public CURVE key; empty: plain TCP; one that begins with a dash needs the form --curve-public=KEY",
+        _curve,
+    ),
     Flag("curve_secret", DAEMONS, "secret CURVE key", _curve, True),
     Flag("http_port", ENTRY, "port for callers and operators", _port),
     Flag("agents", ENTRY, "agents known beside the VM list", _tcp_list),
--- a/gaprock/test/testhttp.py
+++ b/gaprock/test/testhttp.py
@@ -199,14 +199,23 @@
     assert "short-secret" not in done.stderr
 
 
+def key_pair(start: str) -> tuple[str, str]:
+    """Make a key pair whose public key begins so."""
+    while True:
+        public, secret = (key.decode() for key in zmq.curve_keypair())
+        if public.startswith(start):
+            return public, secret
+
+
 def test_processes_speak_only_to_holders_of_the_sites_key(
     tmp_path: pathlib.Path,
 ) -> None:
-    public, secret = (key.decode() for key in zmq.curve_keypair())
-    other_public, other_secret = (key.decode() for key in zmq.curve_keypair())
+    # One key in 85 begins with a dash: as a word of its own it is taken for a flag.
+    public, secret = key_pair("-")
+    other_public, other_secret = key_pair("-")
     with processes.Fleet(tmp_path) as site:
         site.start_platform()
-        keys = ("--curve-public", public)
+        keys = (f"--curve-public={public}",)
         site.env["GAPROCK_CURVE_SECRET"] = secret
         site.start_agent("a", *keys)
         url = site.start_entry("entry-0", *keys)
@@ -215,7 +224,7 @@
         assert processes.post(url, processes.CHAT, processes.chat()).status == 200
         # A stranger with a key of its own that knows the site's public key.
         site.env["GAPROCK_CURVE_SECRET"] = other_secret
-        stranger = site.start_entry("stranger", "--curve-public", other_public)
+        stranger = site.start_entry("stranger", f"--curve-public={other_public}")
         processes.wait_until(
             lambda: processes.HTTP.request("GET", stranger + "/readyz").status == 200,
             "the stranger",
