--- a/gaprock/options_flags.py
+++ b/gaprock/options_flags.py
@@ -150,7 +150,7 @@
     Flag(
         "curve_public",
         DAEMONS,
-        "public CURVE key; empty: plain TCP; one that begins with a dash needs the form --curve-public=KEY",
+        "public CURVE key, given as --curve-public=KEY; empty: plain TCP",
         _curve,
     ),
     Flag("curve_secret", DAEMONS, "secret CURVE key", _curve, True),
