--- a/misc/ablate.py
+++ b/misc/ablate.py
@@ -20,7 +20,7 @@
 DEPLOY: typing.Final = "deploy/system.toml"
 PROGRAM: typing.Final = "gaprock.gateway_main"
 LEFT_OUT: typing.Final = shutil.ignore_patterns(
-    ".git", ".venv*", "journal", "target", "__pycache__", ".*_cache"
+    ".git", ".venv*", "journal", "target", "__pycache__", ".*_cache", ".hypothesis"
 )
 
 
