Log polls of the store, their answers and a follower's end; count an answer's age

A poll that waits, one that is never answered and a thread that is gone left no line.

Conclusion: the poll is swallowed and waited for. No logic is changed here.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -65,13 +65,15 @@
         self.changed = -1
         # Since when the store has not answered; ``NEVER`` while it does.
         self.lost_at = 0.0
+        # When the store last answered; 0 before the first answer.
+        self.answered_at = 0.0
         self._rng = random.Random()
         self._stopped = threading.Event()
 
     def start(self) -> None:
         """Begin to follow."""
         name = f"follow-{self.table}"
-        threading.Thread(target=self._run, name=name, daemon=True).start()
+        threading.Thread(target=self._run_logged, name=name, daemon=True).start()
 
     def stop(self) -> None:
         """End after the call under way."""
@@ -97,6 +99,14 @@
             )
             self._take_whole(page, page.version)
 
+    def _run_logged(self) -> None:
+        """Follow, and say so when that ends by a fault of ours."""
+        try:
+            self._run()
+        except Exception as exc:
+            eventlog.warning("follow-ended", table=self.table, error=repr(exc))
+            raise
+
     def _run(self) -> None:
         pause_s = FIRST_PAUSE_S
         is_read = has_rested = False
@@ -138,8 +148,15 @@
                     newest = max((row.version for row in page.rows), default=0)
                     self._take_whole(page, max(self.changed, newest))
             return True
+        if wait_s:
+            eventlog.info(
+                "store-asked", table=self.table, since=self.version, wait_s=wait_s
+            )
         page = self._store.follow(self.table, self.version, wait_s)
         self._note_answer()
+        eventlog.info(
+            "store-told", table=self.table, version=page.version, rows=len(page.rows)
+        )
         with self._lock:
             self._take_changes(page)
         if page.rows:
@@ -183,6 +200,7 @@
         eventlog.info(event, table=self.table, version=self.version)
 
     def _note_answer(self) -> None:
+        self.answered_at = self._clock.now()
         if not self.connected:
             self._on_back()
 
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -25,6 +25,7 @@
         "log_lines_dropped",
         "config_number",
         "store_connected",
+        "store_answer_age",
     )
 
     def __init__(self) -> None:
@@ -79,6 +80,12 @@
             ["table"],
             registry=registry,
         )
+        self.store_answer_age = prometheus_client.Gauge(
+            "gaprock_store_answer_age_seconds",
+            "Time since the shared store last answered, by table",
+            ["table"],
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Give the text of all metrics."""
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -334,4 +334,6 @@
         for follower in self.followers:
             gauge = self.metrics.store_connected.labels(follower.table)
             gauge.set(follower.connected)
+            age = self.metrics.store_answer_age.labels(follower.table)
+            age.set(self.clock.now() - follower.answered_at)
         return 200, self.metrics.render()
--- a/misc/write_days.py
+++ b/misc/write_days.py
@@ -12,6 +12,8 @@
 FOLDER: typing.Final = pathlib.Path(__file__).resolve().parent.parent / "bench/days"
 SEED: typing.Final = 7
 AT_S: typing.Final = 6.0
+# One change of the configuration a second, and a route with every second one.
+SERIES: typing.Final = ("tenant", "route") * 12
 Trouble = dict[str, object]
 
 
@@ -84,6 +86,15 @@
     "store-compact": [fault("platform_compact", "drain", x=6.0, for_s=10.0)],
     "config-storm": [plan("config_storm", for_s=6.0, gap_s=0.1)],
     "config-routes": [plan("config_change", "route"), plan("config_change", "weights")],
+    "changes-while-store-is-silent": [
+        *(plan("config_change", how, at=2.0 + n) for n, how in enumerate(SERIES)),
+        fault("platform_down", "silent", at=5.06, for_s=6.0),
+    ],
+    "endpoints-leave-while-store-is-silent": [
+        plan("scale_in", at=4.9, share=0.15),
+        fault("platform_down", "silent", at=5.2, for_s=5.0),
+        *(plan("scale_in", at=at, share=0.15) for at in (11.0, 15.0, 19.0)),
+    ],
     "big-config": [plan("big_config", count=400)],
     "revoke-last": [plan("revoke", "last", count=3, gap_s=0.5)],
     "good-version": [rollout("rollout_good")],
