--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -1,8 +1,8 @@
 """A small stand-in of the users' metadata store, over HTTP on loopback.
 
 Faults are set by a test: ``refuse`` (a status for each call), ``lose`` (writes are done
-and not answered), ``delay`` (seconds before each call is looked at); ``compact`` makes
-the history go.
+and not answered), ``delay`` (seconds before each call is looked at), ``swallow`` (what
+comes is never answered, also when the store is back); ``compact`` makes the history go.
 """
 
 import base64
@@ -30,6 +30,9 @@
         self.version = 0
         self.forgotten_until = 0
         self.calls: list[str] = []
+        # The tables that calls were about which are never answered.
+        self.swallowed: list[str] = []
+        self._stopping = threading.Event()
         # The store's steady clock.
         self.now_ms: typing.Callable[[], int] = lambda: 51_230
 
@@ -56,6 +59,10 @@
         with self._changed:
             self.forgotten_until = self.version
 
+    def stop(self) -> None:
+        self._stopping.set()
+        super().stop()
+
     # -- The wire --
 
     def handle(
@@ -65,6 +72,10 @@
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
         self.calls.append(call)
         time.sleep(self.faults.get("delay", 0.0))
+        if self.faults.get("swallow"):
+            self.swallowed.append(query.get("Table", ""))
+            self._stopping.wait()
+            return httpfake.Reply(0, drop=True)
         if "refuse" in self.faults:
             return httpfake.Reply(self.faults["refuse"])
         if call == "/-/rows-get":
