--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -4,24 +4,28 @@
 others rest: they take the readers' copies, and poll again as soon as a reader falls
 silent or loses the store (``mesh.Mesh.has_readers`` decides who rests).
 
-A follower reads its table whole, then waits for changes with a long poll.  When the
-store forgot the changes it reads anew; when the store does not answer, what is known
-stays in force, peers' copies are taken, and the next try comes after a jittered pause.
+A follower reads its table whole, then waits for changes with a long poll.  While it
+waits it asks the store now and then what the poll should have told: a poll may never
+be answered though the store answers other calls (``freshness``).  When the store forgot
+the changes it reads anew; when the store does not answer, what is known stays in force,
+peers' copies are taken, and the next try comes after a jittered pause.
 """
 
 import random
 import threading
 import typing
 
-from gaprock import clock, eventlog, gateway_api, mesh_messages
+from gaprock import clock, eventlog, freshness, gateway_api, mesh_messages
 
 # Longest poll, seconds; each poll is a priced call.
 POLL_S: typing.Final = 28.0
 # Pauses after a failure, first and longest, seconds.
 FIRST_PAUSE_S: typing.Final = 0.1
 LONGEST_PAUSE_S: typing.Final = 1.0
-# Pause between two looks at whether to poll again, seconds.
-REST_LOOK_S: typing.Final = 0.2
+# A poll is given up this long after the store should have answered, seconds.
+POLL_SLACK_S: typing.Final = 2.0
+# Pause between two looks at what is due beside a poll or a rest, seconds.
+LOOK_S: typing.Final = 0.2
 # A peer that is ahead for this long has news that the store did not tell, seconds.
 BEHIND_S: typing.Final = 0.4
 
@@ -42,6 +46,7 @@
         store: gateway_api.SharedStore,
         clock_: clock.Clock,
         sink: Sink,
+        fresh: freshness.Freshness,
         gather_s: float = 0.0,
         may_rest: typing.Callable[[], bool] = lambda: False,
         on_back: typing.Callable[[], None] = lambda: None,
@@ -50,6 +55,7 @@
         self._store = store
         self._clock = clock_
         self._sink = sink
+        self.fresh = fresh
         # Changes that come so close together are read in one call.
         self._gather_s = gather_s
         # Whether others read the store for us.
@@ -59,14 +65,16 @@
         self._on_back = on_back
         self._lock = threading.RLock()
         self._rows: dict[str, gateway_api.Row] = {}
+        # Whether the table was read whole, so that its changes can be asked for.
+        self._is_read = False
+        # Whether a poll waits at the store.
+        self._is_polling = False
         # What the rows are up to date with; -1 before the first reading.
         self.version = -1
         # The version of the newest change in the table itself; -1 before any reading.
         self.changed = -1
         # Since when the store has not answered; ``NEVER`` while it does.
         self.lost_at = 0.0
-        # When the store last answered; 0 before the first answer.
-        self.answered_at = 0.0
         self._rng = random.Random()
         self._stopped = threading.Event()
 
@@ -89,6 +97,25 @@
         with self._lock:
             return list(self._rows.values())
 
+    # -- What other gateways know --
+
+    def news(self) -> mesh_messages.TableNews:
+        """Give the newest change and the newest proof."""
+        with self._lock:
+            return mesh_messages.TableNews(self.changed, self.fresh.stamp)
+
+    def prove(self, news: mesh_messages.TableNews) -> None:
+        """Take a peer's proof, if it is of the table as we know it."""
+        with self._lock:
+            if news.changed == self.changed:
+                self.fresh.prove(news.proved)
+
+    def expect_change(self) -> None:
+        """Give a poll that waits a moment to tell of a change, before we ask."""
+        with self._lock:
+            if self._is_polling:
+                self.fresh.hurry(self._clock.now() + BEHIND_S)
+
     def take_copy(self, page: gateway_api.Page) -> None:
         """Take a whole table from a peer if it has a newer change."""
         with self._lock:
@@ -98,6 +125,10 @@
                 "rows-copied", table=self.table, old=self.changed, new=page.version
             )
             self._take_whole(page, page.version)
+            # A poll that does not tell the same soon is not going to.
+            self.expect_change()
+
+    # -- The thread --
 
     def _run_logged(self) -> None:
         """Follow, and say so when that ends by a fault of ours."""
@@ -109,59 +140,100 @@
 
     def _run(self) -> None:
         pause_s = FIRST_PAUSE_S
-        is_read = has_rested = False
         while not self._stopped.is_set():
-            self._set_resting(is_read and self.connected and self._may_rest())
-            if self.resting:
-                has_rested = True
-                self._stopped.wait(REST_LOOK_S)
-                continue
             try:
-                # After a failure or a rest, a call without a wait shows whether the
-                # store answers; a connection that rested may be dead.
-                wait_s = POLL_S if self.connected and not has_rested else 0.0
-                has_rested = False
-                is_read = self._step(is_read, wait_s)
+                self._step()
             except gateway_api.HistoryGone:
                 eventlog.warning("history-gone", table=self.table, version=self.version)
-                is_read = False
+                self._is_read = False
             except gateway_api.StoreError as exc:
                 self._note_lost(exc)
                 wait_s = max(exc.retry_s, pause_s) * self._rng.uniform(0.5, 1.0)
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
                 self._stopped.wait(wait_s)
                 continue
-            self._note_back()
             pause_s = FIRST_PAUSE_S
 
-    def _step(self, is_read: bool, wait_s: float) -> bool:
-        """Make one call.
+    def _step(self) -> None:
+        """Make the next call, or rest."""
+        self._set_resting(self._is_read and self.connected and self._may_rest())
+        if not self._is_read:
+            self._read()
+        elif not self.connected or self.fresh.is_check_due:
+            # After a failure, a call without a wait shows whether the store answers.
+            self._ask(self.version)
+        elif self.resting:
+            self._stopped.wait(LOOK_S)
+        elif self._poll():
+            self._stopped.wait(self._gather_s)
 
-        :param wait_s: how long the store may wait for a change.
-        :returns: whether changes can be asked for next.
+    def _read(self) -> None:
+        """Read the table whole."""
+        asked_at = self._clock.now()
+        page = self._store.read(self.table)
+        self._note_answer()
+        with self._lock:
+            if page.version >= self.version:
+                newest = max((row.version for row in page.rows), default=0)
+                # Rows of a later page may be newer than the page's version.
+                newest = min(newest, page.version)
+                self._take_whole(page, max(self.changed, newest))
+                self.fresh.prove_by_answer(page.store_now, asked_at)
+        self._is_read = True
+
+    def _ask(self, since: int) -> bool:
+        """Ask for the changes after a version that there are now.
+
+        :returns: whether there are any.
+        """
+        asked_at = self._clock.now()
+        page = self._store.changes(self.table, since)
+        self._take_answer(page, asked_at)
+        return bool(page.rows)
+
+    def _poll(self) -> bool:
+        """Wait for changes at the store.
+
+        A poll is left when the store, asked beside it, tells changes that the poll has
+        not: it was swallowed by an outage, or its connection went silent for good.
+        Waiting for it alone kept an old configuration in force for 30 s.
+
+        :returns: whether the poll told changes.
+        """
+        since, now = self.version, self._clock.now()
+        poll = self._store.poll(self.table, since, POLL_S)
+        eventlog.info("store-asked", table=self.table, since=since, wait_s=POLL_S)
+        self._is_polling = True
+        try:
+            while not poll.wait(LOOK_S):
+                if self._stopped.is_set():
+                    return False
+                if self._clock.now() > now + POLL_S + POLL_SLACK_S:
+                    raise gateway_api.StoreError("a poll without an answer")
+                if self.fresh.is_check_due and self._ask(since):
+                    eventlog.warning("store-poll-deaf", table=self.table, since=since)
+                    return False
+            page = poll.page()
+        finally:
+            self._is_polling = False
+            poll.close()
+        self._take_answer(page, None)
+        return bool(page.rows)
+
+    def _take_answer(self, page: gateway_api.Page, asked_at: float | None) -> None:
+        """Take changes.
+
+        :param asked_at: when they were asked for; ``None`` if the store held the call.
         """
-        if not is_read:
-            page = self._store.read(self.table)
-            self._note_answer()
-            with self._lock:
-                if page.version >= self.version:
-                    newest = max((row.version for row in page.rows), default=0)
-                    self._take_whole(page, max(self.changed, newest))
-            return True
-        if wait_s:
-            eventlog.info(
-                "store-asked", table=self.table, since=self.version, wait_s=wait_s
-            )
-        page = self._store.follow(self.table, self.version, wait_s)
         self._note_answer()
-        eventlog.info(
-            "store-told", table=self.table, version=page.version, rows=len(page.rows)
-        )
         with self._lock:
-            self._take_changes(page)
-        if page.rows:
-            self._stopped.wait(self._gather_s)
-        return True
+            fresh = self._take_changes(page)
+            if page.version >= self.version:
+                self.fresh.prove_by_answer(page.store_now, asked_at)
+        if fresh or asked_at is None:
+            eventlog.info(
+                "store-told", table=self.table, version=page.version, rows=fresh
+            )
 
     def _take_whole(self, page: gateway_api.Page, changed: int) -> None:
         self._rows = {row.key: row for row in page.rows}
@@ -169,8 +241,11 @@
         self.changed = changed
         self._sink.take_page(page, whole=True)
 
-    def _take_changes(self, page: gateway_api.Page) -> None:
-        """Take changed rows, less those that a peer's copy brought already."""
+    def _take_changes(self, page: gateway_api.Page) -> int:
+        """Take changed rows, less those that were brought already.
+
+        :returns: how many were new.
+        """
         fresh = []
         # Rows of one transaction share a version, so the bound is the one before.
         known_until = self.changed
@@ -191,6 +266,7 @@
         if fresh:
             changed = gateway_api.Page(fresh, page.version, page.store_now)
             self._sink.take_page(changed, whole=False)
+        return len(fresh)
 
     def _set_resting(self, resting: bool) -> None:
         if resting is self.resting:
@@ -200,9 +276,14 @@
         eventlog.info(event, table=self.table, version=self.version)
 
     def _note_answer(self) -> None:
-        self.answered_at = self._clock.now()
-        if not self.connected:
-            self._on_back()
+        if self.connected:
+            return
+        self._on_back()
+        away_s = self._clock.now() - self.lost_at if self.lost_at else 0.0
+        self.lost_at = clock.NEVER
+        eventlog.info(
+            "store-back", table=self.table, version=self.version, away_s=away_s
+        )
 
     def _note_lost(self, exc: gateway_api.StoreError) -> None:
         if self.connected:
@@ -210,75 +291,3 @@
             eventlog.warning(
                 "store-lost", table=self.table, version=self.version, error=exc
             )
-
-    def _note_back(self) -> None:
-        if not self.connected:
-            away_s = self._clock.now() - self.lost_at if self.lost_at else 0.0
-            self.lost_at = clock.NEVER
-            eventlog.info(
-                "store-back", table=self.table, version=self.version, away_s=away_s
-            )
-
-
-class RowExchange:
-    """Copies of followed tables, given to and taken from peers.
-
-    :param followers: in the order of ``mesh_messages.TABLES``.
-    """
-
-    __slots__ = ("_followers", "_clock", "_missed")
-
-    def __init__(self, followers: list[Follower], clock_: clock.Clock) -> None:
-        self._followers = followers
-        self._clock = clock_
-        # The newest change that a peer told of and we lack, and since when, by table.
-        self._missed: dict[int, tuple[int, float]] = {}
-
-    def versions(self) -> list[int]:
-        """Give the newest change of each table."""
-        return [follower.changed for follower in self._followers]
-
-    def reads(self) -> bool:
-        """Whether we read the store ourselves, and it answers."""
-        return all(f.connected and not f.resting for f in self._followers)
-
-    def behind(self, table: int, version: int, is_far: bool = False) -> bool:
-        """Whether a peer's copy would help.
-
-        The store may hang without a word, so a peer that stays ahead for longer than
-        the store's own news takes is enough.  One who rests asks at once, but first in
-        its own hall.
-        """
-        if not 0 <= table < len(self._followers):
-            return False
-        follower = self._followers[table]
-        now = self._clock.now()
-        newest, since = self._missed.get(table, (0, now))
-        newest = max(newest, version)
-        if newest <= follower.changed:
-            self._missed.pop(table, None)
-            return False
-        # A peer that is as far behind as we are does not end the wait.
-        self._missed[table] = newest, since
-        if version <= follower.changed:
-            return False
-        if follower.resting and not is_far:
-            return True
-        return not follower.connected or now >= since + BEHIND_S
-
-    def copy(self, table: int) -> mesh_messages.Rows:
-        """Give a table."""
-        follower = self._followers[table]
-        rows = [
-            mesh_messages.RowCopy(row.key, row.value, row.version)
-            for row in follower.rows()
-            if row.value is not None
-        ]
-        return mesh_messages.Rows(table, follower.changed, rows)
-
-    def take_copy(self, rows: mesh_messages.Rows) -> None:
-        """Take a table from a peer."""
-        found = [gateway_api.Row(r.key, r.value, r.version) for r in rows.rows]
-        # A copy tells nothing of the store's clock.
-        page = gateway_api.Page(found, rows.version, 0.0)
-        self._followers[rows.table].take_copy(page)
--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -63,6 +63,28 @@
     """The store no longer knows the changes since a version: read anew."""
 
 
+class Poll:
+    """A call that the store holds until there are changes."""
+
+    __slots__ = ()
+
+    def wait(self, wait_s: float) -> bool:
+        """Wait for the answer to begin; give whether it did."""
+        raise NotImplementedError
+
+    def page(self) -> Page:
+        """Read the answer.
+
+        :raises HistoryGone: when the changes are no longer known.
+        :raises StoreError: when it is none.
+        """
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """Leave the call; one that was not answered loses its connection."""
+        raise NotImplementedError
+
+
 class SharedStore(plugin.Plugin):
     """The store of rows that all processes share."""
 
@@ -75,14 +97,22 @@
         """
         raise NotImplementedError
 
-    def follow(self, table: str, since: int, wait_s: float) -> Page:
-        """Wait for changes of a table after a version.
+    def changes(self, table: str, since: int) -> Page:
+        """Give the changes of a table after a version that there are now.
 
         :raises HistoryGone: when the changes are no longer known.
         :raises StoreError: when it did not answer.
         """
         raise NotImplementedError
 
+    def poll(self, table: str, since: int, wait_s: float) -> Poll:
+        """Begin to wait for changes of a table after a version.
+
+        :param wait_s: how long the store may hold the call, seconds.
+        :raises StoreError: when the store cannot be reached.
+        """
+        raise NotImplementedError
+
     def commit(self, writes: list[Write]) -> int:
         """Write rows, all or none.
 
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -25,7 +25,7 @@
         "log_lines_dropped",
         "config_number",
         "store_connected",
-        "store_answer_age",
+        "store_proof_age",
     )
 
     def __init__(self) -> None:
@@ -80,9 +80,9 @@
             ["table"],
             registry=registry,
         )
-        self.store_answer_age = prometheus_client.Gauge(
-            "gaprock_store_answer_age_seconds",
-            "Time since the shared store last answered, by table",
+        self.store_proof_age = prometheus_client.Gauge(
+            "gaprock_store_proof_age_seconds",
+            "Time since a table was known to be as the store has it",
             ["table"],
             registry=registry,
         )
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -17,6 +17,7 @@
     eventlog,
     evidence,
     followers,
+    freshness,
     gateway_api,
     gateway_attempt,
     gateway_choose,
@@ -37,6 +38,7 @@
     rollout_writer,
     rollouts,
     routes,
+    row_exchange,
 )
 
 METRICS_PATH: typing.Final = "/metrics"
@@ -58,8 +60,6 @@
 # moment, endpoints for a share of the time that a leaving one may still be sent to.
 GATHER_ORDERS_S: typing.Final = 0.1
 GATHER_SHARE: typing.Final = 0.25
-# The store is taken as away when it has not answered for this long, seconds.
-STALE_S: typing.Final = 1.0
 # A planned stop: every request is taken for this long, seconds, or this share of the
 # time until the process is killed; later ones only if their time ends before that.  A
 # bound learned from the routes' answers, twice the longest of late, cut streams on
@@ -102,15 +102,23 @@
             cfg.vm, cfg.hall, address, clock_, self.directory, self.rollouts, evidence_
         )
         self.mesh.on_old_here = self._on_old
+        self.store_clock = freshness.StoreClock()
         self.writer = rollout_writer.RolloutWriter(
-            cfg.vm, clock_, store, dialect, self.rollouts, self.mesh
+            cfg.vm,
+            clock_,
+            self.store_clock,
+            store,
+            dialect,
+            self.rollouts,
+            self.mesh,
         )
         self.orders = gateway_rows.OrderRows(clock_, dialect, self.rollouts)
         self.followers = self._make_followers()
-        self.mesh.source = followers.RowExchange(self.followers, clock_)
+        self.mesh.source = row_exchange.RowExchange(self.followers, clock_)
         self.own_rows = gateway_own.OwnRowsTask(
             cfg.vm,
             clock_,
+            self.store_clock,
             store,
             dialect.tables.own,
             self.mesh,
@@ -185,6 +193,7 @@
         """Close the ports and end the background tasks."""
         for task in self._tasks:
             task.stop()
+        self.own_rows.stop()
         for follower in self.followers:
             follower.stop()
         self.mesh.stop()
@@ -219,24 +228,44 @@
             self.dialect, self.rollouts, self.writer
         )
         gather_s = GATHER_SHARE * self.cfg.bounds.drain_s
-        sinks: list[tuple[str, followers.Sink, float]] = [
-            (tables.orders, self.orders, GATHER_ORDERS_S),
-            (tables.endpoints, endpoint_rows, gather_s),
-            (tables.outcomes, outcome_rows, 0.0),
-        ]
+        cfg = self.cfg
         return [
-            followers.Follower(
-                name,
-                self.store,
-                self.clock,
-                sink,
-                wait_s,
-                self.mesh.has_readers,
-                self.directory.store_returned,
-            )
-            for name, sink, wait_s in sinks
+            self._follower(
+                tables.orders, self.orders, GATHER_ORDERS_S, lambda: cfg.bounds.config_s
+            ),
+            self._follower(
+                tables.endpoints, endpoint_rows, gather_s, lambda: cfg.bounds.drain_s
+            ),
+            self._follower(
+                tables.outcomes, outcome_rows, 0.0, lambda: cfg.bounds.rollback_s
+            ),
         ]
 
+    def _follower(
+        self,
+        table: str,
+        sink: followers.Sink,
+        gather_s: float,
+        bound_s: typing.Callable[[], float],
+    ) -> followers.Follower:
+        """Make one table's follower.
+
+        :param bound_s: within which a change has to be in force, seconds.
+        """
+        fresh = freshness.Freshness(
+            self.clock, self.store_clock, bound_s, self.mesh.leads
+        )
+        return followers.Follower(
+            table,
+            self.store,
+            self.clock,
+            sink,
+            fresh,
+            gather_s,
+            self.mesh.has_readers,
+            self.directory.store_returned,
+        )
+
     def _make_server(self) -> gateway_serve.Server:
         cfg = self.cfg
         chooser = gateway_choose.Chooser(
@@ -301,8 +330,7 @@
         return 0
 
     def _is_stale(self) -> bool:
-        orders = self.followers[0]
-        return not orders.connected and self.clock.now() > orders.lost_at + STALE_S
+        return self.followers[0].fresh.is_stale
 
     # -- Tasks --
 
@@ -334,6 +362,6 @@
         for follower in self.followers:
             gauge = self.metrics.store_connected.labels(follower.table)
             gauge.set(follower.connected)
-            age = self.metrics.store_answer_age.labels(follower.table)
-            age.set(self.clock.now() - follower.answered_at)
+            age = self.metrics.store_proof_age.labels(follower.table)
+            age.set(self.clock.now() - follower.fresh.proved_at)
         return 200, self.metrics.render()
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -13,6 +13,7 @@
     clock,
     eventlog,
     followers,
+    freshness,
     gateway_api,
     gateway_rows,
     mesh,
@@ -20,7 +21,7 @@
     rollouts,
 )
 
-# Pause before the rows are read again while the store does not answer, seconds.
+# Pause before a call that the store did not answer is made again, seconds.
 RETRY_S: typing.Final = 0.5
 # Peers that start with us have their rows in the store by then, seconds.
 PEERS_AGAIN_S: typing.Final = 2.0
@@ -36,6 +37,7 @@
     __slots__ = (
         "_name",
         "_clock",
+        "_store_clock",
         "_store",
         "_table",
         "_mesh",
@@ -43,12 +45,14 @@
         "_orders",
         "_writer",
         "_followers",
+        "_stopped",
     )
 
     def __init__(
         self,
         name: str,
         clock_: clock.Clock,
+        store_clock: freshness.StoreClock,
         store: gateway_api.SharedStore,
         table: str,
         mesh_: mesh.Mesh,
@@ -59,6 +63,7 @@
     ) -> None:
         self._name = name
         self._clock = clock_
+        self._store_clock = store_clock
         self._store = store
         self._table = table
         self._mesh = mesh_
@@ -66,6 +71,7 @@
         self._orders = orders
         self._writer = writer
         self._followers = followers_
+        self._stopped = threading.Event()
 
     def run(self) -> None:
         """Read the rows, and follow the tables.
@@ -73,39 +79,55 @@
         The tables are followed at once when the store does not answer: peers' copies
         may come before it does.
         """
-        page = self._read()
+        is_read = self._read()
         for follower in self._followers:
             follower.start()
-        while page is None:
-            threading.Event().wait(RETRY_S)
-            page = self._read()
-        self._announce()
-        threading.Event().wait(PEERS_AGAIN_S)
-        self._read()
-
-    def _read(self) -> gateway_api.Page | None:
-        """Read the rows and take them; ``None`` when the store did not answer."""
+        if not is_read:
+            self._until_done(self._read)
+        self._until_done(self._announce)
+        self._stopped.wait(PEERS_AGAIN_S)
+        self._until_done(self._read)
+
+    def stop(self) -> None:
+        """End after the call under way."""
+        self._stopped.set()
+
+    def _until_done(self, call: typing.Callable[[], bool]) -> None:
+        """Make a call again until it is done."""
+        while not self._stopped.is_set() and not call():
+            self._stopped.wait(RETRY_S)
+
+    def _read(self) -> bool:
+        """Read the rows and take them; give whether the store answered."""
+        asked_at = self._clock.now()
         try:
             page = self._store.read(self._table)
         except gateway_api.StoreError as exc:
             eventlog.warning("own-rows", error=exc)
-            return None
-        own = gateway_rows.OwnRows(page, self._clock.now())
-        self._writer.store_offset = page.store_now - self._clock.now()
+            return False
+        self._store_clock.note(page.store_now, asked_at)
+        own = gateway_rows.OwnRows(page, self._store_clock)
         self._mesh.found(own.peers)
         self._orders.starts.update(own.starts)
         for (service, revision), started_at in own.starts.items():
             self._rollouts.backdate(service, revision, started_at)
-        return page
+        return True
 
-    def _announce(self) -> None:
-        """Write where we take messages, for gateways that start later."""
+    def _announce(self) -> bool:
+        """Write where we take messages, for gateways that start later.
+
+        Two that start together find each other by these rows alone, so an answer that
+        is lost may not pass for a row that is written.
+
+        :returns: whether it is done.
+        """
         if not self._mesh.address:
-            return
+            return True
         key = gateway_rows.PEER_PREFIX + self._name
         value = msgspec.json.encode(gateway_rows.PeerRow(self._mesh.address))
         try:
             self._store.commit([gateway_api.Write(self._table, key, value)])
         except gateway_api.StoreError as exc:
-            # Peers that are in the store hear of us by our beats.
             eventlog.warning("announce", error=exc)
+            return False
+        return True
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -11,6 +11,7 @@
     clock,
     directory,
     eventlog,
+    freshness,
     gateway_api,
     rollout_writer,
     rollouts,
@@ -152,21 +153,25 @@
 
     __slots__ = ("peers", "starts")
 
-    def __init__(self, page: gateway_api.Page, now: float) -> None:
+    def __init__(
+        self, page: gateway_api.Page, store_clock: freshness.StoreClock
+    ) -> None:
         self.peers: list[str] = []
         self.starts: dict[tuple[str, int], float] = {}
         for row in page.rows:
             if row.value is None:
                 continue
             try:
-                self._take(row.key, row.value, now - page.store_now)
+                self._take(row.key, row.value, store_clock)
             except msgspec.DecodeError as exc:
                 eventlog.warning("invalid-row", key=row.key, error=exc)
 
-    def _take(self, key: str, value: bytes, offset: float) -> None:
+    def _take(self, key: str, value: bytes, store_clock: freshness.StoreClock) -> None:
         if key.startswith(PEER_PREFIX):
             self.peers.append(msgspec.json.decode(value, type=PeerRow).address)
         elif key.startswith(rollout_writer.START_PREFIX):
             start = msgspec.json.decode(value, type=rollout_writer.StartRow)
             service = key[len(rollout_writer.START_PREFIX) :]
-            self.starts[(service, start.revision)] = start.started + offset
+            started_at = store_clock.to_ours(start.started)
+            if started_at is not None:
+                self.starts[(service, start.revision)] = started_at
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -52,14 +52,19 @@
 class RowSource(typing.Protocol):
     """The followers' side: rows to copy, and where copies go."""
 
-    def versions(self) -> list[int]:
-        """Give what each table is up to date with."""
+    def news(self) -> list[mesh_messages.TableNews]:
+        """Give what is known of each table."""
+
+    def own_proofs(self) -> list[float]:
+        """Give the newest proofs of our own calls, by table."""
 
     def reads(self) -> bool:
         """Whether we read the store ourselves, and it answers."""
 
-    def behind(self, table: int, version: int, is_far: bool) -> bool:
-        """Whether a peer's copy would help."""
+    def take_news(
+        self, table: int, news: mesh_messages.TableNews, is_far: bool
+    ) -> bool:
+        """Take what a peer knows; give whether its copy would help."""
 
     def copy(self, table: int) -> mesh_messages.Rows:
         """Give a table."""
@@ -143,19 +148,26 @@
         """
         if not mechanisms.READERS.on:
             return False
+        halls = [peer.hall for peer in self._readers_before()]
+        return halls.count(self.hall) >= READERS
+
+    def leads(self) -> bool:
+        """Whether no reader of the store comes before us by name, in any hall."""
+        return not self._readers_before()
+
+    def _readers_before(self) -> list[mesh_peers.Peer]:
+        """Give the peers before us by name that read the store, as heard lately."""
         since = self._clock.now() - READER_HEARD_S
         with self._lock:
-            readers = [
+            return [
                 peer
                 for peer in self._peers.values()
                 if peer.heard_at >= since
                 and peer.beat is not None
                 and peer.beat.reads_store
                 and not peer.beat.leaving
-                and peer.hall == self.hall
                 and peer.name < self.name
             ]
-        return len(readers) >= READERS
 
     def on_old_version(self, service: str) -> int:
         """Give the requests on a service's old version, over all living gateways."""
@@ -226,13 +238,20 @@
         halts = [(n.service, n.revision, n.halted) for n in rolls]
         on_old = [n.on_old for n in rolls]
         tick, _ = self._evidence.since(1 << 60)
-        versions = self.source.versions() if self.source else []
-        reads = self.source is not None and self.source.reads()
+        versions = [table.changed for table in self._tables()]
+        proofs = self.source.own_proofs() if self.source else []
         return mesh_peers.News(
-            (halts, versions, reads, self.leaving, self._directory.dark()),
-            (self._directory.own_loads(), on_old, tick),
+            (halts, versions, self._reads(), self.leaving, self._directory.dark()),
+            (self._directory.own_loads(), on_old, tick, proofs),
         )
 
+    def _tables(self) -> list[mesh_messages.TableNews]:
+        return self.source.news() if self.source else []
+
+    def _reads(self) -> bool:
+        """Whether we read the store ourselves, and it answers."""
+        return self.source is not None and self.source.reads()
+
     def _rollout_news(self) -> list[mesh_messages.RolloutNews]:
         now = self._clock.now()
         return [
@@ -249,8 +268,7 @@
     def _beat(self, peers: list[mesh_peers.Peer], now: float) -> list[mesh_peers.Peer]:
         """Send beats, and give the peers that were reached."""
         reached = []
-        versions = self.source.versions() if self.source else []
-        reads_store = self.source is not None and self.source.reads()
+        tables, reads_store = self._tables(), self._reads()
         loads, dark = self._directory.own_loads(), self._directory.dark()
         rolls = self._rollout_news()
         for peer in peers:
@@ -262,7 +280,7 @@
                 self.hall,
                 self.address,
                 self._incarnation,
-                versions,
+                tables,
                 reads_store,
                 loads,
                 prompts,
@@ -322,14 +340,16 @@
         if beat.evidence and self._evidence.merge(beat.evidence):
             self._rollouts.note_routes(beat.evidence)
             self._rollouts.look()
-        self._ask_for_rows(peer, now)
+        self._take_tables(peer, now)
 
-    def _ask_for_rows(self, peer: mesh_peers.Peer, now: float) -> None:
+    def _take_tables(self, peer: mesh_peers.Peer, now: float) -> None:
+        """Take what a peer knows of the tables, and ask for those that help."""
         assert peer.beat is not None
-        if self.source is None or now < peer.asked_at + ASK_PAUSE_S:
+        if self.source is None:
             return
-        for table, version in enumerate(peer.beat.versions):
-            if self.source.behind(table, version, self._is_far(peer)):
+        may_ask = now >= peer.asked_at + ASK_PAUSE_S
+        for table, news in enumerate(peer.beat.tables):
+            if self.source.take_news(table, news, self._is_far(peer)) and may_ask:
                 peer.asked_at = now
                 self._send(peer, mesh_messages.RowsWanted(self.address, table))
 
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -24,12 +24,23 @@
     on_old: int
 
 
+class TableNews(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of a table.
+
+    :param changed: the version of the newest change.
+    :param proved: the store's time at which there was no newer one; 0 for never.
+    """
+
+    changed: int
+    proved: float
+
+
 class Beat(msgspec.Struct, tag="b", array_like=True, frozen=True):
     """Sent every beat to every peer.
 
     :param hall: where the sender stands.
     :param address: where the sender takes messages.
-    :param versions: what its tables are up to date with, in the order of ``TABLES``.
+    :param tables: what it knows of its tables, in the order of ``TABLES``.
     :param reads_store: whether it reads the store itself, and that answers.
     :param loads: what it has at each endpoint.
     :param prompts: what endpoints read for it since the last beat to this peer, as
@@ -42,7 +53,7 @@
     hall: str
     address: str
     incarnation: str
-    versions: list[int]
+    tables: list[TableNews]
     reads_store: bool
     loads: dict[str, endpoint_state.Load]
     prompts: list[tuple[str, list[prefix_cache.Mark]]]
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -31,7 +31,9 @@
     """What a site promises its users; a gateway reads them from its settings file."""
 
     __slots__ = (
+        "config_s",
         "drain_s",
+        "rollback_s",
         "grace_s",
         "budget_ratio",
         "budget_window_s",
@@ -40,8 +42,12 @@
     )
 
     def __init__(self) -> None:
+        # A change of the configuration is in force within this time, seconds.
+        self.config_s = 2.0
         # A leaving endpoint gets nothing more after this time, seconds.
         self.drain_s = 2.0
+        # A version found bad gets nothing more after this time, seconds.
+        self.rollback_s = 5.0
         # A process told to stop is killed after this time, seconds.
         self.grace_s = 8.0
         # Sends beyond the first of each request, as a share of the requests.
--- a/gaprock/platform/settings.py
+++ b/gaprock/platform/settings.py
@@ -23,7 +23,9 @@
 class BoundsDoc(msgspec.Struct, frozen=True):
     """What the site promises; times in milliseconds or, with ``S``, in seconds."""
 
+    ConfigMs: float = 2000
     DrainMs: float = 2000
+    RollbackMs: float = 5000
     GraceS: float = 8
     BudgetRatio: float = 0.5
     BudgetWindowS: float = 10
@@ -72,7 +74,9 @@
 
 
 def _fill_bounds(bounds: options.SiteBounds, doc: BoundsDoc) -> None:
+    bounds.config_s = doc.ConfigMs / 1000
     bounds.drain_s = doc.DrainMs / 1000
+    bounds.rollback_s = doc.RollbackMs / 1000
     bounds.grace_s = doc.GraceS
     bounds.budget_ratio = doc.BudgetRatio
     bounds.budget_window_s = doc.BudgetWindowS
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -1,23 +1,31 @@
 """Client of the platform's metadata store."""
 
 import base64
+import http.client
 import json
 import socket
+import threading
 import typing
 import urllib.parse
 
 import urllib3
+import urllib3.connection
+import urllib3.util.wait
 
 from gaprock import gateway_api, plugin
 
-# Longest wait for an ordinary answer, seconds; the store's usual answer takes 4 ms.
+# Longest wait for a connection and for an ordinary answer, seconds; the store's usual
+# answer takes 4 ms.
+CONNECT_WAIT_S: typing.Final = 1.0
 ANSWER_WAIT_S: typing.Final = 2.0
-# A long poll is given up this long after the store should have answered, seconds.
-POLL_SLACK_S: typing.Final = 2.0
+# Longest wait for changes that are not waited for at the store, seconds.  What an
+# outage swallowed is asked again within a second of its end; a store that is 100 times
+# slower than usual still answers in 0.4 s.
+CHANGES_WAIT_S: typing.Final = 1.0
 # A long poll says nothing for long, so the connection itself has to show that the store
 # is still there: probes after a second, given up after these milliseconds.
 SILENT_MS: typing.Final = 2000
-SOCKET_OPTIONS: typing.Final = [
+SOCKET_OPTIONS: typing.Final[list[tuple[int, int, int | bytes]]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
@@ -27,6 +35,51 @@
 ]
 MAX_WAIT_MS: typing.Final = 30_000
 RETRY_STATUSES: typing.Final = (429, 503)
+CALL_ERRORS: typing.Final = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+)
+# Connections of polls that rest, and serve the next ones; a table needs one.
+RESTING_POLLS: typing.Final = 4
+
+
+class PlatformPoll(gateway_api.Poll):
+    """A call to the feed on a connection of its own.
+
+    :param keep: takes the connection when the answer was read whole.
+    """
+
+    __slots__ = ("_conn", "_keep")
+
+    def __init__(
+        self,
+        conn: urllib3.connection.HTTPConnection,
+        keep: typing.Callable[[urllib3.connection.HTTPConnection], None],
+    ) -> None:
+        self._conn: urllib3.connection.HTTPConnection | None = conn
+        self._keep = keep
+
+    def wait(self, wait_s: float) -> bool:
+        assert self._conn is not None and self._conn.sock is not None
+        return urllib3.util.wait.wait_for_read(self._conn.sock, wait_s)
+
+    def page(self) -> gateway_api.Page:
+        assert self._conn is not None
+        self._conn.timeout = ANSWER_WAIT_S
+        try:
+            answer = self._conn.getresponse()
+        except CALL_ERRORS as exc:
+            raise gateway_api.StoreError(type(exc).__name__) from exc
+        page = _page(_checked(answer))
+        self._keep(self._conn)
+        self._conn = None
+        return page
+
+    def close(self) -> None:
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
 
 
 @plugin.register(gateway_api.SharedStore, "platform")
@@ -36,10 +89,11 @@
     :param address: ``IP:PORT`` of the store.
     """
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pool", "_address", "_resting", "_lock")
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
+        self._address = host, int(port)
         self._pool = urllib3.HTTPConnectionPool(
             host,
             int(port),
@@ -48,27 +102,55 @@
             retries=False,
             socket_options=SOCKET_OPTIONS,
         )
+        self._resting: list[urllib3.connection.HTTPConnection] = []
+        self._lock = threading.Lock()
 
     def read(self, table: str) -> gateway_api.Page:
-        rows: list[gateway_api.Row] = []
-        start = ""
-        while True:
-            query = {"Table": table, "part": ""}
-            if start:
-                query["From"] = start
+        query = {"Table": table, "part": ""}
+        first = body = self._get("/-/rows-get", query, ANSWER_WAIT_S)
+        rows = [_row(item) for item in body.get("Rows", ())]
+        while body.get("HasMore"):
+            # The next page begins at the smallest key after the last one.
+            query["From"] = rows[-1].key + "\0"
             body = self._get("/-/rows-get", query, ANSWER_WAIT_S)
             rows += [_row(item) for item in body.get("Rows", ())]
-            if not body.get("HasMore"):
-                return gateway_api.Page(rows, body["Ver"], body["NowMs"] / 1000)
-            # The next page begins at the smallest key after the last one.
-            start = rows[-1].key + "\0"
+        # A later page may be newer; a change of an earlier one in between is told by
+        # the feed only from the first page's version on.
+        return gateway_api.Page(rows, first["Ver"], first["NowMs"] / 1000)
 
-    def follow(self, table: str, since: int, wait_s: float) -> gateway_api.Page:
-        wait_ms = min(MAX_WAIT_MS, int(wait_s * 1000))
-        query = {"Table": table, "SinceRev": str(since), "WaitMs": str(wait_ms)}
-        body = self._get("/-/rows-feed", query, wait_s + POLL_SLACK_S)
-        rows = [_row(item) for item in body.get("Rows", ())]
-        return gateway_api.Page(rows, body["Ver"], body["NowMs"] / 1000)
+    def changes(self, table: str, since: int) -> gateway_api.Page:
+        return _page(self._get(*_feed(table, since, 0.0), CHANGES_WAIT_S))
+
+    def poll(self, table: str, since: int, wait_s: float) -> PlatformPoll:
+        path, query = _feed(table, since, wait_s)
+        conn = self._poll_connection()
+        conn.timeout = CONNECT_WAIT_S
+        try:
+            conn.request("GET", f"{path}?{urllib.parse.urlencode(query)}")
+        except CALL_ERRORS as exc:
+            conn.close()
+            raise gateway_api.StoreError(type(exc).__name__) from exc
+        return PlatformPoll(conn, self._keep)
+
+    def _poll_connection(self) -> urllib3.connection.HTTPConnection:
+        """Give a connection for a poll, one that rests if it is open."""
+        with self._lock:
+            conn = self._resting.pop() if self._resting else None
+        if conn is not None and conn.is_connected:
+            return conn
+        if conn is not None:
+            conn.close()
+        host, port = self._address
+        return urllib3.connection.HTTPConnection(
+            host, port, socket_options=SOCKET_OPTIONS
+        )
+
+    def _keep(self, conn: urllib3.connection.HTTPConnection) -> None:
+        with self._lock:
+            if len(self._resting) < RESTING_POLLS:
+                self._resting.append(conn)
+                return
+        conn.close()
 
     def commit(self, writes: list[gateway_api.Write]) -> int:
         names = [{"Table": w.table, "part": "", "Key": w.key} for w in writes]
@@ -85,62 +167,73 @@
             ],
             "Remove": [name for name, w in zip(names, writes) if w.value is None],
         }
-        status, answer = self._call(
+        answer = self._call(
             "POST", "/-/rows-tx", ANSWER_WAIT_S, json.dumps(body).encode()
         )
-        if status == 412:
+        if answer.status == 412:
             return 0
-        return int(_body(status, answer)["Ver"])
+        return int(_checked(answer)["Ver"])
 
     def _get(
         self, path: str, query: dict[str, str], wait_s: float
     ) -> dict[str, typing.Any]:
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        status, body = self._call("GET", target, wait_s)
-        if status == 410:
-            raise gateway_api.HistoryGone
-        return _body(status, body)
+        return _checked(self._call("GET", target, wait_s))
 
     def _call(
         self, method: str, target: str, wait_s: float, body: bytes | None = None
-    ) -> tuple[int, bytes]:
+    ) -> urllib3.BaseHTTPResponse:
         """Make one call.
 
-        :raises gateway_api.StoreError: without an answer, or when told to wait.
+        :raises gateway_api.StoreError: without an answer.
         """
         headers = {"Content-Type": "application/json"} if body else {}
         try:
             # An answer that did not come leaves its connection mute: urllib3 closes
             # a connection whose request failed and opens another for the next one.
-            answer = self._pool.urlopen(
+            return self._pool.urlopen(
                 method,
                 target,
                 body=body,
                 headers=headers,
-                timeout=urllib3.Timeout(connect=1.0, read=wait_s),
+                timeout=urllib3.Timeout(connect=CONNECT_WAIT_S, read=wait_s),
                 retries=False,
             )
         except urllib3.exceptions.HTTPError as exc:
             raise gateway_api.StoreError(type(exc).__name__) from exc
-        if answer.status in RETRY_STATUSES:
-            retry_s = _seconds(answer.headers.get("Retry-After", ""))
-            raise gateway_api.StoreError(f"status {answer.status}", retry_s)
-        return answer.status, answer.data
 
 
-def _body(status: int, body: bytes) -> dict[str, typing.Any]:
+def _feed(table: str, since: int, wait_s: float) -> tuple[str, dict[str, str]]:
+    """Give the path and query that ask for a table's changes."""
+    wait_ms = min(MAX_WAIT_MS, int(wait_s * 1000))
+    query = {"Table": table, "SinceRev": str(since), "WaitMs": str(wait_ms)}
+    return "/-/rows-feed", query
+
+
+def _checked(answer: urllib3.BaseHTTPResponse) -> dict[str, typing.Any]:
     """Decode an answer.
 
-    :raises gateway_api.StoreError: when it is no success.
+    :raises gateway_api.HistoryGone: when the changes are no longer known.
+    :raises gateway_api.StoreError: when it is no success, or told to wait.
     """
-    if status != 200:
-        raise gateway_api.StoreError(f"status {status}")
+    if answer.status == 410:
+        raise gateway_api.HistoryGone
+    if answer.status in RETRY_STATUSES:
+        retry_s = _seconds(answer.headers.get("Retry-After", ""))
+        raise gateway_api.StoreError(f"status {answer.status}", retry_s)
+    if answer.status != 200:
+        raise gateway_api.StoreError(f"status {answer.status}")
     try:
-        return typing.cast("dict[str, typing.Any]", json.loads(body))
+        return typing.cast("dict[str, typing.Any]", json.loads(answer.data))
     except ValueError as exc:
         raise gateway_api.StoreError("no JSON") from exc
 
 
+def _page(body: dict[str, typing.Any]) -> gateway_api.Page:
+    rows = [_row(item) for item in body.get("Rows", ())]
+    return gateway_api.Page(rows, body["Ver"], body["NowMs"] / 1000)
+
+
 def _row(item: dict[str, typing.Any]) -> gateway_api.Row:
     value = None
     if not item.get("Tombstone"):
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from gaprock import clock, eventlog, gateway_api, mesh, rollouts
+from gaprock import clock, eventlog, freshness, gateway_api, mesh, rollouts
 
 # Each further gateway waits this much longer before it writes, seconds.
 TURN_S: typing.Final = 0.6
@@ -33,6 +33,7 @@
         self,
         name: str,
         clock_: clock.Clock,
+        store_clock: freshness.StoreClock,
         store: gateway_api.SharedStore,
         dialect: gateway_api.Dialect,
         rollouts_: rollouts.Rollouts,
@@ -40,12 +41,11 @@
     ) -> None:
         self._name = name
         self._clock = clock_
+        self._store_clock = store_clock
         self._store = store
         self._dialect = dialect
         self._rollouts = rollouts_
         self._mesh = mesh_
-        # Difference between the store's clock and ours; set with each page.
-        self.store_offset = 0.0
         # Versions of the outcome rows, by service.
         self.row_versions: dict[str, int] = {}
         # When a state was first due, by (revision, state).
@@ -101,7 +101,7 @@
         key = self._dialect.outcome_key(service)
         writes = [gateway_api.Write(table, key, value, expect)]
         if state is rollouts.State.RUNNING:
-            started = rollout.started_at + self.store_offset
+            started = self._store_clock.to_store(rollout.started_at)
             start = msgspec.json.encode(StartRow(rollout.revision, started))
             writes.append(gateway_api.Write(own, START_PREFIX + service, start))
         try:
--- /dev/null
+++ b/gaprock/row_exchange.py
@@ -0,0 +1,78 @@
+"""Rows and proofs of the followed tables, given to and taken from other gateways."""
+
+from gaprock import clock, followers, gateway_api, mesh_messages
+
+
+class RowExchange:
+    """Copies of followed tables, and how fresh they are.
+
+    :param tables: in the order of ``mesh_messages.TABLES``.
+    """
+
+    __slots__ = ("_followers", "_clock", "_missed")
+
+    def __init__(self, tables: list[followers.Follower], clock_: clock.Clock) -> None:
+        self._followers = tables
+        self._clock = clock_
+        # The newest change that a peer told of and we lack, and since when, by table.
+        self._missed: dict[int, tuple[int, float]] = {}
+
+    def news(self) -> list[mesh_messages.TableNews]:
+        """Give the newest change of each table, and its newest proof."""
+        return [follower.news() for follower in self._followers]
+
+    def own_proofs(self) -> list[float]:
+        """Give the newest proofs of our own calls, by the store's clock."""
+        return [follower.fresh.own_stamp for follower in self._followers]
+
+    def reads(self) -> bool:
+        """Whether we read the store ourselves, and it answers."""
+        return all(f.connected and not f.resting for f in self._followers)
+
+    def take_news(
+        self, table: int, news: mesh_messages.TableNews, is_far: bool = False
+    ) -> bool:
+        """Take what a peer knows of a table.
+
+        The store may hang without a word, so a peer that stays ahead for longer than
+        the store's own news takes is enough.  One who rests asks at once, but first in
+        its own hall.
+
+        :returns: whether a copy of the peer's would help.
+        """
+        if not 0 <= table < len(self._followers):
+            return False
+        follower = self._followers[table]
+        follower.prove(news)
+        now = self._clock.now()
+        newest, since = self._missed.get(table, (0, now))
+        newest = max(newest, news.changed)
+        if newest <= follower.changed:
+            self._missed.pop(table, None)
+            return False
+        if table not in self._missed:
+            follower.expect_change()
+        # A peer that is as far behind as we are does not end the wait.
+        self._missed[table] = newest, since
+        if news.changed <= follower.changed:
+            return False
+        if follower.resting and not is_far:
+            return True
+        return not follower.connected or now >= since + followers.BEHIND_S
+
+    def copy(self, table: int) -> mesh_messages.Rows:
+        """Give a table."""
+        follower = self._followers[table]
+        rows = [
+            mesh_messages.RowCopy(row.key, row.value, row.version)
+            for row in follower.rows()
+            if row.value is not None
+        ]
+        return mesh_messages.Rows(table, follower.changed, rows)
+
+    def take_copy(self, rows: mesh_messages.Rows) -> None:
+        """Take a table from a peer."""
+        found = [gateway_api.Row(r.key, r.value, r.version) for r in rows.rows]
+        # A copy tells nothing of the store's clock.
+        page = gateway_api.Page(found, rows.version, 0.0)
+        self._followers[rows.table].take_copy(page)
--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -2,7 +2,8 @@
 
 Faults are set by a test: ``refuse`` (a status for each call), ``lose`` (writes are done
 and not answered), ``delay`` (seconds before each call is looked at), ``swallow`` (what
-comes is never answered, also when the store is back); ``compact`` makes the history go.
+comes is never answered, also when the store is back), ``refuse_tx`` (so many writes are
+refused); ``compact`` makes the history go.
 """
 
 import base64
@@ -83,6 +84,9 @@
         if call == "/-/rows-feed":
             return self._feed(query)
         if call == "/-/rows-tx":
+            if self.faults.get("refuse_tx"):
+                self.faults["refuse_tx"] -= 1
+                return httpfake.Reply(503)
             reply = self._commit(json.loads(body))
             return httpfake.Reply(0, drop=True) if self.faults.get("lose") else reply
         return httpfake.Reply(404)
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -12,6 +12,7 @@
     errors,
     evidence,
     followers,
+    freshness,
     gateway_api,
     gateway_program,
     mesh,
@@ -20,6 +21,7 @@
     policy_guard,
     rollout_writer,
     rollouts,
+    row_exchange,
 )
 from gaprock.platform import store, wire
 from gaprock.test import gatewaysite
@@ -68,7 +70,7 @@
     def read(self, table: str) -> gateway_api.Page:
         return self._next()
 
-    def follow(self, table: str, since: int, wait_s: float) -> gateway_api.Page:
+    def changes(self, table: str, since: int) -> gateway_api.Page:
         return self._next()
 
     def commit(self, writes: list[gateway_api.Write]) -> int:
@@ -83,11 +85,19 @@
     return gateway_api.Page([gateway_api.Row(*row) for row in rows], version, 0.0)
 
 
+def fresh(time: clock.Clock) -> freshness.Freshness:
+    return freshness.Freshness(time, freshness.StoreClock(), lambda: 2.0)
+
+
+def news(changed: int) -> mesh_messages.TableNews:
+    return mesh_messages.TableNews(changed, 0.0)
+
+
 def follower(
     time: clock.ManualClock,
 ) -> tuple[followers.Follower, Scripted, Kept]:
     kept, scripted = Kept(), Scripted()
-    return followers.Follower("t", scripted, time, kept), scripted, kept
+    return followers.Follower("t", scripted, time, kept, fresh(time)), scripted, kept
 
 
 # -- Rows --
@@ -98,12 +108,12 @@
 ) -> None:
     one, scripted, kept = follower(time)
     scripted.pages = [page(5, ("a", b"1", 5), ("b", b"1", 5))]
-    one._step(False, 1.0)
+    one._read()
     one.take_copy(page(9, ("a", b"2", 9)))
     assert kept.rows == {"a": b"2"}
     # The poll that was under way tells older changes, one of a row that is gone again.
     scripted.pages = [page(8, ("a", b"old", 7), ("b", None, 8), ("c", b"1", 8))]
-    one._step(True, 1.0)
+    one._ask(one.version)
     assert kept.rows == {"a": b"2"}
     one.take_copy(page(8, ("a", b"old", 7)))
     assert kept.rows == {"a": b"2"}
@@ -112,8 +122,8 @@
 def test_rows_of_one_transaction_are_all_taken(time: clock.ManualClock) -> None:
     one, scripted, kept = follower(time)
     scripted.pages = [page(5), page(6, ("a", b"1", 6), ("b", b"1", 6))]
-    one._step(False, 1.0)
-    one._step(True, 1.0)
+    one._read()
+    one._ask(one.version)
     assert kept.rows == {"a": b"1", "b": b"1"}
 
 
@@ -122,17 +132,17 @@
 ) -> None:
     one, scripted, _ = follower(time)
     scripted.pages = [page(5, ("a", b"1", 5))]
-    one._step(False, 1.0)
+    one._read()
     one.lost_at = clock.NEVER
-    exchange = followers.RowExchange([one], time)
-    assert not exchange.behind(0, 6)
+    exchange = row_exchange.RowExchange([one], time)
+    assert not exchange.take_news(0, news(6))
     time.advance(followers.BEHIND_S + 0.1)
     # Another one that is as far behind says nothing against it.
-    assert not exchange.behind(0, 5)
-    assert exchange.behind(0, 6)
-    assert not exchange.behind(0, 5)
+    assert not exchange.take_news(0, news(5))
+    assert exchange.take_news(0, news(6))
+    assert not exchange.take_news(0, news(5))
     one.lost_at = time.now()
-    assert exchange.behind(0, 6)
+    assert exchange.take_news(0, news(6))
 
 
 def test_a_follower_that_rests_takes_copies_and_polls_again() -> None:
@@ -141,15 +151,19 @@
     kept, rests = Kept(), [True]
     client = store.PlatformStore(f"127.0.0.1:{fake.port}")
     steady = clock.MonotonicClock()
-    one = followers.Follower("t", client, steady, kept, 0.0, lambda: rests[0])
-    exchange = followers.RowExchange([one], steady)
+    one = followers.Follower(
+        "t", client, steady, kept, fresh(steady), 0.0, lambda: rests[0]
+    )
+    exchange = row_exchange.RowExchange([one], steady)
     fake.put("t", "a", 1)
     one.start()
     gatewaysite.wait_until(lambda: one.resting, "it rests once it has read the table")
     assert not exchange.reads()
     calls = len(fake.calls)
     version = fake.put("t", "b", 2)
-    assert exchange.behind(0, version) and not exchange.behind(0, version, is_far=True)
+    assert exchange.take_news(0, news(version)) and not exchange.take_news(
+        0, news(version), is_far=True
+    )
     one.take_copy(page(version, ("a", b"1", 1), ("b", b"2", version)))
     assert sorted(kept.rows) == ["a", "b"] and len(fake.calls) == calls
     fake.put("t", "c", 3)
@@ -187,7 +201,8 @@
     fake.start()
     kept = Kept()
     client = store.PlatformStore(f"127.0.0.1:{fake.port}")
-    one = followers.Follower("t", client, clock.MonotonicClock(), kept)
+    steady = clock.MonotonicClock()
+    one = followers.Follower("t", client, steady, kept, fresh(steady))
     for number in range(metastore.PAGE_ROWS + 2):
         fake.put("t", f"k{number}", number)
     one.start()
@@ -369,7 +384,13 @@
         self.on_old = 0
         self.mesh.on_old_here = lambda service: self.on_old
         self.writer = rollout_writer.RolloutWriter(
-            "me", time, self.store, wire.PlatformDialect(), self.book, self.mesh
+            "me",
+            time,
+            freshness.StoreClock(),
+            self.store,
+            wire.PlatformDialect(),
+            self.book,
+            self.mesh,
         )
 
     def written(self) -> list[str]:
@@ -469,9 +490,10 @@
         'Node = "n"\nIp = "10.0.0.1"\nZone = "z"\nNew = 1\n'
         '[Provider]\nAddr = "1.1.1.1:2"\n'
         '[Listen]\nFront = "1.1.1.1:3"\nReady = "1.1.1.1:4"\n'
-        "[TimingBounds]\nDrainMs = 1500\n"
+        "[TimingBounds]\nDrainMs = 1500\nConfigMs = 3000\nRollbackMs = 4000\n"
     )
-    assert gateway_program.load_options(str(path)).bounds.drain_s == 1.5
+    bounds = gateway_program.load_options(str(path)).bounds
+    assert (bounds.drain_s, bounds.config_s, bounds.rollback_s) == (1.5, 3.0, 4.0)
 
 
 def test_a_connection_between_gateways_that_went_silent_is_opened_anew() -> None:
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -23,7 +23,13 @@
 
 import pytest
 
+from gaprock import clock, followers, freshness, gateway_api, mesh_messages, options
+from gaprock.platform import store as platform_store
 from gaprock.test import gatewaysite
+from gaprock.test.fakes import httpfake, metastore
+
+# Within which a change has to be in force, seconds.
+BOUND_S: typing.Final = 2.0
 
 
 def swallow_next_poll(
@@ -67,3 +73,189 @@
         else:
             one.write_row("e2", "app", State="draining")
         gatewaysite.wait_until(lambda: one.known("app") == {"e1"}, "it has left")
+
+
+# -- Proofs --
+
+
+class FreshCase:
+    """One table's freshness by a clock that is moved by hand; the store's is 50 behind.
+
+    :param leads: whether it proves for the others.
+    """
+
+    def __init__(self, leads: bool) -> None:
+        self.time = clock.ManualClock(150.0)
+        self.fresh = freshness.Freshness(
+            self.time, freshness.StoreClock(), lambda: BOUND_S, lambda: leads
+        )
+        self.fresh.prove_by_answer(100.0, asked_at=self.time.now())
+
+
+def test_the_first_gateway_asks_well_before_a_change_has_to_be_in_force() -> None:
+    case = FreshCase(leads=True)
+    assert not case.fresh.is_check_due
+    case.time.advance(freshness.LEAD_SHARE * BOUND_S)
+    assert case.fresh.is_check_due
+    assert not case.fresh.is_stale
+
+
+def test_the_others_ask_when_no_proof_reaches_them_and_before_they_are_stale() -> None:
+    case = FreshCase(leads=False)
+    for _ in range(20):
+        case.time.advance(freshness.LEAD_SHARE * BOUND_S)
+        assert not case.fresh.is_check_due
+        # The first gateway's proof comes, some of the time old.
+        case.fresh.prove(case.time.now() - 50.0 - 0.1)
+    case.time.advance(freshness.OTHER_SHARES[1] * BOUND_S)
+    assert case.fresh.is_check_due
+    assert not case.fresh.is_stale
+    case.time.advance(BOUND_S)
+    assert case.fresh.is_stale
+
+
+def test_a_proof_keeps_its_age_however_long_it_was_under_way() -> None:
+    case = FreshCase(leads=False)
+    case.time.advance(BOUND_S)
+    case.fresh.prove(100.5)
+    assert case.fresh.proved_at == 150.5
+    case.fresh.prove(100.2)
+    assert case.fresh.proved_at == 150.5
+    # A store that counts anew has stamps that mean nothing by the old offset.
+    case.fresh.prove(5000.0)
+    assert case.fresh.proved_at == 150.5
+
+
+def test_a_peers_proof_counts_for_the_same_rows_alone() -> None:
+    time = clock.ManualClock(150.0)
+    store_clock = freshness.StoreClock()
+    store_clock.note(100.0, 150.0)
+    fresh = freshness.Freshness(time, store_clock, lambda: BOUND_S)
+    one = followers.Follower("t", gateway_api.SharedStore(), time, Kept(), fresh)
+    one.take_copy(gateway_api.Page([gateway_api.Row("a", b"1", 7)], 7, 0.0))
+    one.prove(mesh_messages.TableNews(6, 100.0))
+    one.prove(mesh_messages.TableNews(8, 100.0))
+    assert fresh.proved_at == 0.0
+    one.prove(mesh_messages.TableNews(7, 100.0))
+    assert fresh.proved_at == 150.0
+
+
+class Kept:
+    """A sink that keeps the keys that it was given."""
+
+    def __init__(self) -> None:
+        self.keys: set[str] = set()
+
+    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
+        self.keys |= {row.key for row in page.rows}
+
+
+class ByHurryAlone(freshness.Freshness):
+    """Has a proof due only where a change was told of."""
+
+    __slots__ = ()
+
+    @property
+    def is_check_due(self) -> bool:
+        return self._clock.now() >= self._hurry_at
+
+
+class FollowedStore:
+    """A store's stand-in with a follower of its table ``t``; use it as a context."""
+
+    def __init__(
+        self,
+        store: metastore.MetaStoreFake | None = None,
+        rests: typing.Callable[[], bool] = lambda: False,
+        kind: type[freshness.Freshness] = freshness.Freshness,
+    ) -> None:
+        self.store = store or metastore.MetaStoreFake()
+        self.kept = Kept()
+        steady = clock.MonotonicClock()
+        self.fresh = kind(steady, freshness.StoreClock(), lambda: BOUND_S)
+        self.follower = followers.Follower(
+            "t",
+            platform_store.PlatformStore(f"127.0.0.1:{self.store.port}"),
+            steady,
+            self.kept,
+            self.fresh,
+            may_rest=rests,
+        )
+
+    def __enter__(self) -> "FollowedStore":
+        self.store.start()
+        self.store.put("t", "a", 1)
+        self.follower.start()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self.follower.stop()
+        self.store.stop()
+
+    def swallow_poll(self) -> None:
+        """Have the poll answered, and the next one swallowed."""
+        gatewaysite.wait_until(lambda: self.kept.keys == {"a"}, "it is read")
+        self.store.faults["swallow"] = True
+        self.store.put("t", "b", 1)
+        gatewaysite.wait_until(lambda: "t" in self.store.swallowed, "swallowed")
+        del self.store.faults["swallow"]
+
+
+def test_a_poll_that_a_peers_copy_went_before_is_asked_about_and_left() -> None:
+    with FollowedStore(kind=ByHurryAlone) as case:
+        case.swallow_poll()
+        version = case.store.put("t", "c", 1)
+        rows = [gateway_api.Row(key, b"1", n) for n, key in enumerate("abc", 1)]
+        case.follower.take_copy(gateway_api.Page(rows, version, 0.0))
+        calls = case.store.calls.count("/-/rows-feed")
+        gatewaysite.wait_until(
+            lambda: case.store.calls.count("/-/rows-feed") >= calls + 2,
+            "it asks, and polls anew",
+        )
+        case.store.put("t", "d", 1)
+        gatewaysite.wait_until(lambda: "d" in case.kept.keys, "the new poll tells")
+
+
+def test_a_follower_that_rests_asks_when_no_proof_reaches_it() -> None:
+    with FollowedStore(rests=lambda: True) as case:
+        gatewaysite.wait_until(lambda: case.follower.resting, "it rests")
+        case.store.put("t", "b", 1)
+        gatewaysite.wait_until(lambda: "b" in case.kept.keys, "it asked by itself")
+        assert case.follower.resting
+
+
+class ChangingStore(metastore.MetaStoreFake):
+    """Changes a row of the first page after that page was given."""
+
+    def _get(self, query: dict[str, str]) -> httpfake.Reply:
+        reply = super()._get(query)
+        if query["Table"] == "t" and "From" not in query:
+            self.put("t", "a", "changed")
+            self.put("t", "a2", "new")
+        return reply
+
+
+def test_a_change_of_an_earlier_page_while_a_later_one_is_read_is_not_lost() -> None:
+    store = ChangingStore()
+    for number in range(metastore.PAGE_ROWS + 1):
+        store.put("t", f"k{number}", number)
+    with FollowedStore(store) as case:
+        gatewaysite.wait_until(
+            lambda: {r.key: r.value for r in case.follower.rows()}.get("a")
+            == b'"changed"',
+            "the change is taken",
+        )
+        gatewaysite.wait_until(lambda: "a2" in case.kept.keys, "the new row, too")
+
+
+def test_a_gateway_whose_announcement_was_not_answered_makes_it_again() -> None:
+    def with_mesh(cfg: options.Options) -> None:
+        cfg.mesh_port = gatewaysite.free_port()
+
+    with gatewaysite.GatewaySite(with_mesh) as one:
+        one.store.faults["refuse_tx"] = 2
+        gatewaysite.wait_until(
+            lambda: one.store.value("gaprock", "peer/gateway-1") is not None,
+            "the row is written",
+        )
+        assert one.store.faults["refuse_tx"] == 0
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -32,17 +32,73 @@
         "a peer that stays ahead is asked",
         "testfleet.py::test_a_peer_that_stays_ahead_is_asked_though_the_store_says"
         "_nothing",
-        "followers.py",
-        "return not follower.connected or now >= since + BEHIND_S",
+        "row_exchange.py",
+        "return not follower.connected or now >= since + followers.BEHIND_S",
         "return not follower.connected",
     ),
     _proof(
         "history that is gone is read anew",
         "testfleet.py::test_the_store_is_followed_through_lost_history_and_outages",
         "followers.py",
-        "                is_read = False\n            except gateway_api.StoreError",
+        "                self._is_read = False\n"
+        "            except gateway_api.StoreError",
         "            except gateway_api.StoreError",
     ),
+    _proof(
+        "a poll that tells nothing is checked",
+        "testfreshness.py::test_a_configuration_is_in_force_after_an_outage_swallowed"
+        "_the_poll",
+        "followers.py",
+        "if self.fresh.is_check_due and self._ask(since):",
+        "if False:",
+    ),
+    _proof(
+        "a poll that a peer's copy went before is left",
+        "testfreshness.py::test_a_poll_that_a_peers_copy_went_before_is_asked_about"
+        "_and_left",
+        "followers.py",
+        "            self._take_whole(page, page.version)\n"
+        "            # A poll that does not tell the same soon is not going to.\n"
+        "            self.expect_change()\n",
+        "            self._take_whole(page, page.version)\n",
+    ),
+    _proof(
+        "one who rests asks when no proof reaches it",
+        "testfreshness.py::test_a_follower_that_rests_asks_when_no_proof_reaches_it",
+        "followers.py",
+        "elif not self.connected or self.fresh.is_check_due:",
+        "elif not self.connected:",
+    ),
+    _proof(
+        "a peer's proof counts for the same rows alone",
+        "testfreshness.py::test_a_peers_proof_counts_for_the_same_rows_alone",
+        "followers.py",
+        "if news.changed == self.changed:",
+        "if True:",
+    ),
+    _proof(
+        "a proof keeps its age under way",
+        "testfreshness.py::test_a_proof_keeps_its_age_however_long_it_was_under_way",
+        "freshness.py",
+        "at = self._store_clock.to_ours(stamp)",
+        "at = self._clock.now()",
+    ),
+    _proof(
+        "a table of several pages is as new as its first",
+        "testfreshness.py::test_a_change_of_an_earlier_page_while_a_later_one_is_read"
+        "_is_not_lost",
+        "platform/store.py",
+        'first["Ver"]',
+        'body["Ver"]',
+    ),
+    _proof(
+        "an announcement is made until it is answered",
+        "testfreshness.py::test_a_gateway_whose_announcement_was_not_answered_makes_it"
+        "_again",
+        "gateway_own.py",
+        "self._until_done(self._announce)",
+        "self._announce()",
+    ),
     _proof(
         "a call that may have run is not sent again",
         "testgateway.py::test_a_request_that_may_have_run_is_not_sent_again",
