Go on trying a peer that was heard, through cuts of minutes

Cause: two gateways that were cut from each other for over 30 s forgot each other, and peers are looked up at the start alone, so proofs, halts and copies between them ended until one was started again.

Ruled out: reading the peers' rows again (rows of machines that are gone stay, so each silent one would cost calls for ever).

--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -29,9 +29,13 @@
     rollouts,
 )
 
-# A peer that is silent for this long counts no more, and is forgotten, seconds.
+# A peer that is silent for this long counts no more, seconds.
 SILENT_S: typing.Final = 2.5
+# An address at which nobody was heard is forgotten after this time, seconds; one at
+# which a peer was heard much later, since after a cut of minutes, in which both forgot
+# each other, neither would look for the other again.
 FORGET_S: typing.Final = 30.0
+FORGET_HEARD_S: typing.Final = 3600.0
 # Messages that may wait for a peer; more are dropped, since the next beat has it all.
 HIGH_WATER: typing.Final = 20
 # Pauses before a lost connection is opened again, milliseconds.
@@ -218,7 +222,7 @@
     def _beat_where_due(self, now: float) -> None:
         news = self._news()
         peers = list(self._peers.values())
-        far = sum(self._is_far(peer) for peer in peers)
+        far = sum(peer.beat is not None and self._is_far(peer) for peer in peers)
         due = [
             peer
             for peer in peers
@@ -371,7 +375,7 @@
                 self._directory.take_loads(peer.name, {})
                 self._directory.take_dark(peer.name, ())
                 peer.beat = None
-            if silent_s > FORGET_S:
+            if silent_s > (FORGET_HEARD_S if peer.name else FORGET_S):
                 peer.sock.close(linger=0)
                 with self._lock:
                     del self._peers[peer.address]
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -523,3 +523,30 @@
             each.close(linger=0)
         context.term()
         proxy.stop()
+
+
+def test_a_peer_that_was_heard_is_tried_for_an_hour_and_another_is_not(
+    time: clock.ManualClock,
+) -> None:
+    case = WriterCase(time)
+    context = zmq.Context()
+    try:
+        for _ in range(2):
+            case.mesh._add(context, f"tcp://127.0.0.1:{gatewaysite.free_port()}")
+        heard, _ = case.mesh._peers
+        beat = mesh_messages.Beat(
+            "peer", "h2", heard, "i", [], True, {}, [], [], [], [], False
+        )
+        case.mesh._on_beat(beat)
+        # A cut between regions lasts minutes, and nobody reads the peers' rows again.
+        time.advance(mesh.FORGET_S + 600.0)
+        case.mesh._forget_silent()
+        assert list(case.mesh._peers) == [heard]
+        assert case.mesh.living() == []
+        time.advance(mesh.FORGET_HEARD_S)
+        case.mesh._forget_silent()
+        assert not case.mesh._peers
+    finally:
+        for peer in case.mesh._peers.values():
+            peer.sock.close(linger=0)
+        context.term()
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -83,6 +83,14 @@
         "at = self._store_clock.to_ours(stamp)",
         "at = self._clock.now()",
     ),
+    _proof(
+        "a peer that was heard is not forgotten by a cut",
+        "testfleet.py::test_a_peer_that_was_heard_is_tried_for_an_hour_and_another_is"
+        "_not",
+        "mesh.py",
+        "(FORGET_HEARD_S if peer.name else FORGET_S)",
+        "FORGET_S",
+    ),
     _proof(
         "a table of several pages is as new as its first",
         "testfreshness.py::test_a_change_of_an_earlier_page_while_a_later_one_is_read"
