--- a/misc/write_days.py
+++ b/misc/write_days.py
@@ -12,8 +12,6 @@
 FOLDER: typing.Final = pathlib.Path(__file__).resolve().parent.parent / "bench/days"
 SEED: typing.Final = 7
 AT_S: typing.Final = 6.0
-# One change of the configuration a second, and a route with every second one.
-SERIES: typing.Final = ("tenant", "route") * 12
 Trouble = dict[str, object]
 
 
@@ -32,6 +30,15 @@
     return {"plan": True, "kind": kind, "how": how, "at": at, **more}
 
 
+# One change of the configuration a second, a route with every second one.
+SERIES: typing.Final = [
+    plan("config_change", how, at=2.0 + number)
+    for number, how in enumerate(("tenant", "route") * 12)
+]
+# Just after a change, when the polls are asked anew.
+OUTAGES: typing.Final = (5.06, 8.06, 11.06, 14.06, 17.06)
+
+
 DAYS: typing.Final[dict[str, list[Trouble]]] = {
     "burst": [fault("burst", x=3.0, for_s=6.0)],
     "hot-key": [fault("hot_key", share=0.5, for_s=6.0)],
@@ -87,9 +94,36 @@
     "config-storm": [plan("config_storm", for_s=6.0, gap_s=0.1)],
     "config-routes": [plan("config_change", "route"), plan("config_change", "weights")],
     "changes-while-store-is-silent": [
-        *(plan("config_change", how, at=2.0 + n) for n, how in enumerate(SERIES)),
+        *SERIES,
         fault("platform_down", "silent", at=5.06, for_s=6.0),
     ],
+    "changes-while-store-refuses-some": [
+        *SERIES,
+        fault("platform_down", "nodes revoke meet", at=5.06, share=0.6, for_s=8.0),
+        fault("platform_down", "silent", at=17.06, for_s=3.0),
+    ],
+    "changes-while-store-comes-and-goes": [
+        *SERIES,
+        *(fault("platform_down", "silent", at=at, for_s=1.2) for at in OUTAGES),
+    ],
+    "changes-while-cut-and-killed": [
+        *SERIES,
+        fault("core_cut", "all", at=5.06, count=1, for_s=6.0),
+        fault("platform_down", "silent", at=9.06, for_s=4.0),
+        fault("node_kill", "leader", at=10.0, on="core", count=1),
+        fault("node_slow", at=15.0, share=0.5, x=5.0, for_s=6.0),
+    ],
+    "changes-while-channels-are-reset": [
+        *SERIES,
+        *(fault("reset_conns", at=at, share=1.0, x=0.7) for at in OUTAGES),
+        fault("lossy", at=12.0, x=0.1, for_s=8.0),
+    ],
+    "changes-while-store-is-slow": [
+        *SERIES,
+        fault("platform_slow", at=5.06, x=100.0, for_s=6.0),
+        fault("platform_lost", "late", at=13.06, x=0.6, for_s=6.0),
+        fault("platform_compact", "drain", at=21.06, x=6.0, for_s=4.0),
+    ],
     "endpoints-leave-while-store-is-silent": [
         plan("scale_in", at=4.9, share=0.15),
         fault("platform_down", "silent", at=5.2, for_s=5.0),
