Have the soak's store swallow calls, connections go silent, and new keys come

Cause: the soak had a store that refused, was slow or lost its answers, and reset what had been silent; it never swallowed a call, and it judged keys that were taken away but none that came. So it could not find a gateway that kept an old configuration.

Ruled out: more faults in the old series of chances, since the seeds that are kept would no longer play what they are kept for. New steps come beside, by chances of their own.

Seed 5001 showed that a key refused in the instant in which it came was judged as one taken away; the judgement looks at refusals after that now, and is as strict for keys that were there before.

--- a/gaprock/test/soak.py
+++ b/gaprock/test/soak.py
@@ -5,7 +5,8 @@
 
 1. Gateways, store and endpoints start; callers begin to call.
 2. Faults come in series and overlap, chosen by the seed; planned work comes among them.
-3. All faults end; every gateway must serve every kind of request again.
+3. All faults end; every gateway must serve every kind of request again, and take a new
+   key in time.
 4. The record is held against the promises (``soak_ledger``).
 
 A seed names a series of faults; the timing is the machine's.
@@ -32,13 +33,20 @@
 # Every kind of request must be served again within this long, seconds.
 RECOVER_S: typing.Final = 15.0
 SIGNAL_GAP_S: typing.Final = 0.2
+# A change is in force on a gateway that nothing disturbs within this long, seconds.
+IN_FORCE_S: typing.Final = soak_fleet.CONFIG_S + soak_ledger.SLACK_S
 
 # One seed in so many plays planned work alone, so that all promises hold throughout.
 PLANNED_EVERY: typing.Final = 3
+# A step is followed by one more this often; those have chances of their own, so that
+# the steps of a seed that is kept stay what they were.
+BESIDE_SHARE: typing.Final = 0.3
 
 Step = typing.Callable[["Soak"], None]
 FAULTS: typing.Final[list[Step]] = []
 PLANNED: typing.Final[list[Step]] = []
+FAULTS_BESIDE: typing.Final[list[Step]] = []
+PLANNED_BESIDE: typing.Final[list[Step]] = []
 
 
 def fault(function: Step) -> Step:
@@ -53,11 +61,25 @@
     return function
 
 
+def fault_beside(function: Step) -> Step:
+    """Register a fault that comes beside others."""
+    FAULTS_BESIDE.append(function)
+    return function
+
+
+def planned_beside(function: Step) -> Step:
+    """Register planned work that comes beside other."""
+    PLANNED_BESIDE.append(function)
+    return function
+
+
 class Soak:
     """One seed's run."""
 
     def __init__(self, seed: int, seconds: float, gateways: int, logs: pathlib.Path):
         self.rng = random.Random(seed)
+        # Chances of what comes beside.
+        self.rng_beside = random.Random(-1 - seed)
         self.ledger = soak_ledger.Ledger()
         self.fleet = soak_fleet.Fleet(self.ledger, logs, gateways)
         self._seed = seed
@@ -94,9 +116,10 @@
         target: str,
         begin: typing.Callable[[], object],
         end: typing.Callable[[], object],
+        rng: random.Random | None = None,
     ) -> None:
         """Begin a disturbance now, end it later, and write it down."""
-        lasts_s = self.rng.uniform(*FAULT_S)
+        lasts_s = (rng or self.rng).uniform(*FAULT_S)
 
         def work() -> None:
             start = self.ledger.now()
@@ -112,10 +135,14 @@
         self.later(work)
 
     def _disturb(self) -> None:
-        steps = PLANNED if self._seed % PLANNED_EVERY == 0 else FAULTS + PLANNED
+        steps, beside = FAULTS + PLANNED, FAULTS_BESIDE + PLANNED_BESIDE
+        if self._seed % PLANNED_EVERY == 0:
+            steps, beside = PLANNED, PLANNED_BESIDE
         until = time.monotonic() + self._seconds
         while time.monotonic() < until:
             self.rng.choice(steps)(self)
+            if self.rng_beside.random() < BESIDE_SHARE:
+                self.rng_beside.choice(beside)(self)
             time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
         for thread in self._threads:
             thread.join(soak_fleet.STOP_WAIT_S)
@@ -123,6 +150,8 @@
     def _recover(self) -> list[str]:
         """End all faults and wait until everything is served again."""
         self.fleet.heal()
+        key_due_at = time.monotonic() + soak_ledger.CALM_AFTER_S + IN_FORCE_S
+        key = self.fleet.add_key()
         for gateway in self.fleet.gateways:
             if (code := gateway.exit_code()) is not None:
                 return [f"recovery: {gateway.name} ended by itself, code {code}"]
@@ -134,12 +163,29 @@
         }
         while missing and time.monotonic() < deadline:
             missing = {(g, k) for g, k in missing if not self._serves(g, k)}
+        behind = self._behind(key, key_due_at)
         time.sleep(CALM_S)
-        return [f"recovery: {g.name} does not serve {kind}" for g, kind in missing]
-
-    def _serves(self, gateway: soak_fleet.GatewayProcess, kind: str) -> bool:
+        return [
+            *(f"recovery: {g.name} does not serve {kind}" for g, kind in missing),
+            *(f"recovery: {g.name} does not take a new key" for g in behind),
+        ]
+
+    def _behind(self, key: str, due_at: float) -> list[soak_fleet.GatewayProcess]:
+        """Give the gateways that do not take a key by the time at which it is due."""
+        behind = list(self.fleet.gateways)
+        while behind:
+            is_last = time.monotonic() >= due_at
+            behind = [g for g in behind if not self._serves(g, "safe", key)]
+            if is_last:
+                break
+        return behind
+
+    def _serves(
+        self, gateway: soak_fleet.GatewayProcess, kind: str, key: str = ""
+    ) -> bool:
         conn = soak_callers.connect(gateway)
-        made = soak_callers.call(self.fleet, gateway, conn, kind, random.Random())
+        rng = random.Random()
+        made = soak_callers.call(self.fleet, gateway, conn, kind, rng, key)
         conn.close()
         return made.status == 200 and made.whole
 
@@ -264,6 +310,31 @@
     soak.during(f"relay {how}", target, begin, relay.heal)
 
 
+@fault_beside
+def store_swallows(soak: Soak) -> None:
+    """What comes to the store is never answered, from just after a change on."""
+    faults = soak.fleet.store.faults
+    soak.fleet.publish()
+    soak.during(
+        "store swallow",
+        soak_ledger.ALL,
+        lambda: faults.update(swallow=True),
+        lambda: faults.pop("swallow", None),
+        soak.rng_beside,
+    )
+
+
+@fault_beside
+def connections_go_silent(soak: Soak) -> None:
+    """Open connections to the store or an endpoint are silent for good."""
+    relays = [gateway.store_relay for gateway in soak.fleet.gateways]
+    relays += [endpoint.relay for endpoint in list(soak.fleet.endpoints.values())]
+    for relay in soak.rng_beside.sample(relays, soak.rng_beside.randint(1, 3)):
+        soak.during(
+            "relay mute", soak_ledger.ALL, relay.mute, lambda: None, soak.rng_beside
+        )
+
+
 # -- Faults and planned work of endpoints --
 
 
@@ -343,6 +414,12 @@
         soak.ledger.revoked[key] = soak.ledger.now()
 
 
+@planned_beside
+def key_added(soak: Soak) -> None:
+    """A new key comes."""
+    soak.fleet.add_key()
+
+
 def play(seed: int, seconds: float, gateways: int, logs: pathlib.Path) -> list[str]:
     """Play one seed, say how much was tried, and give what it broke."""
     soak = Soak(seed, seconds, gateways, logs)
--- a/gaprock/test/soak_callers.py
+++ b/gaprock/test/soak_callers.py
@@ -73,13 +73,17 @@
     conn: http.client.HTTPConnection | None,
     kind: str,
     rng: random.Random,
+    key: str = "",
 ) -> soak_ledger.Try:
-    """Make a request and write it down; a connection that failed is closed."""
+    """Make a request and write it down; a connection that failed is closed.
+
+    :param key: empty for one that chance picks.
+    """
     assert conn is not None
     request = f"{rng.getrandbits(64):016x}"
     revoked = list(fleet.ledger.revoked)
     use_revoked = revoked and rng.random() < REVOKED_SHARE
-    key = rng.choice(revoked if use_revoked else fleet.keys)
+    key = key or rng.choice(revoked if use_revoked else fleet.keys)
     label, sent_at = gateway.label, fleet.ledger.now()
     fleet.ledger.note_sent(request, kind)
     status, whole, right, events = 0, False, False, b""
--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -282,6 +282,15 @@
             item["TimeoutMs"] = ROUTE_MS
         self.store.put("op", "config", document)
 
+    def add_key(self) -> str:
+        """Write a configuration with a new key, and have callers use it."""
+        key = f"key-{self.config_number}-new"
+        # Callers that take it before it is published may be refused in that instant.
+        self.keys.append(key)
+        self.publish()
+        self.ledger.added[key] = self.ledger.now()
+        return key
+
     def add_endpoint(self, service: str) -> Endpoint:
         """Start an endpoint and write its row."""
         self._made += 1
--- a/gaprock/test/soak_ledger.py
+++ b/gaprock/test/soak_ledger.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 import threading
 import time
 import typing
@@ -78,8 +79,10 @@
         self.tries: list[Try] = []
         self.runs: list[Run] = []
         self.disturbances: list[Disturbance] = []
-        # When the operator took keys away, by key, and endpoints began to leave.
+        # When the operator took keys away and added some, by key, and endpoints began
+        # to leave.
         self.revoked: dict[str, float] = {}
+        self.added: dict[str, float] = {}
         self.leaving: dict[str, float] = {}
         self.sent: dict[str, str] = {}
 
@@ -135,7 +138,8 @@
     def __init__(self, ledger: Ledger, drain_s: float, config_s: float) -> None:
         self._ledger = ledger
         self._drain_s = drain_s
-        self._config_s = config_s
+        # Within which a gateway that nothing disturbs has a change in force, seconds.
+        self._known_s = config_s + SLACK_S
         self._tries = {t.request: t for t in ledger.tries}
         self._runs: dict[str, list[Run]] = {}
         for run in ledger.runs:
@@ -152,6 +156,7 @@
             self._final_in_time,
             self._leaving_endpoints,
             self._revoked_keys,
+            self._added_keys,
         )
         return [line for check in checks for line in check()]
 
@@ -218,11 +223,32 @@
             if taken_at is None:
                 continue
             who = made.gateway, made.key
-            if made.status == 401:
+            # A new key that was not known yet was not refused as one taken away.
+            added_at = self._ledger.added.get(made.key, -math.inf)
+            if made.status == 401 and made.sent_at > added_at + self._known_s:
                 refused.setdefault(who, made.ended_at)
             elif made.status == 200 and made.sent_at > refused.get(who, made.sent_at):
                 yield f"went back: {made}"
-            late = made.sent_at > taken_at + self._config_s + SLACK_S
-            calm = self._ledger.is_calm(made.gateway, taken_at, made.ended_at)
-            if late and calm and made.request in self._runs:
+            if self._is_in_force(made, taken_at) and made.request in self._runs:
                 yield f"revoked key served: {made}"
+
+    def _added_keys(self) -> typing.Iterator[str]:
+        """No key that was added is refused late."""
+        for made in self._ledger.tries:
+            added_at = self._ledger.added.get(made.key)
+            if made.status != 401 or added_at is None:
+                continue
+            if made.key not in self._ledger.revoked and self._is_in_force(
+                made, added_at
+            ):
+                yield f"added key refused: {made}"
+
+    def _is_in_force(self, made: Try, changed_at: float) -> bool:
+        """Whether a request has to be handled as a change says.
+
+        What disturbed the gateway before it had the time for a change excuses nothing.
+        """
+        if made.sent_at <= changed_at + self._known_s:
+            return False
+        since = made.sent_at - self._known_s
+        return self._ledger.is_calm(made.gateway, since, made.ended_at)
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -15,7 +15,9 @@
 # 1031: a SIGHUP during the start ended the process (testsignals, during the start).
 # 2022: a stream taken 1.7 s after SIGTERM was cut at the end of a grace time of 5 s,
 #   shorter than its own 3.6 s allow; the soak's grace time is that of the sites now.
-FAILED: typing.Final = (1000, 1031, 2022)
+# 5002: a change just before the store swallowed what came, then new keys, refused for
+#   30 s by all gateways (testfreshness).
+FAILED: typing.Final = (1000, 1031, 2022, 5002)
 SEEDS: typing.Final = (1, *FAILED)
 
 
@@ -44,7 +46,8 @@
         if isinstance(item, soak_ledger.Try):
             ledger.note_sent(item.request, item.kind)
     ledger.leaving["e1"] = 5.0 if any(i == LATE_RUN for i in items) else 100.0
-    ledger.revoked["old"] = 1.0
+    ledger.revoked["old"] = ledger.added["new"] = 1.0
+    ledger.revoked["both"] = ledger.added["both"] = 1.0
     return " ".join(soak_ledger.Judge(ledger, 2.0, 2.0).broken())
 
 
@@ -66,6 +69,12 @@
     assert "revoked" in judged(made("a", "safe", 200, key="old"), run("a", "safe"))
     refused = made("a", "safe", 401, key="old", ended_at=9.0, sent_at=8.0)
     assert "went back" in judged(refused, made("c", "safe", 200, key="old"))
+    early = refused._replace(key="both", sent_at=1.5)
+    again = made("c", "safe", 200, key="both")
+    assert "went back" not in judged(early, again)
+    assert "went back" in judged(early._replace(sent_at=8.0), again)
+    assert "added key" in judged(made("a", "safe", 401, key="new"))
+    assert "added key" not in judged(made("a", "safe", 401, key="new"), KILL)
 
 
 def test_the_judgement_knows_what_is_calm() -> None:
