--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -96,7 +96,8 @@
         "testsilent.py::test_a_safe_request_goes_elsewhere_when_its_connection_went"
         "_silent",
         "gateway_attempt.py",
-        '                if reason:\n                    raise Failed(f"body: {reason}")',
+        "                if reason:\n"
+        '                    raise Failed(f"body: {reason}")',
         "                if reason == DEADLINE:\n"
         '                    raise Failed(f"body: {reason}")',
     ),
