Compare tables by a digest, and take no copy older than what was read

Cause: found by moving two followers, their store and their messages by chance. A proof named the newest change alone; a gateway that reads a table whole knows nothing of a row that was removed before, so its proof held for a peer that still had the row. And a copy was compared with the newest change known instead of with what had been read: a row that was gone came back.

Ruled out: naming the version that a table was read at (other tables' transactions raise it, and every start would have all peers ask for copies).

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -14,6 +14,7 @@
 import random
 import threading
 import typing
+import zlib
 
 from gaprock import clock, eventlog, freshness, gateway_api, mesh_messages
 
@@ -73,6 +74,8 @@
         self.version = -1
         # The version of the newest change in the table itself; -1 before any reading.
         self.changed = -1
+        # Of the rows, to compare them with a peer's.
+        self._digest = digest({})
         # Since when the store has not answered; ``NEVER`` while it does.
         self.lost_at = 0.0
         self._rng = random.Random()
@@ -102,12 +105,12 @@
     def news(self) -> mesh_messages.TableNews:
         """Give the newest change and the newest proof."""
         with self._lock:
-            return mesh_messages.TableNews(self.changed, self.fresh.stamp)
+            return mesh_messages.TableNews(self.changed, self._digest, self.fresh.stamp)
 
     def prove(self, news: mesh_messages.TableNews) -> None:
         """Take a peer's proof, if it is of the table as we know it."""
         with self._lock:
-            if news.changed == self.changed:
+            if news.digest == self._digest:
                 self.fresh.prove(news.proved)
 
     def expect_change(self) -> None:
@@ -117,9 +120,13 @@
                 self.fresh.hurry(self._clock.now() + BEHIND_S)
 
     def take_copy(self, page: gateway_api.Page) -> None:
-        """Take a whole table from a peer if it has a newer change."""
+        """Take a whole table from a peer if it has a newer change.
+
+        One that is not newer than what the store told us lacks what it told: a row that
+        is gone would come back.
+        """
         with self._lock:
-            if page.version <= self.changed:
+            if page.version <= self.version:
                 return
             eventlog.info(
                 "rows-copied", table=self.table, old=self.changed, new=page.version
@@ -239,6 +246,7 @@
         self._rows = {row.key: row for row in page.rows}
         self.version = max(self.version, page.version)
         self.changed = changed
+        self._digest = digest(self._rows)
         self._sink.take_page(page, whole=True)
 
     def _take_changes(self, page: gateway_api.Page) -> int:
@@ -264,6 +272,7 @@
             self.changed = max(self.changed, row.version)
         self.version = max(self.version, page.version)
         if fresh:
+            self._digest = digest(self._rows)
             changed = gateway_api.Page(fresh, page.version, page.store_now)
             self._sink.take_page(changed, whole=False)
         return len(fresh)
@@ -291,3 +300,9 @@
             eventlog.warning(
                 "store-lost", table=self.table, version=self.version, error=exc
             )
+
+
+def digest(rows: dict[str, gateway_api.Row]) -> int:
+    """Give a number that two tables share if their rows do."""
+    lines = sorted(f"{row.key} {row.version}" for row in rows.values())
+    return zlib.crc32("\n".join(lines).encode())
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -28,10 +28,13 @@
     """What the sender knows of a table.
 
     :param changed: the version of the newest change.
-    :param proved: the store's time at which there was no newer one; 0 for never.
+    :param digest: of all rows; a table that was read whole shows nothing of a row that
+        was removed before, so the newest change alone does not tell two tables apart.
+    :param proved: the store's time at which it had just these rows; 0 for never.
     """
 
     changed: int
+    digest: int
     proved: float
 
 
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -47,14 +47,14 @@
         now = self._clock.now()
         newest, since = self._missed.get(table, (0, now))
         newest = max(newest, news.changed)
-        if newest <= follower.changed:
+        if newest <= follower.version:
             self._missed.pop(table, None)
             return False
         if table not in self._missed:
             follower.expect_change()
         # A peer that is as far behind as we are does not end the wait.
         self._missed[table] = newest, since
-        if news.changed <= follower.changed:
+        if news.changed <= follower.version:
             return False
         if follower.resting and not is_far:
             return True
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -90,7 +90,7 @@
 
 
 def news(changed: int) -> mesh_messages.TableNews:
-    return mesh_messages.TableNews(changed, 0.0)
+    return mesh_messages.TableNews(changed, 0, 0.0)
 
 
 def follower(
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -132,11 +132,12 @@
     store_clock.note(100.0, 150.0)
     fresh = freshness.Freshness(time, store_clock, lambda: BOUND_S)
     one = followers.Follower("t", gateway_api.SharedStore(), time, Kept(), fresh)
-    one.take_copy(gateway_api.Page([gateway_api.Row("a", b"1", 7)], 7, 0.0))
-    one.prove(mesh_messages.TableNews(6, 100.0))
-    one.prove(mesh_messages.TableNews(8, 100.0))
+    row = gateway_api.Row("a", b"1", 7)
+    one.take_copy(gateway_api.Page([row], 7, 0.0))
+    for other in ({}, {"a": row._replace(version=6)}, {"a": row, "b": row}):
+        one.prove(mesh_messages.TableNews(7, followers.digest(other), 100.0))
     assert fresh.proved_at == 0.0
-    one.prove(mesh_messages.TableNews(7, 100.0))
+    one.prove(mesh_messages.TableNews(7, followers.digest({"a": row}), 100.0))
     assert fresh.proved_at == 150.0
 
 
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -73,8 +73,8 @@
         "a peer's proof counts for the same rows alone",
         "testfreshness.py::test_a_peers_proof_counts_for_the_same_rows_alone",
         "followers.py",
+        "if news.digest == self._digest:",
         "if news.changed == self.changed:",
-        "if True:",
     ),
     _proof(
         "a proof keeps its age under way",
@@ -83,6 +83,14 @@
         "at = self._store_clock.to_ours(stamp)",
         "at = self._clock.now()",
     ),
+    _proof(
+        "a copy that is older than what was read is not taken",
+        "testfollowing.py::test_a_row_that_is_gone_does_not_come_back_with_an_older"
+        "_copy",
+        "followers.py",
+        "if page.version <= self.version:\n                return",
+        "if page.version <= self.changed:\n                return",
+    ),
     _proof(
         "a peer that was heard is not forgotten by a cut",
         "testfleet.py::test_a_peer_that_was_heard_is_tried_for_an_hour_and_another_is"
