Keep what peers told of an order until the order comes

Cause: a gateway that the store does not answer, as one that was added during a cut, hears of a rollout by beats before it has a copy of the order. What the beat told, its start and a halt, was dropped for an order not known yet; until the next beat, up to a second, sessions that had moved were sent back, and a halted version got requests.

--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -100,6 +100,18 @@
         return (now - self.started_at) / max(0.001, self.order.finish_s)
 
 
+class _Told:
+    """What other gateways told of an order that has not come here yet."""
+
+    __slots__ = ("revision", "started_at", "halt_reason")
+
+    def __init__(self, revision: int) -> None:
+        self.revision = revision
+        self.started_at = clock.NEVER
+        # Empty while nobody told of a halt.
+        self.halt_reason = ""
+
+
 class _Pace:
     """Running mean of how long the stable version takes on a route and model."""
 
@@ -141,6 +153,10 @@
         self._by_service: dict[str, Rollout] = {}
         # Outcomes read before their orders: (version, state) by service.
         self._outcomes: dict[str, Outcome] = {}
+        # A gateway that the store does not answer hears of an order by beats before it
+        # has a copy of it; until the next beat it sent sessions back that had moved,
+        # and requests to a version that was halted.
+        self._told: dict[str, _Told] = {}
         self._paces: dict[tuple[str, str], _Pace] = {}
         # Labels with evidence of their own, per route, by rollout label.
         self._routes: dict[str, set[str]] = {}
@@ -158,6 +174,7 @@
             rollout = Rollout(order, revision, started_at)
             self._by_service[order.service] = rollout
             outcome = self._outcomes.get(order.service)
+            told = self._told.get(order.service)
         eventlog.info(
             "rollout-ordered",
             service=order.service,
@@ -165,6 +182,10 @@
             revision=revision,
             finish_s=order.finish_s,
         )
+        if told is not None and told.revision == revision:
+            self.backdate(order.service, revision, told.started_at)
+            if told.halt_reason:
+                self.halt(order.service, revision, told.halt_reason)
         if outcome is not None:
             self._apply_outcome(rollout, outcome)
         return rollout
@@ -180,7 +201,10 @@
     def halt(self, service: str, revision: int, reason: str) -> None:
         """Stop a version; more than once changes nothing."""
         rollout = self._by_service.get(service)
-        if rollout is None or rollout.revision != revision or rollout.halted:
+        if rollout is None or rollout.revision < revision:
+            self._note_told(service, revision, halt_reason=reason)
+            return
+        if rollout.revision != revision or rollout.halted:
             return
         if rollout.state is State.COMPLETED:
             return
@@ -196,9 +220,27 @@
     def backdate(self, service: str, revision: int, started_at: float) -> None:
         """Correct the start of a rollout that another process saw earlier."""
         rollout = self._by_service.get(service)
-        if rollout is not None and rollout.revision == revision:
+        if rollout is None or rollout.revision < revision:
+            self._note_told(service, revision, started_at)
+        elif rollout.revision == revision:
             rollout.started_at = min(rollout.started_at, started_at)
 
+    def _note_told(
+        self,
+        service: str,
+        revision: int,
+        started_at: float = clock.NEVER,
+        halt_reason: str = "",
+    ) -> None:
+        """Keep what was told of an order that has not come; the newest one's alone."""
+        with self._lock:
+            told = self._told.get(service)
+            if told is None or told.revision < revision:
+                told = self._told[service] = _Told(revision)
+            if told.revision == revision:
+                told.started_at = min(told.started_at, started_at)
+                told.halt_reason = told.halt_reason or halt_reason
+
     def all(self) -> list[Rollout]:
         """Give all rollouts."""
         with self._lock:
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -282,6 +282,27 @@
     assert on_new(one) == on_new(two)
 
 
+def test_what_peers_told_of_an_order_holds_as_soon_as_it_comes(
+    time: clock.ManualClock,
+) -> None:
+    one, two = make_rollouts(time), make_rollouts(time)
+    one.take_order(order(), 7, time.now())
+    time.advance(11.5)
+    # A gateway that was added and has no store hears of the order before it has it.
+    two.backdate("llm", 7, time.now() - 11.5)
+    two.backdate("llm", 6, time.now() - 99.0)
+    two.take_order(order(), 7, time.now())
+    # No session that has moved is sent back.
+    assert on_new(one) == on_new(two)
+    one.halt("llm", 7, "test")
+    three = make_rollouts(time)
+    three.halt("llm", 7, "told")
+    three.take_order(order(), 7, time.now())
+    assert on_new(three) == set()
+    three.take_order(order(), 8, time.now())
+    assert on_new(three)
+
+
 def test_an_unproved_version_is_as_loaded_as_it_will_be(
     time: clock.ManualClock,
 ) -> None:
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -91,6 +91,13 @@
         "if page.version <= self.version:\n                return",
         "if page.version <= self.changed:\n                return",
     ),
+    _proof(
+        "what was told of an order holds when it comes",
+        "testfleet.py::test_what_peers_told_of_an_order_holds_as_soon_as_it_comes",
+        "rollouts.py",
+        "if told is not None and told.revision == revision:",
+        "if False:",
+    ),
     _proof(
         "a peer that was heard is not forgotten by a cut",
         "testfleet.py::test_a_peer_that_was_heard_is_tried_for_an_hour_and_another_is"
