Move a rollout's outcome by chance: writers, lost and late writes, kills

Cause looked for: an outcome that is overwritten by a write that the store did late, or one that nobody writes after its writer was killed or its answer lost.

Ruled out, by 200 examples of 30 steps (derandomized): both, for two gateways. A first form of the test let time pass without anybody looking, which no process does.

Followers moved by chance: 5,000 examples of 40 steps by hand, none broken.

Conclusion: a test; proofs that switch the mechanisms off come with it.

--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -98,6 +98,27 @@
         "if told is not None and told.revision == revision:",
         "if False:",
     ),
+    _proof(
+        "an outcome is written on condition of its row",
+        "testtakeover.py",
+        "rollout_writer.py",
+        "gateway_api.Write(table, key, value, expect)",
+        "gateway_api.Write(table, key, value)",
+    ),
+    _proof(
+        "a write whose outcome is not known is made again",
+        "testtakeover.py",
+        "rollout_writer.py",
+        "self._quiet_until = self._clock.now() + AFTER_ERROR_S\n            eventlog",
+        "self._quiet_until = clock.NEVER\n            eventlog",
+    ),
+    _proof(
+        "followers take no step back, whatever comes late",
+        "testfollowing.py",
+        "followers.py",
+        "            if old is not None and old.version >= row.version:\n"
+        "                continue\n",
+    ),
     _proof(
         "a peer that was heard is not forgotten by a cut",
         "testfleet.py::test_a_peer_that_was_heard_is_tried_for_an_hour_and_another_is"
