--- a/gaprock/mechanisms.py
+++ b/gaprock/mechanisms.py
@@ -66,6 +66,9 @@
 READERS: typing.Final = Mechanism(
     "readers", "a hall's first gateways read the store for the others"
 )
+TOLD_PROOFS: typing.Final = Mechanism(
+    "told-proofs", "an answer of the store to one gateway proves its table for all"
+)
 CANARY_PLACE: typing.Final = Mechanism(
     "canary-place", "an unproved version's share goes to that share of its endpoints"
 )
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -1,6 +1,6 @@
 """Rows and proofs of the followed tables, given to and taken from other gateways."""
 
-from gaprock import clock, followers, gateway_api, mesh_messages
+from gaprock import clock, followers, gateway_api, mechanisms, mesh_messages
 
 
 class RowExchange:
@@ -43,7 +43,8 @@
         if not 0 <= table < len(self._followers):
             return False
         follower = self._followers[table]
-        follower.prove(news)
+        if mechanisms.TOLD_PROOFS.on:
+            follower.prove(news)
         now = self._clock.now()
         newest, since = self._missed.get(table, (0, now))
         newest = max(newest, news.changed)
--- a/gaprock/test/testmechanisms.py
+++ b/gaprock/test/testmechanisms.py
@@ -15,7 +15,7 @@
     policy_routing,
     prefix_cache,
 )
-from gaprock.test import testrouting
+from gaprock.test import testfollowing, testrouting
 
 
 @pytest.fixture(autouse=True)
@@ -63,6 +63,22 @@
     assert policy.climb(testrouting.ask(0.8), "small", 5) == "large"
 
 
+def test_without_told_proofs_a_peers_counts_nothing() -> None:
+    world = testfollowing.Following()
+    world.change({"a": True})
+    world.ask(0)
+    world.ask(1)
+    proved_at = world.members[1].fresh.proved_at
+    mechanisms.switch_off(["told-proofs"])
+    world.time_passes()
+    world.ask(0)
+    world.beats_at_once(0)
+    assert world.members[1].fresh.proved_at == proved_at
+    mechanisms.TOLD_PROOFS.on = True
+    world.beats_at_once(0)
+    assert world.members[1].fresh.proved_at > proved_at
+
+
 def test_without_told_loads_and_prompts_only_our_own_count() -> None:
     book = directory.Directory(clock.ManualClock(100.0), 2.0)
     book.replace({"a": testrouting.row()})
