Split the pace of versions and the rollouts' tests into modules of their own

The proof of copies that are older than what was read compared states that occur twice; it looks at the rows themselves now.

--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -18,6 +18,7 @@
     gateway_models,
     gateway_source,
     http_exchange,
+    rollout_pace,
     rollouts,
 )
 
@@ -332,7 +333,7 @@
             attempt.endpoint.row.version,
             call.route.name,
             attempt.model,
-            rollouts.Judged(failed, None if resumed else took_s, expected_s),
+            rollout_pace.Judged(failed, None if resumed else took_s, expected_s),
         )
 
     def _note_pace(
@@ -347,7 +348,7 @@
             attempt.endpoint.row.version,
             f"{call.route.name}~pace",
             attempt.model,
-            rollouts.Judged(False, pace_s),
+            rollout_pace.Judged(False, pace_s),
         )
 
     def _note_broken(
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -27,6 +27,7 @@
     mechanisms,
     messages,
     policy_api,
+    rollout_pace,
 )
 
 # Share of the allowed exposure that is used while a version is unproved.
@@ -39,14 +40,6 @@
 # The outcome is written at the latest this long before the operator's time, seconds.
 WRITE_BEFORE_S: typing.Final = 2.0
 HASH_RANGE: typing.Final = 2**32
-# An answer is slow beyond this multiple of what the stable version takes.  The new
-# one's endpoints are more loaded while it is unproved, so it must be well above that.
-SLOW_TIMES: typing.Final = 4.0
-# Answers of the stable version before slowness is judged, and the weight of each.
-MIN_TIMES: typing.Final = 8
-TIME_WEIGHT: typing.Final = 0.1
-# Differences below this are never slowness, seconds.
-SLOW_FLOOR_S: typing.Final = 0.15
 
 
 class State(enum.Enum):
@@ -112,26 +105,6 @@
         self.halt_reason = ""
 
 
-class _Pace:
-    """Running mean of how long the stable version takes on a route and model."""
-
-    __slots__ = ("mean_s", "count")
-
-    def __init__(self) -> None:
-        self.mean_s = 0.0
-        self.count = 0
-
-    def add(self, took_s: float) -> None:
-        self.count += 1
-        weight = max(TIME_WEIGHT, 1 / self.count)
-        self.mean_s += weight * (took_s - self.mean_s)
-
-    def is_slow(self, took_s: float) -> bool:
-        if self.count < MIN_TIMES:
-            return False
-        return is_slow(took_s, self.mean_s)
-
-
 class Rollouts:
     """All rollouts, by service; safe for all threads.
 
@@ -157,7 +130,7 @@
         # has a copy of it; until the next beat it sent sessions back that had moved,
         # and requests to a version that was halted.
         self._told: dict[str, _Told] = {}
-        self._paces: dict[tuple[str, str], _Pace] = {}
+        self._paces: dict[tuple[str, str], rollout_pace.Pace] = {}
         # Labels with evidence of their own, per route, by rollout label.
         self._routes: dict[str, set[str]] = {}
 
@@ -320,14 +293,21 @@
     # -- Evidence --
 
     def judge_answer(
-        self, service: str, version: str, route: str, pace: str, answer: "Judged"
+        self,
+        service: str,
+        version: str,
+        route: str,
+        pace: str,
+        answer: rollout_pace.Judged,
     ) -> None:
         """Count an answer for or against its version.
 
         :param pace: the answers whose times are alike, such as a route and a model.
         """
         rollout = self._by_service.get(service)
-        times = self._paces.setdefault((service, f"{route}/{pace}"), _Pace())
+        times = self._paces.setdefault(
+            (service, f"{route}/{pace}"), rollout_pace.Pace()
+        )
         is_new = rollout is not None and version == rollout.order.to_version
         slow = answer.slow(times)
         if answer.took_s is not None and not is_new and not answer.failed:
@@ -382,29 +362,3 @@
                 reason += f", stable {old.bad} of {old.answers}"
                 self.halt(rollout.order.service, rollout.revision, reason)
                 return
-
-
-class Judged(typing.NamedTuple):
-    """What an answer says of its version.
-
-    :param took_s: seconds to its first part; ``None`` where that tells nothing.
-    :param expected_s: what the stable version would have taken, where that is known;
-        otherwise it is compared with the mean of its kind.
-    """
-
-    failed: bool
-    took_s: float | None
-    expected_s: float | None = None
-
-    def slow(self, usual: "_Pace") -> bool:
-        """Whether it took far longer than the stable version takes."""
-        if self.took_s is None:
-            return False
-        if self.expected_s is None:
-            return usual.is_slow(self.took_s)
-        return is_slow(self.took_s, self.expected_s)
-
-
-def is_slow(took_s: float, usual_s: float) -> bool:
-    """Whether a time is far above what is usual."""
-    return took_s > max(SLOW_TIMES * usual_s, usual_s + SLOW_FLOOR_S)
--- /dev/null
+++ b/gaprock/test/rolloutcase.py
@@ -0,0 +1,83 @@
+"""A rollout's parts before a store whose answers a test lays out."""
+
+import msgspec
+
+from gaprock import (
+    clock,
+    directory,
+    evidence,
+    freshness,
+    gateway_api,
+    mesh,
+    policy_guard,
+    rollout_writer,
+    rollouts,
+)
+from gaprock.platform import wire
+
+
+class Scripted(gateway_api.SharedStore):
+    """A store whose answers a test lays out."""
+
+    __slots__ = ("pages", "commits", "answers")
+
+    def __init__(self) -> None:
+        self.pages: list[gateway_api.Page | Exception] = []
+        self.commits: list[list[gateway_api.Write]] = []
+        self.answers: list[int | Exception] = []
+
+    def _next(self) -> gateway_api.Page:
+        page = self.pages.pop(0)
+        if isinstance(page, Exception):
+            raise page
+        return page
+
+    def read(self, table: str) -> gateway_api.Page:
+        return self._next()
+
+    def changes(self, table: str, since: int) -> gateway_api.Page:
+        return self._next()
+
+    def commit(self, writes: list[gateway_api.Write]) -> int:
+        self.commits.append(writes)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def order(finish_s: float = 20.0) -> gateway_api.RolloutOrder:
+    return gateway_api.RolloutOrder("llm", "v2", finish_s)
+
+
+def make_rollouts(time: clock.Clock) -> rollouts.Rollouts:
+    book = evidence.EvidenceBook("me")
+    return rollouts.Rollouts(time, 0.15, policy_guard.Sequential(), book)
+
+
+class WriterCase:
+    """A writer without peers, before a scripted store."""
+
+    def __init__(self, time: clock.ManualClock) -> None:
+        self.time = time
+        self.store = Scripted()
+        self.book = make_rollouts(time)
+        self.directory = directory.Directory(time, 2.0)
+        self.mesh = mesh.Mesh(
+            "me", "h1", "", time, self.directory, self.book, evidence.EvidenceBook("me")
+        )
+        self.on_old = 0
+        self.mesh.on_old_here = lambda service: self.on_old
+        self.writer = rollout_writer.RolloutWriter(
+            "me",
+            time,
+            freshness.StoreClock(),
+            self.store,
+            wire.PlatformDialect(),
+            self.book,
+            self.mesh,
+        )
+
+    def written(self) -> list[str]:
+        first = [writes[0] for writes in self.store.commits]
+        return [msgspec.json.decode(w.value or b"")["State"] for w in first]
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -2,15 +2,12 @@
 
 import pathlib
 
-import msgspec
 import pytest
 import zmq
 
 from gaprock import (
     clock,
-    directory,
     errors,
-    evidence,
     followers,
     freshness,
     gateway_api,
@@ -18,13 +15,10 @@
     mesh,
     mesh_messages,
     mesh_peers,
-    policy_guard,
-    rollout_writer,
-    rollouts,
     row_exchange,
 )
-from gaprock.platform import store, wire
-from gaprock.test import gatewaysite
+from gaprock.platform import store
+from gaprock.test import gatewaysite, rolloutcase
 from gaprock.test.fakes import cutproxy, metastore
 
 
@@ -51,36 +45,6 @@
                 self.rows[row.key] = row.value
 
 
-class Scripted(gateway_api.SharedStore):
-    """A store whose answers a test lays out."""
-
-    __slots__ = ("pages", "commits", "answers")
-
-    def __init__(self) -> None:
-        self.pages: list[gateway_api.Page | Exception] = []
-        self.commits: list[list[gateway_api.Write]] = []
-        self.answers: list[int | Exception] = []
-
-    def _next(self) -> gateway_api.Page:
-        page = self.pages.pop(0)
-        if isinstance(page, Exception):
-            raise page
-        return page
-
-    def read(self, table: str) -> gateway_api.Page:
-        return self._next()
-
-    def changes(self, table: str, since: int) -> gateway_api.Page:
-        return self._next()
-
-    def commit(self, writes: list[gateway_api.Write]) -> int:
-        self.commits.append(writes)
-        answer = self.answers.pop(0)
-        if isinstance(answer, Exception):
-            raise answer
-        return answer
-
-
 def page(version: int, *rows: tuple[str, bytes | None, int]) -> gateway_api.Page:
     return gateway_api.Page([gateway_api.Row(*row) for row in rows], version, 0.0)
 
@@ -95,8 +59,8 @@
 
 def follower(
     time: clock.ManualClock,
-) -> tuple[followers.Follower, Scripted, Kept]:
-    kept, scripted = Kept(), Scripted()
+) -> tuple[followers.Follower, rolloutcase.Scripted, Kept]:
+    kept, scripted = Kept(), rolloutcase.Scripted()
     return followers.Follower("t", scripted, time, kept, fresh(time)), scripted, kept
 
 
@@ -175,7 +139,7 @@
 
 
 def test_the_first_two_of_a_hall_read_for_the_others(time: clock.ManualClock) -> None:
-    case = WriterCase(time)
+    case = rolloutcase.WriterCase(time)
 
     def hear(name: str, hall: str = "h1", reads: bool = True) -> None:
         beat = mesh_messages.Beat(
@@ -236,251 +200,7 @@
     fake.stop()
 
 
-# -- Rollouts --
-
-
-def order(finish_s: float = 20.0) -> gateway_api.RolloutOrder:
-    return gateway_api.RolloutOrder("llm", "v2", finish_s)
-
-
-def make_rollouts(time: clock.Clock) -> rollouts.Rollouts:
-    book = evidence.EvidenceBook("me")
-    return rollouts.Rollouts(time, 0.15, policy_guard.Sequential(), book)
-
-
-def on_new(book: rollouts.Rollouts) -> set[str]:
-    sessions = [f"s{number}" for number in range(2000)]
-    return {s for s in sessions if book.fits("llm", "v2", s)}
-
-
-def test_no_session_changes_its_version_in_the_first_half(
-    time: clock.ManualClock,
-) -> None:
-    book = make_rollouts(time)
-    assert book.fits("llm", "v1", "s") and book.fits("llm", "v2", "s")
-    book.take_order(order(), 7, time.now())
-    first = on_new(book)
-    assert 0 < len(first) < 0.15 * 2000
-    time.advance(9.9)
-    assert on_new(book) == first
-    seen = first
-    for _ in range(20):
-        time.advance(0.5)
-        assert seen <= on_new(book)
-        seen = on_new(book)
-    assert len(seen) == 2000
-
-
-def test_a_process_that_starts_later_agrees_on_every_session(
-    time: clock.ManualClock,
-) -> None:
-    one, two = make_rollouts(time), make_rollouts(time)
-    one.take_order(order(), 7, time.now())
-    time.advance(3.0)
-    two.take_order(order(), 7, time.now())
-    two.backdate("llm", 7, time.now() - 3.0)
-    assert on_new(one) == on_new(two)
-
-
-def test_what_peers_told_of_an_order_holds_as_soon_as_it_comes(
-    time: clock.ManualClock,
-) -> None:
-    one, two = make_rollouts(time), make_rollouts(time)
-    one.take_order(order(), 7, time.now())
-    time.advance(11.5)
-    # A gateway that was added and has no store hears of the order before it has it.
-    two.backdate("llm", 7, time.now() - 11.5)
-    two.backdate("llm", 6, time.now() - 99.0)
-    two.take_order(order(), 7, time.now())
-    # No session that has moved is sent back.
-    assert on_new(one) == on_new(two)
-    one.halt("llm", 7, "test")
-    three = make_rollouts(time)
-    three.halt("llm", 7, "told")
-    three.take_order(order(), 7, time.now())
-    assert on_new(three) == set()
-    three.take_order(order(), 8, time.now())
-    assert on_new(three)
-
-
-def test_an_unproved_version_is_as_loaded_as_it_will_be(
-    time: clock.ManualClock,
-) -> None:
-    book = make_rollouts(time)
-    book.take_order(order(), 7, time.now())
-    session = sorted(on_new(book))[0]
-    names = [f"e{number}" for number in range(20)]
-    assert len(book.narrow("llm", session, names, names[:2])) == 2
-    # With enough of them in the own hall, its own share of those.
-    assert list(book.narrow("llm", session, names, names[13:])) == names[13:14]
-    old = next(f"s{n}" for n in range(99) if not book.fits("llm", "v2", f"s{n}"))
-    assert list(book.narrow("llm", old, names, names)) == names
-    time.advance(19.0)
-    assert list(book.narrow("llm", session, names, names)) == names
-
-
-def judged(failed: bool, took_s: float = 0.1) -> rollouts.Judged:
-    return rollouts.Judged(failed, took_s)
-
-
-def answers(book: rollouts.Rollouts, version: str, bad: int, good: int) -> None:
-    for number in range(bad + good):
-        book.judge_answer("llm", version, "r1", "m", judged(number < bad))
-
-
-def test_a_version_that_fails_is_stopped_and_a_good_one_is_not(
-    time: clock.ManualClock,
-) -> None:
-    book = make_rollouts(time)
-    rollout = book.take_order(order(), 7, time.now())
-    answers(book, "v1", 2, 100)
-    answers(book, "v2", 2, 100)
-    assert not rollout.halted
-    answers(book, "v2", 12, 0)
-    assert rollout.halted
-    assert on_new(book) == set()
-
-
-def test_a_version_that_is_slow_is_stopped(time: clock.ManualClock) -> None:
-    book = make_rollouts(time)
-    rollout = book.take_order(order(), 7, time.now())
-    for _ in range(50):
-        book.judge_answer("llm", "v1", "r1", "m", judged(False, 0.2))
-    for _ in range(12):
-        book.judge_answer("llm", "v2", "r1", "m", judged(False, 1.6))
-    assert rollout.halted
-
-
-def test_a_long_queue_is_no_fault_of_the_version(time: clock.ManualClock) -> None:
-    book = make_rollouts(time)
-    rollout = book.take_order(order(), 7, time.now())
-    for _ in range(50):
-        book.judge_answer("llm", "v1", "r1", "m", rollouts.Judged(False, 0.2, 0.2))
-    for _ in range(30):
-        book.judge_answer("llm", "v2", "r1", "m", rollouts.Judged(False, 1.6, 1.2))
-    assert not rollout.halted
-    for _ in range(20):
-        book.judge_answer("llm", "v2", "r1", "m", rollouts.Judged(False, 1.6, 0.2))
-    assert rollout.halted
-
-
-def test_a_version_that_fails_on_one_route_is_stopped(
-    time: clock.ManualClock,
-) -> None:
-    book = make_rollouts(time)
-    rollout = book.take_order(order(), 7, time.now())
-    for _ in range(200):
-        book.judge_answer("llm", "v1", "r1", "m", judged(False))
-        book.judge_answer("llm", "v1", "r2", "m", judged(False))
-    for _ in range(10):
-        # Among all answers the bad ones are rare.
-        for _ in range(60):
-            book.judge_answer("llm", "v2", "r1", "m", judged(False))
-        book.judge_answer("llm", "v2", "r2", "m", judged(True))
-    assert rollout.halted
-
-
-def test_an_outcome_of_an_earlier_order_says_nothing_of_a_later_one(
-    time: clock.ManualClock,
-) -> None:
-    book = make_rollouts(time)
-    book.take_outcome("llm", rollouts.Outcome("v2", rollouts.State.ROLLED_BACK, 5))
-    rollout = book.take_order(order(), 7, time.now())
-    assert rollout.state is rollouts.State.RUNNING
-    book.take_outcome("llm", rollouts.Outcome("v2", rollouts.State.ROLLED_BACK, 8))
-    assert on_new(book) == set()
-
-
-class WriterCase:
-    """A writer without peers, before a scripted store."""
-
-    def __init__(self, time: clock.ManualClock) -> None:
-        self.time = time
-        self.store = Scripted()
-        self.book = make_rollouts(time)
-        self.directory = directory.Directory(time, 2.0)
-        self.mesh = mesh.Mesh(
-            "me", "h1", "", time, self.directory, self.book, evidence.EvidenceBook("me")
-        )
-        self.on_old = 0
-        self.mesh.on_old_here = lambda service: self.on_old
-        self.writer = rollout_writer.RolloutWriter(
-            "me",
-            time,
-            freshness.StoreClock(),
-            self.store,
-            wire.PlatformDialect(),
-            self.book,
-            self.mesh,
-        )
-
-    def written(self) -> list[str]:
-        first = [writes[0] for writes in self.store.commits]
-        return [msgspec.json.decode(w.value or b"")["State"] for w in first]
-
-
-def test_a_rollout_completes_when_nothing_runs_on_the_old_version(
-    time: clock.ManualClock,
-) -> None:
-    case = WriterCase(time)
-    case.store.answers = [8, 9]
-    case.book.take_order(order(), 7, time.now())
-    case.writer.step()
-    assert case.written() == ["running"]
-    time.advance(13.0)
-    case.on_old = 1
-    case.writer.step()
-    time.advance(2.0)
-    case.writer.step()
-    assert case.written() == ["running"]
-    case.on_old = 0
-    case.writer.step()
-    assert case.written() == ["running", "completed"]
-    assert case.store.commits[1][0].expect == 8
-
-
-def test_a_rollout_completes_before_its_time_whatever_still_runs(
-    time: clock.ManualClock,
-) -> None:
-    case = WriterCase(time)
-    case.store.answers = [8, 9]
-    case.book.take_order(order(), 7, time.now())
-    case.writer.step()
-    case.on_old = 1
-    for _ in range(40):
-        time.advance(0.5)
-        case.writer.step()
-    assert case.written() == ["running", "completed"]
-
-
-def test_a_halt_is_written_again_until_the_store_takes_it(
-    time: clock.ManualClock,
-) -> None:
-    case = WriterCase(time)
-    lost = gateway_api.StoreError("lost")
-    case.store.answers = [8, lost, 0, 12]
-    case.book.take_order(order(), 7, time.now())
-    case.writer.step()
-    case.book.halt("llm", 7, "test")
-    for _ in range(10):
-        time.advance(0.3)
-        case.writer.step()
-    assert case.written() == ["running"] + ["rolled_back"] * 3
-
-
-def test_a_peers_word_halts_a_version(time: clock.ManualClock) -> None:
-    case = WriterCase(time)
-    case.store.answers = [8]
-    rollout = case.book.take_order(order(), 7, time.now())
-    news = mesh_messages.RolloutNews("llm", 7, 4.0, True, 0)
-    beat = mesh_messages.Beat(
-        "other", "h2", "tcp://x", "i", [], True, {}, [], [], [news], [], False
-    )
-    again = mesh_messages.decode(mesh_messages.encode(beat))
-    case.mesh._peers["tcp://x"] = mesh_peers.Peer("other", "tcp://x", None, time.now())
-    case.mesh._on_beat(again)  # type: ignore[arg-type]
-    assert rollout.halted
-    assert rollout.started_at == time.now() - 4.0
+# -- Mesh --
 
 
 def test_far_peers_get_fewer_beats_and_halts_at_once() -> None:
@@ -499,24 +219,6 @@
     assert mesh_peers.is_due(peer, 11.0, mesh_peers.News("a", 1), near)
 
 
-# -- Settings --
-
-
-def test_a_wrong_setting_is_named(tmp_path: pathlib.Path) -> None:
-    path = tmp_path / "settings.toml"
-    path.write_text('Node = "n"\nIp = "10.0.0.1"\nZone = "z"\n[Provider]\nAddr = "x"\n')
-    with pytest.raises(errors.GaprockError, match="Listen"):
-        gateway_program.load_options(str(path))
-    path.write_text(
-        'Node = "n"\nIp = "10.0.0.1"\nZone = "z"\nNew = 1\n'
-        '[Provider]\nAddr = "1.1.1.1:2"\n'
-        '[Listen]\nFront = "1.1.1.1:3"\nReady = "1.1.1.1:4"\n'
-        "[TimingBounds]\nDrainMs = 1500\nConfigMs = 3000\nRollbackMs = 4000\n"
-    )
-    bounds = gateway_program.load_options(str(path)).bounds
-    assert (bounds.drain_s, bounds.config_s, bounds.rollback_s) == (1.5, 3.0, 4.0)
-
-
 def test_a_connection_between_gateways_that_went_silent_is_opened_anew() -> None:
     context = zmq.Context()
     inbox = context.socket(zmq.PULL)
@@ -549,7 +251,7 @@
 def test_a_peer_that_was_heard_is_tried_for_an_hour_and_another_is_not(
     time: clock.ManualClock,
 ) -> None:
-    case = WriterCase(time)
+    case = rolloutcase.WriterCase(time)
     context = zmq.Context()
     try:
         for _ in range(2):
@@ -571,3 +273,21 @@
         for peer in case.mesh._peers.values():
             peer.sock.close(linger=0)
         context.term()
+
+
+# -- Settings --
+
+
+def test_a_wrong_setting_is_named(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text('Node = "n"\nIp = "10.0.0.1"\nZone = "z"\n[Provider]\nAddr = "x"\n')
+    with pytest.raises(errors.GaprockError, match="Listen"):
+        gateway_program.load_options(str(path))
+    path.write_text(
+        'Node = "n"\nIp = "10.0.0.1"\nZone = "z"\nNew = 1\n'
+        '[Provider]\nAddr = "1.1.1.1:2"\n'
+        '[Listen]\nFront = "1.1.1.1:3"\nReady = "1.1.1.1:4"\n'
+        "[TimingBounds]\nDrainMs = 1500\nConfigMs = 3000\nRollbackMs = 4000\n"
+    )
+    bounds = gateway_program.load_options(str(path)).bounds
+    assert (bounds.drain_s, bounds.config_s, bounds.rollback_s) == (1.5, 3.0, 4.0)
--- a/gaprock/test/testfollowing.py
+++ b/gaprock/test/testfollowing.py
@@ -284,9 +284,8 @@
     # What it has read is newer than the other one's newest change, which it lacks.
     late = world.members[1].exchange.copy(0)
     world.start_anew(0)
-    world.nothing_goes_back()
     world.beats_at_once(1)
-    world.nothing_goes_back()
+    assert set(world.members[0].told.rows) == {"a"}
     # One that was asked for before comes now.
     world.members[0].exchange.take_copy(late)
-    world.nothing_goes_back()
+    assert set(world.members[0].told.rows) == {"a"}
--- /dev/null
+++ b/gaprock/test/testrollouts.py
@@ -0,0 +1,225 @@
+"""Rollouts: who gets the new version, how it is judged, and its written outcome."""
+
+import pytest
+
+from gaprock import (
+    clock,
+    gateway_api,
+    mesh_messages,
+    mesh_peers,
+    rollout_pace,
+    rollouts,
+)
+from gaprock.test import rolloutcase
+
+
+@pytest.fixture
+def time() -> clock.ManualClock:
+    return clock.ManualClock(100.0)
+
+
+def on_new(book: rollouts.Rollouts) -> set[str]:
+    sessions = [f"s{number}" for number in range(2000)]
+    return {s for s in sessions if book.fits("llm", "v2", s)}
+
+
+def test_no_session_changes_its_version_in_the_first_half(
+    time: clock.ManualClock,
+) -> None:
+    book = rolloutcase.make_rollouts(time)
+    assert book.fits("llm", "v1", "s") and book.fits("llm", "v2", "s")
+    book.take_order(rolloutcase.order(), 7, time.now())
+    first = on_new(book)
+    assert 0 < len(first) < 0.15 * 2000
+    time.advance(9.9)
+    assert on_new(book) == first
+    seen = first
+    for _ in range(20):
+        time.advance(0.5)
+        assert seen <= on_new(book)
+        seen = on_new(book)
+    assert len(seen) == 2000
+
+
+def test_a_process_that_starts_later_agrees_on_every_session(
+    time: clock.ManualClock,
+) -> None:
+    one, two = rolloutcase.make_rollouts(time), rolloutcase.make_rollouts(time)
+    one.take_order(rolloutcase.order(), 7, time.now())
+    time.advance(3.0)
+    two.take_order(rolloutcase.order(), 7, time.now())
+    two.backdate("llm", 7, time.now() - 3.0)
+    assert on_new(one) == on_new(two)
+
+
+def test_what_peers_told_of_an_order_holds_as_soon_as_it_comes(
+    time: clock.ManualClock,
+) -> None:
+    one, two = rolloutcase.make_rollouts(time), rolloutcase.make_rollouts(time)
+    one.take_order(rolloutcase.order(), 7, time.now())
+    time.advance(11.5)
+    # A gateway that was added and has no store hears of the order before it has it.
+    two.backdate("llm", 7, time.now() - 11.5)
+    two.backdate("llm", 6, time.now() - 99.0)
+    two.take_order(rolloutcase.order(), 7, time.now())
+    # No session that has moved is sent back.
+    assert on_new(one) == on_new(two)
+    one.halt("llm", 7, "test")
+    three = rolloutcase.make_rollouts(time)
+    three.halt("llm", 7, "told")
+    three.take_order(rolloutcase.order(), 7, time.now())
+    assert on_new(three) == set()
+    three.take_order(rolloutcase.order(), 8, time.now())
+    assert on_new(three)
+
+
+def test_an_unproved_version_is_as_loaded_as_it_will_be(
+    time: clock.ManualClock,
+) -> None:
+    book = rolloutcase.make_rollouts(time)
+    book.take_order(rolloutcase.order(), 7, time.now())
+    session = sorted(on_new(book))[0]
+    names = [f"e{number}" for number in range(20)]
+    assert len(book.narrow("llm", session, names, names[:2])) == 2
+    # With enough of them in the own hall, its own share of those.
+    assert list(book.narrow("llm", session, names, names[13:])) == names[13:14]
+    old = next(f"s{n}" for n in range(99) if not book.fits("llm", "v2", f"s{n}"))
+    assert list(book.narrow("llm", old, names, names)) == names
+    time.advance(19.0)
+    assert list(book.narrow("llm", session, names, names)) == names
+
+
+def judged(failed: bool, took_s: float = 0.1) -> rollout_pace.Judged:
+    return rollout_pace.Judged(failed, took_s)
+
+
+def answers(book: rollouts.Rollouts, version: str, bad: int, good: int) -> None:
+    for number in range(bad + good):
+        book.judge_answer("llm", version, "r1", "m", judged(number < bad))
+
+
+def test_a_version_that_fails_is_stopped_and_a_good_one_is_not(
+    time: clock.ManualClock,
+) -> None:
+    book = rolloutcase.make_rollouts(time)
+    rollout = book.take_order(rolloutcase.order(), 7, time.now())
+    answers(book, "v1", 2, 100)
+    answers(book, "v2", 2, 100)
+    assert not rollout.halted
+    answers(book, "v2", 12, 0)
+    assert rollout.halted
+    assert on_new(book) == set()
+
+
+def test_a_version_that_is_slow_is_stopped(time: clock.ManualClock) -> None:
+    book = rolloutcase.make_rollouts(time)
+    rollout = book.take_order(rolloutcase.order(), 7, time.now())
+    for _ in range(50):
+        book.judge_answer("llm", "v1", "r1", "m", judged(False, 0.2))
+    for _ in range(12):
+        book.judge_answer("llm", "v2", "r1", "m", judged(False, 1.6))
+    assert rollout.halted
+
+
+def test_a_long_queue_is_no_fault_of_the_version(time: clock.ManualClock) -> None:
+    book = rolloutcase.make_rollouts(time)
+    rollout = book.take_order(rolloutcase.order(), 7, time.now())
+    for _ in range(50):
+        book.judge_answer("llm", "v1", "r1", "m", rollout_pace.Judged(False, 0.2, 0.2))
+    for _ in range(30):
+        book.judge_answer("llm", "v2", "r1", "m", rollout_pace.Judged(False, 1.6, 1.2))
+    assert not rollout.halted
+    for _ in range(20):
+        book.judge_answer("llm", "v2", "r1", "m", rollout_pace.Judged(False, 1.6, 0.2))
+    assert rollout.halted
+
+
+def test_a_version_that_fails_on_one_route_is_stopped(
+    time: clock.ManualClock,
+) -> None:
+    book = rolloutcase.make_rollouts(time)
+    rollout = book.take_order(rolloutcase.order(), 7, time.now())
+    for _ in range(200):
+        book.judge_answer("llm", "v1", "r1", "m", judged(False))
+        book.judge_answer("llm", "v1", "r2", "m", judged(False))
+    for _ in range(10):
+        # Among all answers the bad ones are rare.
+        for _ in range(60):
+            book.judge_answer("llm", "v2", "r1", "m", judged(False))
+        book.judge_answer("llm", "v2", "r2", "m", judged(True))
+    assert rollout.halted
+
+
+def test_an_outcome_of_an_earlier_order_says_nothing_of_a_later_one(
+    time: clock.ManualClock,
+) -> None:
+    book = rolloutcase.make_rollouts(time)
+    book.take_outcome("llm", rollouts.Outcome("v2", rollouts.State.ROLLED_BACK, 5))
+    rollout = book.take_order(rolloutcase.order(), 7, time.now())
+    assert rollout.state is rollouts.State.RUNNING
+    book.take_outcome("llm", rollouts.Outcome("v2", rollouts.State.ROLLED_BACK, 8))
+    assert on_new(book) == set()
+
+
+def test_a_rollout_completes_when_nothing_runs_on_the_old_version(
+    time: clock.ManualClock,
+) -> None:
+    case = rolloutcase.WriterCase(time)
+    case.store.answers = [8, 9]
+    case.book.take_order(rolloutcase.order(), 7, time.now())
+    case.writer.step()
+    assert case.written() == ["running"]
+    time.advance(13.0)
+    case.on_old = 1
+    case.writer.step()
+    time.advance(2.0)
+    case.writer.step()
+    assert case.written() == ["running"]
+    case.on_old = 0
+    case.writer.step()
+    assert case.written() == ["running", "completed"]
+    assert case.store.commits[1][0].expect == 8
+
+
+def test_a_rollout_completes_before_its_time_whatever_still_runs(
+    time: clock.ManualClock,
+) -> None:
+    case = rolloutcase.WriterCase(time)
+    case.store.answers = [8, 9]
+    case.book.take_order(rolloutcase.order(), 7, time.now())
+    case.writer.step()
+    case.on_old = 1
+    for _ in range(40):
+        time.advance(0.5)
+        case.writer.step()
+    assert case.written() == ["running", "completed"]
+
+
+def test_a_halt_is_written_again_until_the_store_takes_it(
+    time: clock.ManualClock,
+) -> None:
+    case = rolloutcase.WriterCase(time)
+    lost = gateway_api.StoreError("lost")
+    case.store.answers = [8, lost, 0, 12]
+    case.book.take_order(rolloutcase.order(), 7, time.now())
+    case.writer.step()
+    case.book.halt("llm", 7, "test")
+    for _ in range(10):
+        time.advance(0.3)
+        case.writer.step()
+    assert case.written() == ["running"] + ["rolled_back"] * 3
+
+
+def test_a_peers_word_halts_a_version(time: clock.ManualClock) -> None:
+    case = rolloutcase.WriterCase(time)
+    case.store.answers = [8]
+    rollout = case.book.take_order(rolloutcase.order(), 7, time.now())
+    news = mesh_messages.RolloutNews("llm", 7, 4.0, True, 0)
+    beat = mesh_messages.Beat(
+        "other", "h2", "tcp://x", "i", [], True, {}, [], [], [news], [], False
+    )
+    again = mesh_messages.decode(mesh_messages.encode(beat))
+    case.mesh._peers["tcp://x"] = mesh_peers.Peer("other", "tcp://x", None, time.now())
+    case.mesh._on_beat(again)  # type: ignore[arg-type]
+    assert rollout.halted
+    assert rollout.started_at == time.now() - 4.0
