Have a follower outlive odd answers and faults of its own

Cause: an answer that is JSON and none of the store's, or an exception while rows are taken, ended the thread that follows a table; nothing was in force any more, and no line said so.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -84,7 +84,7 @@
     def start(self) -> None:
         """Begin to follow."""
         name = f"follow-{self.table}"
-        threading.Thread(target=self._run_logged, name=name, daemon=True).start()
+        threading.Thread(target=self._run, name=name, daemon=True).start()
 
     def stop(self) -> None:
         """End after the call under way."""
@@ -137,14 +137,6 @@
 
     # -- The thread --
 
-    def _run_logged(self) -> None:
-        """Follow, and say so when that ends by a fault of ours."""
-        try:
-            self._run()
-        except Exception as exc:
-            eventlog.warning("follow-ended", table=self.table, error=repr(exc))
-            raise
-
     def _run(self) -> None:
         pause_s = FIRST_PAUSE_S
         while not self._stopped.is_set():
@@ -159,6 +151,12 @@
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
                 self._stopped.wait(wait_s)
                 continue
+            except Exception as exc:
+                # A follower outlives its own faults, or nothing would be in force any
+                # more; what was taken halfway is read anew.
+                eventlog.warning("follow-failed", table=self.table, error=repr(exc))
+                self._is_read = False
+                self._stopped.wait(LONGEST_PAUSE_S)
             pause_s = FIRST_PAUSE_S
 
     def _step(self) -> None:
@@ -207,7 +205,8 @@
 
         :returns: whether the poll told changes.
         """
-        since, now = self.version, self._clock.now()
+        since = self.version
+        give_up_at = self._clock.now() + POLL_S + POLL_SLACK_S
         poll = self._store.poll(self.table, since, POLL_S)
         eventlog.info("store-asked", table=self.table, since=since, wait_s=POLL_S)
         self._is_polling = True
@@ -215,7 +214,7 @@
             while not poll.wait(LOOK_S):
                 if self._stopped.is_set():
                     return False
-                if self._clock.now() > now + POLL_S + POLL_SLACK_S:
+                if self._clock.now() > give_up_at:
                     raise gateway_api.StoreError("a poll without an answer")
                 if self.fresh.is_check_due and self._ask(since):
                     eventlog.warning("store-poll-deaf", table=self.table, since=since)
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -40,8 +40,8 @@
     http.client.HTTPException,
     OSError,
 )
-# Connections of polls that rest, and serve the next ones; a table needs one.
-RESTING_POLLS: typing.Final = 4
+# Idle connections that are kept for the next polls; a table needs one.
+IDLE_POLLS: typing.Final = 4
 
 
 class PlatformPoll(gateway_api.Poll):
@@ -89,7 +89,7 @@
     :param address: ``IP:PORT`` of the store.
     """
 
-    __slots__ = ("_pool", "_address", "_resting", "_lock")
+    __slots__ = ("_pool", "_address", "_idle", "_lock")
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -102,21 +102,21 @@
             retries=False,
             socket_options=SOCKET_OPTIONS,
         )
-        self._resting: list[urllib3.connection.HTTPConnection] = []
+        self._idle: list[urllib3.connection.HTTPConnection] = []
         self._lock = threading.Lock()
 
     def read(self, table: str) -> gateway_api.Page:
         query = {"Table": table, "part": ""}
         first = body = self._get("/-/rows-get", query, ANSWER_WAIT_S)
-        rows = [_row(item) for item in body.get("Rows", ())]
+        rows = _rows(body)
         while body.get("HasMore"):
             # The next page begins at the smallest key after the last one.
             query["From"] = rows[-1].key + "\0"
             body = self._get("/-/rows-get", query, ANSWER_WAIT_S)
-            rows += [_row(item) for item in body.get("Rows", ())]
+            rows += _rows(body)
         # A later page may be newer; a change of an earlier one in between is told by
         # the feed only from the first page's version on.
-        return gateway_api.Page(rows, first["Ver"], first["NowMs"] / 1000)
+        return gateway_api.Page(rows, _number(first, "Ver"), _now(first))
 
     def changes(self, table: str, since: int) -> gateway_api.Page:
         return _page(self._get(*_feed(table, since, 0.0), CHANGES_WAIT_S))
@@ -133,9 +133,9 @@
         return PlatformPoll(conn, self._keep)
 
     def _poll_connection(self) -> urllib3.connection.HTTPConnection:
-        """Give a connection for a poll, one that rests if it is open."""
+        """Give a connection for a poll, an idle one if it is still open."""
         with self._lock:
-            conn = self._resting.pop() if self._resting else None
+            conn = self._idle.pop() if self._idle else None
         if conn is not None and conn.is_connected:
             return conn
         if conn is not None:
@@ -147,8 +147,8 @@
 
     def _keep(self, conn: urllib3.connection.HTTPConnection) -> None:
         with self._lock:
-            if len(self._resting) < RESTING_POLLS:
-                self._resting.append(conn)
+            if len(self._idle) < IDLE_POLLS:
+                self._idle.append(conn)
                 return
         conn.close()
 
@@ -172,7 +172,7 @@
         )
         if answer.status == 412:
             return 0
-        return int(_checked(answer)["Ver"])
+        return _number(_checked(answer), "Ver")
 
     def _get(
         self, path: str, query: dict[str, str], wait_s: float
@@ -224,14 +224,38 @@
     if answer.status != 200:
         raise gateway_api.StoreError(f"status {answer.status}")
     try:
-        return typing.cast("dict[str, typing.Any]", json.loads(answer.data))
+        body = json.loads(answer.data)
     except ValueError as exc:
         raise gateway_api.StoreError("no JSON") from exc
+    if not isinstance(body, dict):
+        raise gateway_api.StoreError("no JSON object")
+    return body
 
 
 def _page(body: dict[str, typing.Any]) -> gateway_api.Page:
-    rows = [_row(item) for item in body.get("Rows", ())]
-    return gateway_api.Page(rows, body["Ver"], body["NowMs"] / 1000)
+    """Decode a page of rows.
+
+    :raises gateway_api.StoreError: when it is none.
+    """
+    return gateway_api.Page(_rows(body), _number(body, "Ver"), _now(body))
+
+
+def _rows(body: dict[str, typing.Any]) -> list[gateway_api.Row]:
+    try:
+        return [_row(item) for item in body.get("Rows", ())]
+    except (KeyError, TypeError, ValueError) as exc:
+        raise gateway_api.StoreError(f"no rows: {exc!r}") from exc
+
+
+def _now(body: dict[str, typing.Any]) -> float:
+    return _number(body, "NowMs") / 1000
+
+
+def _number(body: dict[str, typing.Any], name: str) -> int:
+    number = body.get(name)
+    if not isinstance(number, int | float):
+        raise gateway_api.StoreError(f"no {name}")
+    return int(number)
 
 
 def _row(item: dict[str, typing.Any]) -> gateway_api.Row:
--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -3,7 +3,8 @@
 Faults are set by a test: ``refuse`` (a status for each call), ``lose`` (writes are done
 and not answered), ``delay`` (seconds before each call is looked at), ``swallow`` (what
 comes is never answered, also when the store is back), ``refuse_tx`` (so many writes are
-refused); ``compact`` makes the history go.
+refused), ``odd`` (answers are JSON, but none of the store's); ``compact`` makes the
+history go.
 """
 
 import base64
@@ -77,6 +78,8 @@
             self.swallowed.append(query.get("Table", ""))
             self._stopping.wait()
             return httpfake.Reply(0, drop=True)
+        if self.faults.get("odd"):
+            return httpfake.json_reply({"Rows": [{}]})
         if "refuse" in self.faults:
             return httpfake.Reply(self.faults["refuse"])
         if call == "/-/rows-get":
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -169,9 +169,10 @@
         store: metastore.MetaStoreFake | None = None,
         rests: typing.Callable[[], bool] = lambda: False,
         kind: type[freshness.Freshness] = freshness.Freshness,
+        sink: Kept | None = None,
     ) -> None:
         self.store = store or metastore.MetaStoreFake()
-        self.kept = Kept()
+        self.kept = sink or Kept()
         steady = clock.MonotonicClock()
         self.fresh = kind(steady, freshness.StoreClock(), lambda: BOUND_S)
         self.follower = followers.Follower(
@@ -260,3 +261,29 @@
             "the row is written",
         )
         assert one.store.faults["refuse_tx"] == 0
+
+
+class FailsOnce(Kept):
+    """A sink with a fault that one page of rows brings about."""
+
+    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
+        if not whole:
+            raise AttributeError("a fault of ours")
+        super().take_page(page, whole)
+
+
+def test_a_follower_outlives_a_fault_of_its_sink() -> None:
+    with FollowedStore(sink=FailsOnce()) as case:
+        gatewaysite.wait_until(lambda: case.kept.keys == {"a"}, "it is read")
+        case.store.put("t", "b", 1)
+        gatewaysite.wait_until(lambda: "b" in case.kept.keys, "it is read anew")
+
+
+def test_an_answer_that_is_none_is_as_good_as_lost() -> None:
+    with FollowedStore() as case:
+        gatewaysite.wait_until(lambda: case.kept.keys == {"a"}, "it is read")
+        case.store.faults["odd"] = True
+        gatewaysite.wait_until(lambda: not case.follower.connected, "it is noted")
+        case.store.put("t", "b", 1)
+        del case.store.faults["odd"]
+        gatewaysite.wait_until(lambda: "b" in case.kept.keys, "it goes on")
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -119,6 +119,13 @@
         "            if old is not None and old.version >= row.version:\n"
         "                continue\n",
     ),
+    _proof(
+        "a follower outlives a fault of its sink",
+        "testfreshness.py::test_a_follower_outlives_a_fault_of_its_sink",
+        "followers.py",
+        "            except Exception as exc:",
+        "            except NotImplementedError as exc:",
+    ),
     _proof(
         "a peer that was heard is not forgotten by a cut",
         "testfleet.py::test_a_peer_that_was_heard_is_tried_for_an_hour_and_another_is"
@@ -142,8 +149,8 @@
         "testfreshness.py::test_a_change_of_an_earlier_page_while_a_later_one_is_read"
         "_is_not_lost",
         "platform/store.py",
-        'first["Ver"]',
-        'body["Ver"]',
+        '_number(first, "Ver")',
+        '_number(body, "Ver")',
     ),
     _proof(
         "an announcement is made until it is answered",
