Share the tests' followed store, and swallow just the poll that is meant

Cause: testfreshness failed once beside other work: "assert 1 == 2", the configuration that was to answer the poll was not in force. The outage began while no poll waited (a start or a pause for gathering), so it swallowed that one and not the next. Four tests had sinks of their own.

Ruled out: a fault of the follower, which took the change once the outage was over.

--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -32,6 +32,8 @@
         self.version = 0
         self.forgotten_until = 0
         self.calls: list[str] = []
+        # The tables of the polls that wait now.
+        self.waiting: list[str] = []
         # The tables that calls were about which are never answered.
         self.swallowed: list[str] = []
         self._stopping = threading.Event()
@@ -107,7 +109,9 @@
         with self._changed:
             if since < self.forgotten_until:
                 return httpfake.Reply(410)
+            self.waiting.append(table)
             self._changed.wait_for(lambda: self._newer(table, since), wait_s)
+            self.waiting.remove(table)
             rows = [
                 self._row(name, value, version)
                 for name, value, version in self._newer(table, since)
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -9,7 +9,6 @@
     clock,
     errors,
     followers,
-    freshness,
     gateway_api,
     gateway_program,
     mesh,
@@ -18,7 +17,7 @@
     row_exchange,
 )
 from gaprock.platform import store
-from gaprock.test import gatewaysite, rolloutcase
+from gaprock.test import gatewaysite, rolloutcase, rowcase
 from gaprock.test.fakes import cutproxy, metastore
 
 
@@ -27,41 +26,23 @@
     return clock.ManualClock(100.0)
 
 
-class Kept:
-    """A sink that keeps what it was given."""
-
-    def __init__(self) -> None:
-        self.rows: dict[str, bytes] = {}
-        self.order: list[str] = []
-
-    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
-        if whole:
-            self.rows.clear()
-        for row in page.rows:
-            self.order.append(row.key)
-            if row.value is None:
-                self.rows.pop(row.key, None)
-            else:
-                self.rows[row.key] = row.value
-
-
 def page(version: int, *rows: tuple[str, bytes | None, int]) -> gateway_api.Page:
     return gateway_api.Page([gateway_api.Row(*row) for row in rows], version, 0.0)
 
 
-def fresh(time: clock.Clock) -> freshness.Freshness:
-    return freshness.Freshness(time, freshness.StoreClock(), lambda: 2.0)
-
-
 def news(changed: int) -> mesh_messages.TableNews:
     return mesh_messages.TableNews(changed, 0, 0.0)
 
 
 def follower(
     time: clock.ManualClock,
-) -> tuple[followers.Follower, rolloutcase.Scripted, Kept]:
-    kept, scripted = Kept(), rolloutcase.Scripted()
-    return followers.Follower("t", scripted, time, kept, fresh(time)), scripted, kept
+) -> tuple[followers.Follower, rolloutcase.Scripted, rowcase.Kept]:
+    kept, scripted = rowcase.Kept(), rolloutcase.Scripted()
+    return (
+        followers.Follower("t", scripted, time, kept, rowcase.fresh(time)),
+        scripted,
+        kept,
+    )
 
 
 # -- Rows --
@@ -74,13 +55,13 @@
     scripted.pages = [page(5, ("a", b"1", 5), ("b", b"1", 5))]
     one._read()
     one.take_copy(page(9, ("a", b"2", 9)))
-    assert kept.rows == {"a": b"2"}
+    assert kept.values == {"a": b"2"}
     # The poll that was under way tells older changes, one of a row that is gone again.
     scripted.pages = [page(8, ("a", b"old", 7), ("b", None, 8), ("c", b"1", 8))]
     one._ask(one.version)
-    assert kept.rows == {"a": b"2"}
+    assert kept.values == {"a": b"2"}
     one.take_copy(page(8, ("a", b"old", 7)))
-    assert kept.rows == {"a": b"2"}
+    assert kept.values == {"a": b"2"}
 
 
 def test_rows_of_one_transaction_are_all_taken(time: clock.ManualClock) -> None:
@@ -88,7 +69,7 @@
     scripted.pages = [page(5), page(6, ("a", b"1", 6), ("b", b"1", 6))]
     one._read()
     one._ask(one.version)
-    assert kept.rows == {"a": b"1", "b": b"1"}
+    assert kept.values == {"a": b"1", "b": b"1"}
 
 
 def test_a_peer_that_stays_ahead_is_asked_though_the_store_says_nothing(
@@ -112,11 +93,11 @@
 def test_a_follower_that_rests_takes_copies_and_polls_again() -> None:
     fake = metastore.MetaStoreFake()
     fake.start()
-    kept, rests = Kept(), [True]
+    kept, rests = rowcase.Kept(), [True]
     client = store.PlatformStore(f"127.0.0.1:{fake.port}")
     steady = clock.MonotonicClock()
     one = followers.Follower(
-        "t", client, steady, kept, fresh(steady), 0.0, lambda: rests[0]
+        "t", client, steady, kept, rowcase.fresh(steady), 0.0, lambda: rests[0]
     )
     exchange = row_exchange.RowExchange([one], steady)
     fake.put("t", "a", 1)
@@ -163,10 +144,10 @@
 def test_the_store_is_followed_through_lost_history_and_outages() -> None:
     fake = metastore.MetaStoreFake()
     fake.start()
-    kept = Kept()
+    kept = rowcase.Kept()
     client = store.PlatformStore(f"127.0.0.1:{fake.port}")
     steady = clock.MonotonicClock()
-    one = followers.Follower("t", client, steady, kept, fresh(steady))
+    one = followers.Follower("t", client, steady, kept, rowcase.fresh(steady))
     for number in range(metastore.PAGE_ROWS + 2):
         fake.put("t", f"k{number}", number)
     one.start()
--- a/gaprock/test/testfollowing.py
+++ b/gaprock/test/testfollowing.py
@@ -19,8 +19,8 @@
     mesh_messages,
     row_exchange,
 )
+from gaprock.test import rowcase
 
-BOUND_S: typing.Final = 2.0
 # The store's clock is this far behind ours, seconds.
 BEHIND_S: typing.Final = 70.0
 KEYS: typing.Final = ("a", "b")
@@ -80,29 +80,13 @@
     return gateway_api.Row(key, b"1", version)
 
 
-class Told:
-    """A sink that takes rows as the gateway's parts do."""
-
-    def __init__(self) -> None:
-        self.rows: Rows = {}
-
-    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
-        if whole:
-            self.rows.clear()
-        for row in page.rows:
-            if row.value is None:
-                self.rows.pop(row.key, None)
-            else:
-                self.rows[row.key] = row.version
-
-
 class Member:
     """One gateway's side."""
 
     def __init__(self, store: ModelStore, clock_: clock.Clock) -> None:
-        self.told = Told()
+        self.told = rowcase.Kept()
         self.fresh = freshness.Freshness(
-            clock_, freshness.StoreClock(), lambda: BOUND_S
+            clock_, freshness.StoreClock(), lambda: rowcase.BOUND_S
         )
         self.follower = followers.Follower("t", store, clock_, self.told, self.fresh)
         self.exchange = row_exchange.RowExchange([self.follower], clock_)
@@ -130,7 +114,7 @@
         """A member that asks at the end knows all."""
         for member in self.members:
             self._ask(member)
-            assert member.told.rows == self.store.states[-1]
+            assert member.told.versions == self.store.states[-1]
 
     # -- The world --
 
@@ -241,17 +225,17 @@
             # Changes at the very moment of the proof may be on either side of it.
             while known > 0 and self.store.times[known] == stamp:
                 known -= 1
-            assert member.told.rows in self.store.states[known:]
+            assert member.told.versions in self.store.states[known:]
 
     @stateful.invariant()
     def nothing_goes_back(self) -> None:
         """Each member shows states of the store in their order."""
         for member in self.members:
             later = self.store.states[member.shown :]
-            if not member.told.rows and not member.shown:
+            if not member.told.versions and not member.shown:
                 continue
-            assert member.told.rows in later
-            member.shown += later.index(member.told.rows)
+            assert member.told.versions in later
+            member.shown += later.index(member.told.versions)
 
 
 TestFollowing = Following.TestCase
@@ -285,7 +269,7 @@
     late = world.members[1].exchange.copy(0)
     world.start_anew(0)
     world.beats_at_once(1)
-    assert set(world.members[0].told.rows) == {"a"}
+    assert set(world.members[0].told.versions) == {"a"}
     # One that was asked for before comes now.
     world.members[0].exchange.take_copy(late)
-    assert set(world.members[0].told.rows) == {"a"}
+    assert set(world.members[0].told.versions) == {"a"}
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -24,22 +24,22 @@
 import pytest
 
 from gaprock import clock, followers, freshness, gateway_api, mesh_messages, options
-from gaprock.platform import store as platform_store
-from gaprock.test import gatewaysite
+from gaprock.test import gatewaysite, rowcase
 from gaprock.test.fakes import httpfake, metastore
 
-# Within which a change has to be in force, seconds.
-BOUND_S: typing.Final = 2.0
-
 
 def swallow_next_poll(
-    one: gatewaysite.GatewaySite, table: str, change: typing.Callable[[], object]
+    store: metastore.MetaStoreFake,
+    table: str,
+    change: typing.Callable[[], object],
+    is_taken: typing.Callable[[], bool],
 ) -> None:
     """Have a table's poll answered by a change, and the next one swallowed."""
-    store = one.store
+    gatewaysite.wait_until(lambda: table in store.waiting, "a poll waits")
     store.faults["swallow"] = True
     change()
-    gatewaysite.wait_until(lambda: table in store.swallowed, "the poll is swallowed")
+    gatewaysite.wait_until(is_taken, "the poll is answered")
+    gatewaysite.wait_until(lambda: table in store.swallowed, "the next is swallowed")
     del store.faults["swallow"]
 
 
@@ -54,8 +54,7 @@
         def put(number: int) -> None:
             one.store.put("op", "config", gatewaysite.config(number))
 
-        swallow_next_poll(one, "op", lambda: put(2))
-        assert in_force() == 2
+        swallow_next_poll(one.store, "op", lambda: put(2), lambda: in_force() == 2)
         put(3)
         gatewaysite.wait_until(lambda: in_force() == 3, "the change is in force")
 
@@ -67,7 +66,17 @@
     with gatewaysite.GatewaySite() as one:
         one.add("e1", "app")
         one.add("e2", "app")
-        swallow_next_poll(one, "servers", lambda: one.write_row("e1", "app", Slots=9))
+
+        def slots() -> set[int]:
+            usable = one.gateway.directory.usable("app", set())
+            return {endpoint.row.slots for endpoint in usable}
+
+        swallow_next_poll(
+            one.store,
+            "servers",
+            lambda: one.write_row("e1", "app", Slots=9),
+            lambda: 9 in slots(),
+        )
         if state == "gone":
             one.store.remove("servers", "e2")
         else:
@@ -87,7 +96,7 @@
     def __init__(self, leads: bool) -> None:
         self.time = clock.ManualClock(150.0)
         self.fresh = freshness.Freshness(
-            self.time, freshness.StoreClock(), lambda: BOUND_S, lambda: leads
+            self.time, freshness.StoreClock(), lambda: rowcase.BOUND_S, lambda: leads
         )
         self.fresh.prove_by_answer(100.0, asked_at=self.time.now())
 
@@ -95,7 +104,7 @@
 def test_the_first_gateway_asks_well_before_a_change_has_to_be_in_force() -> None:
     case = FreshCase(leads=True)
     assert not case.fresh.is_check_due
-    case.time.advance(freshness.LEAD_SHARE * BOUND_S)
+    case.time.advance(freshness.LEAD_SHARE * rowcase.BOUND_S)
     assert case.fresh.is_check_due
     assert not case.fresh.is_stale
 
@@ -103,20 +112,20 @@
 def test_the_others_ask_when_no_proof_reaches_them_and_before_they_are_stale() -> None:
     case = FreshCase(leads=False)
     for _ in range(20):
-        case.time.advance(freshness.LEAD_SHARE * BOUND_S)
+        case.time.advance(freshness.LEAD_SHARE * rowcase.BOUND_S)
         assert not case.fresh.is_check_due
         # The first gateway's proof comes, some of the time old.
         case.fresh.prove(case.time.now() - 50.0 - 0.1)
-    case.time.advance(freshness.OTHER_SHARES[1] * BOUND_S)
+    case.time.advance(freshness.OTHER_SHARES[1] * rowcase.BOUND_S)
     assert case.fresh.is_check_due
     assert not case.fresh.is_stale
-    case.time.advance(BOUND_S)
+    case.time.advance(rowcase.BOUND_S)
     assert case.fresh.is_stale
 
 
 def test_a_proof_keeps_its_age_however_long_it_was_under_way() -> None:
     case = FreshCase(leads=False)
-    case.time.advance(BOUND_S)
+    case.time.advance(rowcase.BOUND_S)
     case.fresh.prove(100.5)
     assert case.fresh.proved_at == 150.5
     case.fresh.prove(100.2)
@@ -130,8 +139,10 @@
     time = clock.ManualClock(150.0)
     store_clock = freshness.StoreClock()
     store_clock.note(100.0, 150.0)
-    fresh = freshness.Freshness(time, store_clock, lambda: BOUND_S)
-    one = followers.Follower("t", gateway_api.SharedStore(), time, Kept(), fresh)
+    fresh = freshness.Freshness(time, store_clock, lambda: rowcase.BOUND_S)
+    one = followers.Follower(
+        "t", gateway_api.SharedStore(), time, rowcase.Kept(), fresh
+    )
     row = gateway_api.Row("a", b"1", 7)
     one.take_copy(gateway_api.Page([row], 7, 0.0))
     for other in ({}, {"a": row._replace(version=6)}, {"a": row, "b": row}):
@@ -141,16 +152,6 @@
     assert fresh.proved_at == 150.0
 
 
-class Kept:
-    """A sink that keeps the keys that it was given."""
-
-    def __init__(self) -> None:
-        self.keys: set[str] = set()
-
-    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
-        self.keys |= {row.key for row in page.rows}
-
-
 class ByHurryAlone(freshness.Freshness):
     """Has a proof due only where a change was told of."""
 
@@ -161,51 +162,19 @@
         return self._clock.now() >= self._hurry_at
 
 
-class FollowedStore:
-    """A store's stand-in with a follower of its table ``t``; use it as a context."""
-
-    def __init__(
-        self,
-        store: metastore.MetaStoreFake | None = None,
-        rests: typing.Callable[[], bool] = lambda: False,
-        kind: type[freshness.Freshness] = freshness.Freshness,
-        sink: Kept | None = None,
-    ) -> None:
-        self.store = store or metastore.MetaStoreFake()
-        self.kept = sink or Kept()
-        steady = clock.MonotonicClock()
-        self.fresh = kind(steady, freshness.StoreClock(), lambda: BOUND_S)
-        self.follower = followers.Follower(
-            "t",
-            platform_store.PlatformStore(f"127.0.0.1:{self.store.port}"),
-            steady,
-            self.kept,
-            self.fresh,
-            may_rest=rests,
-        )
-
-    def __enter__(self) -> "FollowedStore":
-        self.store.start()
-        self.store.put("t", "a", 1)
-        self.follower.start()
-        return self
-
-    def __exit__(self, *exc: object) -> None:
-        self.follower.stop()
-        self.store.stop()
-
-    def swallow_poll(self) -> None:
-        """Have the poll answered, and the next one swallowed."""
-        gatewaysite.wait_until(lambda: self.kept.keys == {"a"}, "it is read")
-        self.store.faults["swallow"] = True
-        self.store.put("t", "b", 1)
-        gatewaysite.wait_until(lambda: "t" in self.store.swallowed, "swallowed")
-        del self.store.faults["swallow"]
+def swallow_table_poll(case: rowcase.FollowedStore) -> None:
+    """Have a followed table's poll answered, and the next one swallowed."""
+    swallow_next_poll(
+        case.store,
+        "t",
+        lambda: case.store.put("t", "b", 1),
+        lambda: "b" in case.kept.keys,
+    )
 
 
 def test_a_poll_that_a_peers_copy_went_before_is_asked_about_and_left() -> None:
-    with FollowedStore(kind=ByHurryAlone) as case:
-        case.swallow_poll()
+    with rowcase.FollowedStore(kind=ByHurryAlone) as case:
+        swallow_table_poll(case)
         version = case.store.put("t", "c", 1)
         rows = [gateway_api.Row(key, b"1", n) for n, key in enumerate("abc", 1)]
         case.follower.take_copy(gateway_api.Page(rows, version, 0.0))
@@ -219,7 +188,7 @@
 
 
 def test_a_follower_that_rests_asks_when_no_proof_reaches_it() -> None:
-    with FollowedStore(rests=lambda: True) as case:
+    with rowcase.FollowedStore(rests=lambda: True) as case:
         gatewaysite.wait_until(lambda: case.follower.resting, "it rests")
         case.store.put("t", "b", 1)
         gatewaysite.wait_until(lambda: "b" in case.kept.keys, "it asked by itself")
@@ -241,7 +210,7 @@
     store = ChangingStore()
     for number in range(metastore.PAGE_ROWS + 1):
         store.put("t", f"k{number}", number)
-    with FollowedStore(store) as case:
+    with rowcase.FollowedStore(store) as case:
         gatewaysite.wait_until(
             lambda: {r.key: r.value for r in case.follower.rows()}.get("a")
             == b'"changed"',
@@ -263,7 +232,7 @@
         assert one.store.faults["refuse_tx"] == 0
 
 
-class FailsOnce(Kept):
+class FailsOnce(rowcase.Kept):
     """A sink with a fault that one page of rows brings about."""
 
     def take_page(self, page: gateway_api.Page, whole: bool) -> None:
@@ -273,14 +242,14 @@
 
 
 def test_a_follower_outlives_a_fault_of_its_sink() -> None:
-    with FollowedStore(sink=FailsOnce()) as case:
+    with rowcase.FollowedStore(sink=FailsOnce()) as case:
         gatewaysite.wait_until(lambda: case.kept.keys == {"a"}, "it is read")
         case.store.put("t", "b", 1)
         gatewaysite.wait_until(lambda: "b" in case.kept.keys, "it is read anew")
 
 
 def test_an_answer_that_is_none_is_as_good_as_lost() -> None:
-    with FollowedStore() as case:
+    with rowcase.FollowedStore() as case:
         gatewaysite.wait_until(lambda: case.kept.keys == {"a"}, "it is read")
         case.store.faults["odd"] = True
         gatewaysite.wait_until(lambda: not case.follower.connected, "it is noted")
--- a/gaprock/test/testsilent.py
+++ b/gaprock/test/testsilent.py
@@ -9,22 +9,12 @@
 
 import pytest
 
-from gaprock import clock, followers, freshness, gateway_api
+from gaprock import gateway_api
 from gaprock.platform import store as platform_store
-from gaprock.test import gatewaysite
+from gaprock.test import gatewaysite, rowcase
 from gaprock.test.fakes import backend, cutproxy, metastore
 
 
-class Keys:
-    """A sink that keeps the keys that it was given."""
-
-    def __init__(self) -> None:
-        self.keys: set[str] = set()
-
-    def take_page(self, page: gateway_api.Page, whole: bool) -> None:
-        self.keys |= {row.key for row in page.rows}
-
-
 @pytest.fixture
 def site() -> typing.Iterator[gatewaysite.GatewaySite]:
     with gatewaysite.GatewaySite() as made:
@@ -42,27 +32,16 @@
 # -- To the store --
 
 
-def test_changes_come_though_the_polls_connection_went_silent(
-    fake_store: metastore.MetaStoreFake,
-) -> None:
+def test_changes_come_though_the_polls_connection_went_silent() -> None:
+    fake_store = metastore.MetaStoreFake()
     proxy = cutproxy.CutProxy(fake_store.port)
-    kept, steady = Keys(), clock.MonotonicClock()
-    one = followers.Follower(
-        "t",
-        platform_store.PlatformStore(f"127.0.0.1:{proxy.port}"),
-        steady,
-        kept,
-        freshness.Freshness(steady, freshness.StoreClock(), lambda: 2.0),
-    )
-    fake_store.put("t", "a", 1)
-    one.start()
-    gatewaysite.wait_until(lambda: "/-/rows-feed" in fake_store.calls, "it polls")
-    proxy.mute()
-    fake_store.put("t", "b", 1)
-    gatewaysite.wait_until(lambda: kept.keys == {"a", "b"}, "the change is taken")
-    fake_store.put("t", "c", 1)
-    gatewaysite.wait_until(lambda: "c" in kept.keys, "by a poll that is heard")
-    one.stop()
+    with rowcase.FollowedStore(fake_store, port=proxy.port) as case:
+        gatewaysite.wait_until(lambda: "/-/rows-feed" in fake_store.calls, "it polls")
+        proxy.mute()
+        fake_store.put("t", "b", 1)
+        gatewaysite.wait_until(lambda: case.kept.keys == {"a", "b"}, "it is taken")
+        fake_store.put("t", "c", 1)
+        gatewaysite.wait_until(lambda: "c" in case.kept.keys, "by a poll that is heard")
     proxy.stop()
 
 
