Test that a call meets one silent connection to the store at most

Cause looked for: kept connections that go silent together, each costing the next calls a second. A change was tried (a new pool after a call without an answer) and taken back.

Ruled out by the test, which passes without the change: the pool of the client opens a new connection after one that failed, and uses that one from then on.

Conclusion: the test stays, the change does not.

--- a/gaprock/test/testsilent.py
+++ b/gaprock/test/testsilent.py
@@ -64,6 +64,26 @@
     proxy.stop()
 
 
+def test_after_a_silent_connection_to_the_store_the_next_call_opens_one(
+    fake_store: metastore.MetaStoreFake,
+) -> None:
+    proxy = cutproxy.CutProxy(fake_store.port)
+    store = platform_store.PlatformStore(f"127.0.0.1:{proxy.port}")
+    fake_store.faults["delay"] = 0.3
+    starts = [threading.Thread(target=store.read, args=("t",)) for _ in range(3)]
+    for start in starts:
+        start.start()
+    for start in starts:
+        start.join()
+    del fake_store.faults["delay"]
+    # Three connections are kept now, and all go silent; a call meets one at most.
+    proxy.mute()
+    with pytest.raises(gateway_api.StoreError):
+        store.changes("t", 0)
+    store.changes("t", 0)
+    proxy.stop()
+
+
 # -- To endpoints --
 
 
