Test how the list of known red tests is read

Cause: the reading came without a test. Ruled out: nothing. Conclusion: a line without three parts and a fourth line are refused.

--- a/gaprock/test/testdocs.py
+++ b/gaprock/test/testdocs.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gaprock import errorcodes, eventlog
+from gaprock.test import conftest
 from misc import write_pages
 
 
@@ -25,3 +26,14 @@
     assert line.endswith("choice=a")
     assert line.count(" event=route ") == 1
     assert line.count('request="') == 1
+
+
+def test_the_list_of_known_red_tests_is_short_and_whole() -> None:
+    line = "test_x.py::test_y | a cause | issue 1"
+    found = conftest.read_list(f"{line}\n\n")
+    assert found == [conftest.KnownRed("test_x.py::test_y", "a cause", "issue 1")]
+    for wrong in ("test_x.py::test_y | a cause", "| a cause | issue 1", line[:-7]):
+        with pytest.raises(ValueError, match="not test"):
+            conftest.read_list(wrong)
+    with pytest.raises(ValueError, match="at most 3"):
+        conftest.read_list(f"{line}\n" * 4)
