--- a/gaprock/test/testrollouts.py
+++ b/gaprock/test/testrollouts.py
@@ -1,5 +1,7 @@
 """Rollouts: who gets the new version, how it is judged, and its written outcome."""
 
+import typing
+
 import pytest
 
 from gaprock import (
@@ -10,7 +12,7 @@
     rollout_pace,
     rollouts,
 )
-from gaprock.test import rolloutcase
+from gaprock.test import gatewaysite, rolloutcase
 
 
 @pytest.fixture
@@ -223,3 +225,26 @@
     case.mesh._on_beat(again)  # type: ignore[arg-type]
     assert rollout.halted
     assert rollout.started_at == time.now() - 4.0
+
+
+SESSIONS: typing.Final = 60
+
+
+def test_a_session_that_runs_keeps_its_version_when_an_order_comes() -> None:
+    with gatewaysite.GatewaySite() as site:
+        site.add("old", "llm", Version="v1")
+        sessions = [f"s{number}" for number in range(SESSIONS)]
+        for session in sessions:
+            assert site.generate(Session=session).status == 200
+        fake = site.add("new", "llm", Version="v2")
+        document = {"Service": "llm", "ToVersion": "v2", "FinishByS": 600}
+        site.store.put("op", "rollout/llm", document)
+        gatewaysite.wait_until(lambda: site.gateway.rollouts.all() != [], "ordered")
+        fake.seen.clear()
+        for session in sessions:
+            assert site.generate(Session=session).status == 200
+        # Others begin on the new version, these go on where they were.
+        assert {seen.headers["session"] for seen in fake.seen} == set()
+        for session in (f"other{number}" for number in range(SESSIONS)):
+            assert site.generate(Session=session).status == 200
+        assert fake.seen
