Keep a session that goes on where it ran when a rollout is ordered

Cause of the red test: the hash alone put a session on its side, so an order moved those that had run on the old version just before it if their hash was in the first share: 4 of 60 in the test; four such requests break a rule on a site with many sessions. A gateway now keeps what each named session ran on for as long as its requests belong together, and such a session stays on the old version in the first half of a rollout; later it moves as before. Requests without a session's name are not held: nothing pins them, and the first share's evidence comes from them.

--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -92,6 +92,10 @@
         if chosen is None:
             return None
         prompt = prompts[chosen.name]
+        if call.info.session:
+            self._rollouts.sessions.note(
+                call.service, call.session, chosen.row.version, now
+            )
         eventlog.info(
             "route",
             request=call.info.request,
@@ -110,6 +114,11 @@
         )
         return chosen, prompt
 
+    def note_end(self, call: gateway_call.Call) -> None:
+        """Note that a call is over: a session's rest begins."""
+        now = self._clock.now()
+        self._rollouts.sessions.note_end(call.service, call.session, now)
+
     def _is_avoided(
         self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint, now: float
     ) -> bool:
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -121,6 +121,8 @@
             result = exc.code.name
             self._give_up(reply, exc)
         finally:
+            if call is not None:
+                self._chooser.note_end(call)
             with self._idle:
                 self._open -= 1
                 self._idle.notify_all()
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -28,6 +28,7 @@
     messages,
     policy_api,
     rollout_pace,
+    rollout_sessions,
 )
 
 # Share of the allowed exposure that is used while a version is unproved.
@@ -109,6 +110,7 @@
     """All rollouts, by service; safe for all threads.
 
     :param canary_share: the share of requests that an unproved version may get.
+    :param session_s: the longest rest within a session, seconds.
     """
 
     def __init__(
@@ -117,8 +119,10 @@
         canary_share: float,
         guard: policy_api.Guard,
         evidence_: evidence.EvidenceBook,
+        session_s: float = 5.0,
     ) -> None:
         self._clock = clock_
+        self.sessions = rollout_sessions.RecentSessions(session_s)
         self._canary = canary_share * CANARY_USE
         self._guard = guard
         self._evidence = evidence_
@@ -198,6 +202,17 @@
         elif rollout.revision == revision:
             rollout.started_at = min(rollout.started_at, started_at)
 
+    def take_told(
+        self, service: str, revision: int, started_at: float, halted: bool, by: str
+    ) -> None:
+        """Take what another gateway tells of a rollout.
+
+        :param by: who tells it, for the log.
+        """
+        self.backdate(service, revision, started_at)
+        if halted:
+            self.halt(service, revision, f"told by {by}")
+
     def _note_told(
         self,
         service: str,
@@ -256,7 +271,16 @@
             return None
         name = f"{session}#{rollout.label}"
         point = zlib.crc32(name.encode()) / HASH_RANGE
-        return rollout, point < self.share(rollout)
+        on_new = point < self.share(rollout)
+        return rollout, on_new and not self._stays_on_old(rollout, session)
+
+    def _stays_on_old(self, rollout: Rollout, session: str) -> bool:
+        """Whether a session that goes on stays where it was, in the first half."""
+        now = self._clock.now()
+        if rollout.state is State.COMPLETED or rollout.passed(now) >= STEPS[0][0]:
+            return False
+        version = self.sessions.version(rollout.order.service, session, now)
+        return version is not None and version != rollout.order.to_version
 
     def fits(self, service: str, version: str, session: str) -> bool:
         """Whether a session's request may run on a version of a service."""
