Have the drain that is taken back seen by prompts of their own

Cause of the test that failed sometimes: all its requests have the same prompt, which the other endpoint holds. A holder goes before an idle endpoint while its wait is at most 1.25 times as long, and waits below a millisecond count as one, so where a run takes under 1.25 ms the holder keeps the prompt for good. Ruled out: the drain itself (the configuration is in force, the endpoint among the candidates). The test asks with unlike prompts and is as strict: the endpoint must run something again.

--- a/gaprock/test/testleaving.py
+++ b/gaprock/test/testleaving.py
@@ -1,5 +1,6 @@
 """Leaving endpoints get nothing new, and planned stops cut nothing."""
 
+import itertools
 import threading
 import typing
 
@@ -74,7 +75,16 @@
             s.chat()
         assert ran_at(s, "a") == 0
         s.entries[0].publisher.delete("drain/a", s.entries[0].config.revision)
-        site.wait_until(lambda: s.chat() and ran_at(s, "a"), "back in service")
+        # Each with a prompt of its own: the others' would stay at the endpoint that has
+        # it, which goes before an idle one while it is about as quick.
+        prompts = (
+            [{"role": "user", "content": f"why {number}?"}]
+            for number in itertools.count()
+        )
+        site.wait_until(
+            lambda: s.chat(messages=next(prompts)) and ran_at(s, "a"),
+            "back in service",
+        )
 
 
 def test_an_endpoint_that_died_gets_nothing_new() -> None:
