Have carriers speak for their halls, and one gateway of a hall read the store

Cause: every gateway told every other one all it knew, 68 of them 54 in other halls once a second, and each opened and kept a connection with pings for it; each made six calls to the store at its start and three polls that it then left to readers, of whom a hall had two.

Now the first two living gateways of a hall by name speak to those of the other halls and tell a summary of their hall; summaries are passed on inside the hall with their age. mesh_plan says who tells whom, from who was heard alone; mesh_halls keeps the summaries. Nobody is elected, and fleets with two gateways a hall tell each other directly as before. One gateway of a hall reads, and whoever is next by name takes over; at the first start of a site its reading is copied; a row that still stands is not written again, and one reading after the own row is written finds everybody. Every call to the store is counted and logged, and gaprock report sums them up.

Found on the way: a gateway that waited for readers after its start did so also where its hall has no other one, and knew new endpoints up to 0.8 s late; the test of two gateways showed it, once of two runs.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -353,6 +353,21 @@
         with self._lock:
             return sorted(e.name for e in self._endpoints.values() if e.is_dark)
 
+    def found_dark(self, gateways: typing.Collection[str]) -> list[str]:
+        """Give the endpoints that we or some others, by their names, find dark."""
+        with self._lock:
+            return sorted(
+                e.name
+                for e in self._endpoints.values()
+                if e.is_dark or not e.doubters.isdisjoint(gateways)
+            )
+
+    def doubted(self) -> list[str]:
+        """Give the endpoints that anybody finds dark."""
+        with self._lock:
+            found = [e.name for e in self._endpoints.values() if e.doubters]
+        return sorted(found)
+
     def take_dark(self, gateway: str, names: typing.Collection[str]) -> None:
         """Take the endpoints that another gateway finds dark."""
         if not mechanisms.DOUBTED.on:
--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -1,8 +1,8 @@
 """Follows the shared store's tables, one thread each, and hands the rows on.
 
-Each poll is a priced call, so in a hall with many gateways two of them poll and the
-others rest: they take the readers' copies, and poll again as soon as a reader falls
-silent or loses the store (``mesh.Mesh.has_readers`` decides who rests).
+Each poll is a priced call, so one gateway of a hall polls and the others rest: they
+take the reader's copies, and the next one polls as soon as the reader falls silent or
+loses the store (``mesh.Mesh.has_readers`` decides who rests).
 
 A follower reads its table whole, then waits for changes with a long poll.  While it
 waits it asks the store now and then what the poll should have told: a poll may never
@@ -27,6 +27,8 @@
 POLL_SLACK_S: typing.Final = 2.0
 # Pause between two looks at what is due beside a poll or a rest, seconds.
 LOOK_S: typing.Final = 0.2
+# Pause between two looks for a peer's copy at the first start, seconds.
+COPY_LOOK_S: typing.Final = 0.05
 # A peer that is ahead for this long has news that the store did not tell, seconds.
 BEHIND_S: typing.Final = 0.4
 
@@ -51,6 +53,7 @@
         gather_s: float = 0.0,
         may_rest: typing.Callable[[], bool] = lambda: False,
         on_back: typing.Callable[[], None] = lambda: None,
+        awaits_copy: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         self.table = table
         self._store = store
@@ -64,6 +67,8 @@
         self.resting = False
         # Told when the store answers again, before its rows are taken.
         self._on_back = on_back
+        # Whether the first reading is left to a peer for a moment.
+        self._awaits_copy = awaits_copy
         self._lock = threading.RLock()
         self._rows: dict[str, gateway_api.Row] = {}
         # Whether the table was read whole, so that its changes can be asked for.
@@ -132,6 +137,9 @@
                 "rows-copied", table=self.table, old=self.changed, new=page.version
             )
             self._take_whole(page, page.version)
+            if not self._is_read and self.lost_at == 0.0:
+                # Before any call of ours it stands for the first reading.
+                self._is_read, self.lost_at = True, clock.NEVER
             # A poll that does not tell the same soon is not going to.
             self.expect_change()
 
@@ -162,7 +170,9 @@
     def _step(self) -> None:
         """Make the next call, or rest."""
         self._set_resting(self._is_read and self.connected and self._may_rest())
-        if not self._is_read:
+        if not self._is_read and self._awaits_copy():
+            self._stopped.wait(COPY_LOOK_S)
+        elif not self._is_read:
             self._read()
         elif not self.connected or self.fresh.is_check_due:
             # After a failure, a call without a wait shows whether the store answers.
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -26,6 +26,7 @@
         "config_number",
         "store_connected",
         "store_proof_age",
+        "store_calls",
     )
 
     def __init__(self) -> None:
@@ -86,6 +87,12 @@
             ["table"],
             registry=registry,
         )
+        self.store_calls = prometheus_client.Counter(
+            "gaprock_store_calls_total",
+            "Calls to the shared store, by kind and table",
+            ["kind", "table"],
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Give the text of all metrics."""
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -28,6 +28,7 @@
     gateway_relay,
     gateway_rows,
     gateway_serve,
+    gateway_store,
     ids,
     mesh,
     options,
@@ -85,9 +86,9 @@
     ) -> None:
         self.cfg = cfg
         self.clock = clock_
-        self.store = store
         self.dialect = dialect
         self.metrics = gateway_metrics.GatewayMetrics()
+        self.store = store = gateway_store.CountedStore(store, self.metrics)
         bounds = cfg.bounds
         evidence_ = evidence.EvidenceBook(f"{cfg.vm}/{ids.new_token()}")
         self.directory = directory.Directory(clock_, bounds.drain_s)
@@ -96,6 +97,7 @@
             bounds.canary_share,
             plugin.find(policy_api.Guard, cfg.guard)(),
             evidence_,
+            bounds.session_s,
         )
         address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
         self.mesh = mesh.Mesh(
@@ -104,7 +106,6 @@
         self.mesh.on_old_here = self._on_old
         self.store_clock = freshness.StoreClock()
         self.writer = rollout_writer.RolloutWriter(
-            cfg.vm,
             clock_,
             self.store_clock,
             store,
@@ -126,6 +127,7 @@
             self.orders,
             self.writer,
             self.followers,
+            cfg.first_start,
         )
         self.budget = retry_window.RetryWindow(
             bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
@@ -264,6 +266,7 @@
             gather_s,
             self.mesh.has_readers,
             self.directory.store_returned,
+            lambda: self.cfg.first_start and self.mesh.awaits_readers(),
         )
 
     def _make_server(self) -> gateway_serve.Server:
@@ -343,7 +346,7 @@
         if not self.port.is_accepting:
             eventlog.warning("not-accepting", open=self.server.open_calls)
         self.directory.forget_gone()
-        self.budget.members = 1 + len(self.mesh.living())
+        self.budget.members = self.mesh.members()
         table = self.orders.table
         if table is not None and table.number != self._limits_of:
             self._limits_of = table.number
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -2,6 +2,11 @@
 
 It reads where the others take messages and when rollouts began, begins to follow the
 tables, and writes where it takes messages itself.
+
+Of two gateways that start together, at least one has to find the other one's row.  Each
+reads once after its own row is written, so the later of the two readings comes after
+both writings.  A gateway whose row still stands from an earlier life need not write it
+nor read again, which is a third of the calls of a restart.
 """
 
 import threading
@@ -23,8 +28,6 @@
 
 # Pause before a call that the store did not answer is made again, seconds.
 RETRY_S: typing.Final = 0.5
-# Peers that start with us have their rows in the store by then, seconds.
-PEERS_AGAIN_S: typing.Final = 2.0
 
 
 class OwnRowsTask:
@@ -45,6 +48,8 @@
         "_orders",
         "_writer",
         "_followers",
+        "_is_first_start",
+        "_is_announced",
         "_stopped",
     )
 
@@ -60,6 +65,7 @@
         orders: gateway_rows.OrderRows,
         writer: rollout_writer.RolloutWriter,
         followers_: list[followers.Follower],
+        is_first_start: bool = False,
     ) -> None:
         self._name = name
         self._clock = clock_
@@ -71,6 +77,9 @@
         self._orders = orders
         self._writer = writer
         self._followers = followers_
+        self._is_first_start = is_first_start
+        # Whether the store was seen to have our row as it should be.
+        self._is_announced = not mesh_.address
         self._stopped = threading.Event()
 
     def run(self) -> None:
@@ -79,14 +88,18 @@
         The tables are followed at once when the store does not answer: peers' copies
         may come before it does.
         """
+        if self._is_first_start:
+            # All begin at once and nobody waits for us yet: with the row first, one
+            # reading finds the others.
+            self._announce()
         is_read = self._read()
         for follower in self._followers:
             follower.start()
         if not is_read:
             self._until_done(self._read)
-        self._until_done(self._announce)
-        self._stopped.wait(PEERS_AGAIN_S)
-        self._until_done(self._read)
+        if not self._is_announced:
+            self._until_done(self._announce)
+            self._until_done(self._read)
 
     def stop(self) -> None:
         """End after the call under way."""
@@ -107,12 +120,20 @@
             return False
         self._store_clock.note(page.store_now, asked_at)
         own = gateway_rows.OwnRows(page, self._store_clock)
-        self._mesh.found(own.peers)
+        self._is_announced = (
+            self._is_announced or own.peers.get(self._name) == self._row
+        )
+        found = [mesh.Found(r.address, r.hall, n) for n, r in own.peers.items()]
+        self._mesh.found(found)
         self._orders.starts.update(own.starts)
         for (service, revision), started_at in own.starts.items():
             self._rollouts.backdate(service, revision, started_at)
         return True
 
+    @property
+    def _row(self) -> gateway_rows.PeerRow:
+        return gateway_rows.PeerRow(self._mesh.address, self._mesh.hall)
+
     def _announce(self) -> bool:
         """Write where we take messages, for gateways that start later.
 
@@ -124,7 +145,7 @@
         if not self._mesh.address:
             return True
         key = gateway_rows.PEER_PREFIX + self._name
-        value = msgspec.json.encode(gateway_rows.PeerRow(self._mesh.address))
+        value = msgspec.json.encode(self._row)
         try:
             self._store.commit([gateway_api.Write(self._table, key, value)])
         except gateway_api.StoreError as exc:
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -143,9 +143,10 @@
 
 
 class PeerRow(msgspec.Struct):
-    """Where a gateway takes messages."""
+    """Where a gateway takes messages, and the hall where it stands."""
 
     address: str
+    hall: str = ""
 
 
 class OwnRows:
@@ -156,7 +157,8 @@
     def __init__(
         self, page: gateway_api.Page, store_clock: freshness.StoreClock
     ) -> None:
-        self.peers: list[str] = []
+        # By the gateways' names.
+        self.peers: dict[str, PeerRow] = {}
         self.starts: dict[tuple[str, int], float] = {}
         for row in page.rows:
             if row.value is None:
@@ -168,7 +170,8 @@
 
     def _take(self, key: str, value: bytes, store_clock: freshness.StoreClock) -> None:
         if key.startswith(PEER_PREFIX):
-            self.peers.append(msgspec.json.decode(value, type=PeerRow).address)
+            name = key[len(PEER_PREFIX) :]
+            self.peers[name] = msgspec.json.decode(value, type=PeerRow)
         elif key.startswith(rollout_writer.START_PREFIX):
             start = msgspec.json.decode(value, type=rollout_writer.StartRow)
             service = key[len(rollout_writer.START_PREFIX) :]
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -38,18 +38,58 @@
     proved: float
 
 
+class Carrier(msgspec.Struct, array_like=True, frozen=True):
+    """A gateway that speaks for its hall, and where it takes messages."""
+
+    name: str
+    address: str
+
+
+class HallNews(msgspec.Struct, array_like=True, frozen=True):
+    """A hall as one of its carriers sees it.
+
+    :param age_s: seconds since it was put together.
+    :param members: living gateways.
+    :param has_store: whether the store answers one of them.
+    :param loads: what all of them have at each endpoint, together.
+    :param dark: endpoints that take no connection from one of them.
+    """
+
+    hall: str
+    age_s: float
+    carriers: list[Carrier]
+    members: int
+    has_store: bool
+    loads: dict[str, endpoint_state.Load]
+    dark: list[str]
+    rollouts: list[RolloutNews]
+
+    @property
+    def urgent(self) -> object:
+        """What everybody must know at once."""
+        return self.carriers, self.dark, halts(self.rollouts)
+
+    def aged(self, age_s: float) -> "HallNews":
+        """Give it with its age now."""
+        return msgspec.structs.replace(self, age_s=age_s)
+
+
 class Beat(msgspec.Struct, tag="b", array_like=True, frozen=True):
-    """Sent every beat to every peer.
+    """Sent every beat to the peers of the own hall and to other halls' carriers.
+
+    To another hall it tells no loads, dark endpoints and rollouts of the sender alone,
+    but those of its hall, in ``halls``.
 
     :param hall: where the sender stands.
     :param address: where the sender takes messages.
     :param tables: what it knows of its tables, in the order of ``TABLES``.
-    :param reads_store: whether it reads the store itself, and that answers.
+    :param has_store: whether the store answers it, so that it can read for others.
     :param loads: what it has at each endpoint.
     :param prompts: what endpoints read for it since the last beat to this peer, as
         (endpoint, marks).
     :param dark: endpoints that take no connection from it.
     :param evidence: counters that changed since the last beat to this peer.
+    :param halls: summaries: the sender's hall's to another one, others' in its own.
     """
 
     sender: str
@@ -57,13 +97,19 @@
     address: str
     incarnation: str
     tables: list[TableNews]
-    reads_store: bool
+    has_store: bool
     loads: dict[str, endpoint_state.Load]
     prompts: list[tuple[str, list[prefix_cache.Mark]]]
     dark: list[str]
     rollouts: list[RolloutNews]
     evidence: list[messages.Evidence]
     leaving: bool
+    halls: list[HallNews] = []
+
+
+def halts(news: list[RolloutNews]) -> list[tuple[str, int, bool]]:
+    """Give which rollouts are halted."""
+    return [(roll.service, roll.revision, roll.halted) for roll in news]
 
 
 class RowsWanted(msgspec.Struct, tag="w", array_like=True, frozen=True):
--- a/gaprock/mesh_peers.py
+++ b/gaprock/mesh_peers.py
@@ -2,11 +2,14 @@
 
 import typing
 
-from gaprock import mesh_messages
+from gaprock import clock, mesh_messages
 
 # Pause between beats while something changes, and otherwise, seconds.
 BUSY_BEAT_S: typing.Final = 0.2
 IDLE_BEAT_S: typing.Final = 1.0
+# Pause between beats in the own hall while nothing changes, seconds; who speaks for the
+# hall follows from who is heard there, so a silent gateway has to show soon.
+NEAR_IDLE_S: typing.Final = 0.4
 # What each peer in another hall adds to the pause between beats to such peers, seconds:
 # about 3 KB a second of beats, whatever their number, up to the idle pause.
 FAR_PEER_S: typing.Final = 0.07
@@ -38,13 +41,19 @@
         "asked_at",
         "beat_at",
         "told",
+        "probed_at",
+        "used_at",
+        "spoke_at",
     )
 
-    def __init__(self, name: str, address: str, sock: typing.Any, now: float) -> None:
+    def __init__(
+        self, name: str, address: str, sock: typing.Any, now: float, hall: str = ""
+    ) -> None:
         self.name = name
-        # Unknown until its first beat.
-        self.hall = ""
+        # Unknown until its first beat, or from its row.
+        self.hall = hall
         self.address = address
+        # ``None`` while it is not spoken to.
         self.sock = sock
         self.heard_at = now
         # When it was last sent a beat, and what that told.
@@ -56,6 +65,12 @@
         self.prompts = 0
         self.beat: mesh_messages.Beat | None = None
         self.asked_at = 0.0
+        # When it was last tried because nobody of its hall was heard.
+        self.probed_at = -clock.NEVER
+        # When it was last chosen to be spoken to, in another hall.
+        self.used_at = -clock.NEVER
+        # When its last beat came here; others may have told of it later.
+        self.spoke_at = -clock.NEVER
 
 
 def beat_pause(is_far: bool, far_peers: int) -> float:
@@ -69,11 +84,17 @@
     return min(IDLE_BEAT_S, max(BUSY_BEAT_S, FAR_PEER_S * far_peers))
 
 
-def is_due(peer: Peer, now: float, news: News, pause_s: float) -> bool:
+def is_due(
+    peer: Peer,
+    now: float,
+    news: News,
+    pause_s: float,
+    idle_s: float = IDLE_BEAT_S,
+) -> bool:
     """Whether a peer is to be sent a beat now."""
     if news.urgent != peer.told.urgent:
         return True
     rested_s = now - peer.beat_at
     if news.usual != peer.told.usual:
         return rested_s >= pause_s
-    return rested_s >= IDLE_BEAT_S
+    return rested_s >= idle_s
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -39,6 +39,7 @@
         "budget_window_s",
         "budget_allowance",
         "canary_share",
+        "session_s",
     )
 
     def __init__(self) -> None:
@@ -58,6 +59,8 @@
         self.budget_allowance = 10.0
         # Share of a service's requests that an unproved version may get.
         self.canary_share = 0.1
+        # Requests of a session follow one another within this time, seconds.
+        self.session_s = 5.0
 
 
 class Options:
@@ -172,6 +175,8 @@
         self.listen = ""
         self.ready_listen = ""
         self.store_address = ""
+        # Whether this is the first start of the whole site, at which nobody waits yet.
+        self.first_start = False
         # Port for what gateways tell each other, and for metrics; 0 turns either off.
         self.mesh_port = 0
         self.metrics_port = 9464
--- a/gaprock/platform/settings.py
+++ b/gaprock/platform/settings.py
@@ -32,6 +32,7 @@
     # Repeats that are allowed beyond the ratio, in a window.
     RetrySlack: float = 10
     CanaryShare: float = 0.1
+    SessionS: float = 5
 
 
 class ProviderDoc(msgspec.Struct, frozen=True):
@@ -46,6 +47,8 @@
     Zone: str
     Listen: ListenDoc
     Provider: ProviderDoc
+    # Whether this is the very first start of the whole system.
+    Bootstrap: bool = False
     # First and last port for what our processes say to each other.
     PortRange: list[int] = []
     Limits: LimitsDoc = LimitsDoc()
@@ -68,6 +71,7 @@
     cfg.vm, cfg.hall, cfg.host = doc.Node, doc.Zone, doc.Ip
     cfg.listen, cfg.ready_listen = doc.Listen.Front, doc.Listen.Ready
     cfg.store_address = doc.Provider.Addr
+    cfg.first_start = doc.Bootstrap
     cfg.mesh_port = doc.PortRange[0] if doc.PortRange else 0
     cfg.memory_mb, cfg.max_fds = int(doc.Limits.MemoryMb), doc.Limits.MaxFds
     _fill_bounds(cfg.bounds, doc.TimingBounds)
@@ -82,6 +86,7 @@
     bounds.budget_window_s = doc.BudgetWindowS
     bounds.budget_allowance = doc.RetrySlack
     bounds.canary_share = doc.CanaryShare
+    bounds.session_s = doc.SessionS
 
 
 def _check_address(path: str, field: str, text: str) -> None:
--- a/gaprock/report.py
+++ b/gaprock/report.py
@@ -14,6 +14,8 @@
 
 # Width of a row of the table by time, seconds.
 MOMENT_S: typing.Final = 2.0
+# Width of a column of the table of calls to the store, seconds.
+STORE_MOMENT_S: typing.Final = 10.0
 # Longest waits that are listed.
 LONGEST: typing.Final = 10
 # Lines that could not be read, as examples.
@@ -62,10 +64,20 @@
 class Collected:
     """The lines of some logs, by request."""
 
-    __slots__ = ("by_request", "down", "lines", "unread", "first_at", "_last")
+    __slots__ = (
+        "by_request",
+        "store_calls",
+        "down",
+        "lines",
+        "unread",
+        "first_at",
+        "_last",
+    )
 
     def __init__(self) -> None:
         self.by_request: dict[str, list[logs.LogLine]] = collections.defaultdict(list)
+        # Calls to the shared store.
+        self.store_calls: list[logs.LogLine] = []
         self.down: list[Down] = []
         self.lines = 0
         # Texts that are no lines of ours: how many, and some of them.
@@ -89,6 +101,8 @@
             planned = last.event == "stopped"
             self.down.append(Down(line.process, last.at, line.at, planned))
         self._last[line.process] = line
+        if line.event == "store-call":
+            self.store_calls.append(line)
         if "request" in line.fields:
             self.by_request[line.fields["request"]].append(line)
 
@@ -232,6 +246,15 @@
         reasons = collections.Counter(v.reason for v in self.verdicts if v.reason)
         return reasons.most_common()
 
+    def store_calls(self) -> dict[str, collections.Counter[float]]:
+        """Count the calls to the store by kind and table, and by moment."""
+        counts: dict[str, collections.Counter[float]] = {}
+        for line in self.found.store_calls:
+            name = f"{line.fields.get('kind', NONE)} {line.fields.get('table', NONE)}"
+            moment = (line.at - self.found.first_at) // STORE_MOMENT_S * STORE_MOMENT_S
+            counts.setdefault(name, collections.Counter())[moment] += 1
+        return dict(sorted(counts.items(), key=lambda item: -item[1].total()))
+
     def longest(self) -> list[Verdict]:
         """Give the longest waits."""
         return sorted(self.verdicts, key=lambda v: -v.waited_s)[:LONGEST]
--- a/gaprock/report_text.py
+++ b/gaprock/report_text.py
@@ -14,6 +14,7 @@
         _table("route", _by_route(found)),
         _reasons(found),
         _table("second", _by_moment(found)),
+        _store_calls(found),
         _longest(found),
         _down(found),
     ]
@@ -64,6 +65,20 @@
     return "\n".join(lines)
 
 
+def _store_calls(found: report.Report) -> str:
+    """List the calls to the store: all of a kind, and those of each moment."""
+    counts = found.store_calls()
+    if not counts:
+        return ""
+    moments = sorted({moment for counter in counts.values() for moment in counter})
+    titles = "".join(f"{moment:>7.0f}" for moment in moments)
+    lines = [f"{'calls to the store':<20}{'all':>7}{titles}"]
+    for name, counter in counts.items():
+        cells = "".join(f"{counter[moment]:>7}" for moment in moments)
+        lines.append(f"{name[:19]:<20}{counter.total():>7}{cells}")
+    return "\n".join(lines)
+
+
 def _longest(found: report.Report) -> str:
     lines = ["longest waits for a first byte"]
     for verdict in found.longest():
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -2,11 +2,11 @@
 
 Any gateway may write: each write is on condition that the outcome's row is as it was
 read, so two that write at once do no harm.  To save calls the living gateways take
-turns: the one that a hash puts first writes at once, the next one a little later.
+turns (``mesh.Mesh.turn``): the one that a hash puts first writes at once, the next one
+a little later.
 """
 
 import typing
-import zlib
 
 import msgspec
 
@@ -31,7 +31,6 @@
 
     def __init__(
         self,
-        name: str,
         clock_: clock.Clock,
         store_clock: freshness.StoreClock,
         store: gateway_api.SharedStore,
@@ -39,7 +38,6 @@
         rollouts_: rollouts.Rollouts,
         mesh_: mesh.Mesh,
     ) -> None:
-        self._name = name
         self._clock = clock_
         self._store_clock = store_clock
         self._store = store
@@ -62,7 +60,7 @@
             if state is None or state is rollout.written:
                 continue
             due_at = self._due.setdefault((rollout.revision, state), now)
-            turn_at = due_at + TURN_S * self._turn(rollout)
+            turn_at = due_at + TURN_S * self._mesh.turn(rollout.label)
             if now >= turn_at and now >= self._quiet_until:
                 self._write(rollout, state)
 
@@ -87,12 +85,6 @@
             return False
         return now >= latest or not self._mesh.on_old_version(rollout.order.service)
 
-    def _turn(self, rollout: rollouts.Rollout) -> int:
-        """Give our place among the living gateways for this rollout."""
-        names = [self._name, *self._mesh.living()]
-        names.sort(key=lambda n: zlib.crc32(f"{n}#{rollout.label}".encode()))
-        return names.index(self._name)
-
     def _write(self, rollout: rollouts.Rollout, state: rollouts.State) -> None:
         service = rollout.order.service
         table, own = self._dialect.tables.outcomes, self._dialect.tables.own
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -9,13 +9,15 @@
     :param tables: in the order of ``mesh_messages.TABLES``.
     """
 
-    __slots__ = ("_followers", "_clock", "_missed")
+    __slots__ = ("_followers", "_clock", "_missed", "_told")
 
     def __init__(self, tables: list[followers.Follower], clock_: clock.Clock) -> None:
         self._followers = tables
         self._clock = clock_
         # The newest change that a peer told of and we lack, and since when, by table.
         self._missed: dict[int, tuple[int, float]] = {}
+        # The newest proof that a peer told of each table.
+        self._told: dict[int, mesh_messages.TableNews] = {}
 
     def news(self) -> list[mesh_messages.TableNews]:
         """Give the newest change of each table, and its newest proof."""
@@ -29,6 +31,10 @@
         """Whether we read the store ourselves, and it answers."""
         return all(f.connected and not f.resting for f in self._followers)
 
+    def has_store(self) -> bool:
+        """Whether the store answers us, whether we rest or not."""
+        return all(follower.connected for follower in self._followers)
+
     def take_news(
         self, table: int, news: mesh_messages.TableNews, is_far: bool = False
     ) -> bool:
@@ -47,6 +53,7 @@
         # day's worth (six days).
         if mechanisms.TOLD_PROOFS.on:
             follower.prove(news)
+            self._told[table] = news
         now = self._clock.now()
         newest, since = self._missed.get(table, (0, now))
         newest = max(newest, news.changed)
@@ -78,4 +85,8 @@
         found = [gateway_api.Row(r.key, r.value, r.version) for r in rows.rows]
         # A copy tells nothing of the store's clock.
         page = gateway_api.Page(found, rows.version, 0.0)
-        self._followers[rows.table].take_copy(page)
+        follower = self._followers[rows.table]
+        follower.take_copy(page)
+        if rows.table in self._told:
+            # Saves asking the store for a proof of what was just told.
+            follower.prove(self._told[rows.table])
--- /dev/null
+++ b/gaprock/test/testhalls.py
@@ -0,0 +1,282 @@
+"""What gateways of many halls tell each other, and through whom."""
+
+import random
+import typing
+
+import pytest
+
+from gaprock import (
+    endpoint_state,
+    gateway_api,
+    mesh_halls,
+    mesh_messages,
+    mesh_peers,
+    mesh_plan,
+)
+from gaprock.test import fleetcase
+
+# Within which what everybody must know is known, and a carrier passed by, seconds.
+TOLD_S: typing.Final = 0.3
+PASSED_S: typing.Final = 1.0
+SETTLED_S: typing.Final = 4.0
+
+
+@pytest.fixture(scope="module")
+def large() -> fleetcase.Fleet:
+    """70 gateways in five halls that know each other."""
+    fleet = fleetcase.Fleet(5, 14)
+    fleet.run(SETTLED_S)
+    return fleet
+
+
+def settled(halls: int, each: int) -> fleetcase.Fleet:
+    fleet = fleetcase.Fleet(halls, each)
+    fleet.run(SETTLED_S)
+    return fleet
+
+
+def count_far(fleet: fleetcase.Fleet, seconds: float = 5.0) -> tuple[float, float]:
+    """Give the messages and bytes a second between halls."""
+    messages, size = fleet.far_messages, fleet.far_bytes
+    fleet.run(seconds)
+    return (
+        (fleet.far_messages - messages) / seconds,
+        (fleet.far_bytes - size) / seconds,
+    )
+
+
+# -- Cost --
+
+
+def test_two_carriers_of_each_hall_speak_to_the_other_halls(
+    large: fleetcase.Fleet,
+) -> None:
+    names = sorted(m.name for m in large.carriers())
+    assert names == [f"gw-h{hall}-00{n}" for hall in range(5) for n in range(2)]
+    assert all(m.mesh.members() == 70 for m in large.members)
+
+
+def test_traffic_between_halls_grows_with_the_halls_and_not_the_gateways(
+    large: fleetcase.Fleet,
+) -> None:
+    # 80 pairs of carriers and a beat a second; each gateway to each far one: 3,920.
+    messages, size = count_far(large)
+    assert messages <= 1.1 * 80
+    small, small_size = count_far(settled(5, 5))
+    assert messages == pytest.approx(small, rel=0.1)
+    assert size == pytest.approx(small_size, rel=0.1)
+
+
+def test_small_fleets_tell_each_other_directly() -> None:
+    fleet = settled(3, 2)
+    assert len(fleet.carriers()) == 6
+    names = {m.name for m in fleet.members}
+    for member in fleet.members:
+        assert {*member.mesh.living(), member.name} == names
+
+
+# -- Reach --
+
+
+def reach(fleet: fleetcase.Fleet, by: fleetcase.Member) -> float:
+    """Have a gateway halt the version; give the seconds until all living ones know."""
+    by.book.halt(fleetcase.SERVICE, 1, "bad answers")
+    return fleet.run(3.0, lambda: all(m.rollout.halted for m in fleet.living()))
+
+
+def test_a_halt_reaches_everybody_at_once() -> None:
+    fleet = settled(5, 14)
+    assert reach(fleet, fleet.members[-1]) <= TOLD_S
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_halt_reaches_everybody_while_a_third_is_frozen(seed: int) -> None:
+    fleet = settled(4, 9)
+    rng = random.Random(seed)
+    for member in rng.sample(fleet.members, len(fleet.members) // 3):
+        member.is_frozen = True
+    fleet.run(PASSED_S + mesh_peers.BUSY_BEAT_S)
+    assert reach(fleet, rng.choice(fleet.living())) <= TOLD_S
+
+
+def test_a_dark_endpoint_is_known_in_all_halls_at_once() -> None:
+    fleet = settled(3, 5)
+    finder = fleet.members[-1]
+    for member in fleet.members:
+        add_endpoints(member)
+    finder.directory.unreachable(finder.directory._endpoints["e0"], "no port")
+
+    def is_known() -> bool:
+        others = [m for m in fleet.members if m is not finder]
+        return all(m.directory._endpoints["e0"].is_doubted for m in others)
+
+    assert fleet.run(2.0, is_known) <= TOLD_S
+    # And no more when it is heard again.
+    finder.directory.heard(finder.directory._endpoints["e0"])
+
+    def is_forgotten() -> bool:
+        return not any(m.directory._endpoints["e0"].doubters for m in fleet.members)
+
+    assert fleet.run(2.0, is_forgotten) <= TOLD_S
+
+
+def test_evidence_of_every_gateway_is_counted_by_every_gateway_once() -> None:
+    fleet = settled(3, 6)
+    for member in fleet.members:
+        for _ in range(3):
+            member.evidence.count("v2", False, False)
+    fleet.run(3.0)
+    totals = [m.evidence.totals("v2").answers for m in fleet.members]
+    assert totals == [3 * 18] * 18
+
+
+# -- Carriers that fail --
+
+
+@pytest.mark.parametrize("how", ["dead", "frozen", "mute"])
+def test_carriers_that_fail_are_passed_by(how: str) -> None:
+    fleet = settled(4, 6)
+    lost = fleet.hall("h1")[:2]
+    for member in lost:
+        if how == "mute":
+            fleet.mute.add(member.name)
+        else:
+            member.is_dead = how == "dead"
+            member.is_frozen = how == "frozen"
+    fleet.run(PASSED_S)
+    others = {m.name for m in fleet.carriers() if m.hall == "h1" and m not in lost}
+    assert others == {"gw-h1-002", "gw-h1-003"}
+    # Both ways, and before anybody took the hall for silent.
+    assert reach(fleet, fleet.hall("h1")[-1]) <= TOLD_S + mesh_peers.BUSY_BEAT_S
+    assert all("h1" in m.mesh.halls.carriers() for m in fleet.hall("h0"))
+
+
+def test_a_carrier_that_wakes_tells_nothing_old_and_carries_again() -> None:
+    fleet = settled(3, 4)
+    first = fleet.hall("h0")[0]
+    first.is_frozen = True
+    fleet.run(20.0)
+    assert fleet.hall("h0")[1].book.all()
+    fleet.hall("h1")[3].book.halt(fleetcase.SERVICE, 1, "bad answers")
+    fleet.run(2.0)
+    assert not first.rollout.halted
+    fleet.wake(first)
+    fleet.run(PASSED_S, lambda: first.rollout.halted)
+    assert first.rollout.halted
+    fleet.run(SETTLED_S)
+    carriers = sorted(m.name for m in fleet.carriers() if m.hall == "h0")
+    assert carriers == ["gw-h0-000", "gw-h0-001"]
+
+
+def test_halls_that_were_cut_off_for_minutes_find_each_other_again() -> None:
+    fleet = settled(2, 3)
+    fleet.mute.update(m.name for m in fleet.members)
+    fleet.run(120.0)
+    assert all(not m.mesh.halls.carriers() for m in fleet.members)
+    # Those that spoke for their halls do not come back with the connection.
+    for hall in ("h0", "h1"):
+        for member in fleet.hall(hall)[:2]:
+            member.is_dead = True
+    fleet.mute.clear()
+    fleet.run(5.0)
+    assert all(m.mesh.members() == 2 for m in fleet.living())
+
+
+def test_a_gateway_that_is_spoken_to_and_does_not_carry_names_those_who_do() -> None:
+    fleet = settled(2, 4)
+    last = fleet.hall("h1")[-1]
+    first = fleet.hall("h0")[0]
+    for member in fleet.hall("h0"):
+        member.mesh.halls.forget_silent(fleet.time.now() + 60.0)
+        for peer in list(member.mesh._far()):
+            # All but the last one's row were lost with the store's answers.
+            if peer.address != last.address:
+                del member.mesh._peers[peer.address]
+    for member in fleet.hall("h1"):
+        member.mesh.halls.forget_silent(fleet.time.now() + 60.0)
+        for peer in list(member.mesh._far()):
+            del member.mesh._peers[peer.address]
+    fleet.run(5.0)
+    known = [carrier.name for carrier in first.mesh.halls.carriers()["h1"]]
+    assert known == ["gw-h1-000", "gw-h1-001"]
+    assert last.name not in [m.name for m in fleet.carriers()]
+
+
+# -- Summaries --
+
+
+def add_endpoints(member: fleetcase.Member) -> None:
+    rows = {
+        f"e{n}": gateway_api.EndpointRow("llm", "127.0.0.1", n, "h0", "v1", 8, False)
+        for n in range(4)
+    }
+    member.directory.replace(rows)
+
+
+def test_a_halls_load_is_known_in_other_halls_and_not_past_its_time() -> None:
+    fleet = settled(2, 4)
+    for member in fleet.members:
+        add_endpoints(member)
+    prompt = endpoint_state.Prompt(500.0, [])
+    for member in fleet.hall("h1"):
+        member.directory.begin(member.directory._endpoints["e1"], prompt)
+    watcher = fleet.hall("h0")[-1].directory._endpoints["e1"]
+    fleet.run(2.0)
+    assert watcher.load == 4 and watcher.backlog.told == 2000
+    for member in fleet.hall("h1"):
+        member.is_dead = True
+    fleet.run(mesh_halls.SILENT_S + PASSED_S)
+    assert watcher.load == 0 and watcher.backlog.told == 0
+
+
+def news(
+    age_s: float, running: int, hall: str = "h2", halted: bool = False
+) -> mesh_messages.HallNews:
+    roll = mesh_messages.RolloutNews("llm", 1, 5.0, halted, running)
+    load = endpoint_state.Load(running, 0)
+    return mesh_messages.HallNews(
+        hall, age_s, [], running, True, {"e1": load}, [], [roll]
+    )
+
+
+def test_a_summary_is_taken_by_its_age_whoever_tells_it() -> None:
+    fleet = fleetcase.Fleet(1, 1)
+    book, now = fleet.members[0].mesh.halls, fleet.time.now()
+    book.take(news(0.5, 3), now, False)
+    # One that was put together before it comes later, by another way.
+    book.take(news(1.0, 9), now + 0.1, True)
+    assert book.members() == 3 and book.on_old("llm") == 3
+    book.take(news(0.1, 4), now + 0.1, True)
+    assert book.members() == 4
+    book.take(news(mesh_halls.SILENT_S + 0.1, 7, "h3"), now, False)
+    book.take(news(0.0, 8, "h0"), now, False)
+    assert book.members() == 4
+    book.forget_silent(now + mesh_halls.SILENT_S + 0.1)
+    assert book.members() == 0
+
+
+def test_a_summary_goes_around_once_unless_it_changes_what_all_must_know() -> None:
+    fleet = fleetcase.Fleet(1, 1)
+    book, now = fleet.members[0].mesh.halls, fleet.time.now()
+    book.take(news(0.0, 3), now, False)
+    assert [n.members for n in book.to_pass_on(now + 0.2)] == [3]
+    assert [n.age_s for n in book.to_pass_on(now + 0.2)] == []
+    book.take(news(0.0, 4), now + 0.3, False)
+    assert book.to_pass_on(now + 0.3) == []
+    book.take(news(0.0, 4, halted=True), now + 0.4, False)
+    assert [n.members for n in book.to_pass_on(now + 0.4)] == [4]
+    # Another carrier has passed a newer one on.
+    book.take(news(0.0, 5), now + 1.3, True)
+    assert book.to_pass_on(now + 1.3) == []
+
+
+def test_silent_halls_are_tried_address_by_address() -> None:
+    peers = [mesh_peers.Peer("", f"tcp://{n}", None, 0.0, "h2") for n in range(5)]
+    tried = set()
+    for second in range(4):
+        chosen = set(mesh_plan.targets(peers, set(), 10.0 + 1.1 * second))
+        assert len(chosen) == mesh_plan.PROBES
+        assert set(mesh_plan.targets(peers, set(), 10.5 + 1.1 * second)) == chosen
+        tried |= {peer.address for peer in chosen}
+    assert len(tried) == 5
+    assert mesh_plan.targets(peers, {"tcp://4"}, 20.0) == [peers[4]]
--- a/gaprock/test/testreport.py
+++ b/gaprock/test/testreport.py
@@ -202,3 +202,20 @@
     log = tmp_path / "one.log"
     log.write_text(ended(2, "a", first_s=0.5))
     assert ctl_report.run([str(log)], str(tmp_path / "p")) == ctl_report.EXIT_USAGE
+
+
+def test_calls_to_the_store_are_counted_by_kind_table_and_moment() -> None:
+    lines = [
+        line(1, "store-call", kind="read", table="op", outcome="answered"),
+        line(2, "store-call", proc="g2", kind="read", table="op", outcome="answered"),
+        line(15, "store-call", kind="read", table="op", outcome="answered"),
+        line(16, "store-call", kind="poll", table="servers", outcome="timeout"),
+    ]
+    found = report.Report(report.collect(lines))
+    assert found.store_calls() == {
+        "read op": {0.0: 2, 10.0: 1},
+        "poll servers": {10.0: 1},
+    }
+    shown = [row.split() for row in report_text.render(found).splitlines()]
+    assert ["read", "op", "3", "2", "1"] in shown
+    assert ["poll", "servers", "1", "0", "1"] in shown
