--- a/gaprock/evidence.py
+++ b/gaprock/evidence.py
@@ -85,6 +85,35 @@
             changed = [r.counts for r in self._records.values() if r.tick > tick]
             return self._tick, changed
 
+    def sums_since(
+        self, tick: int, name: str, is_member: typing.Callable[[str], bool]
+    ) -> list[messages.Evidence]:
+        """Give the counters of some sources that changed after ``tick``, summed.
+
+        A sum of counters that only grow only grows, so it is told as one counter more;
+        of two who sum up, the one that knows more goes before.
+
+        :param name: the source that stands for all of them.
+        :param is_member: whether a source is one of them.
+        """
+        with self._lock:
+            members = [r for r in self._records.values() if is_member(r.counts.source)]
+        changed = {r.counts.version for r in members if r.tick > tick}
+        sums: dict[str, messages.Evidence] = {}
+        for record in members:
+            counts = record.counts
+            if counts.version not in changed:
+                continue
+            old = sums.get(counts.version)
+            answers, bad, rated = counts.answers, counts.bad, counts.rated
+            if old is not None:
+                answers, bad = answers + old.answers, bad + old.bad
+                rated += old.rated
+            sums[counts.version] = messages.Evidence(
+                name, counts.version, answers, bad, rated
+            )
+        return list(sums.values())
+
     def totals(self, version: str) -> Totals:
         """Sum a version's counters over all sources."""
         with self._lock:
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -503,7 +503,7 @@
                 # Where each gateway carries, all tell all; else prompts stay in the
                 # hall: few requests leave it, and they were a quarter of the bytes.
                 prompts=prompts if is_direct or not is_far else [],
-                evidence=self._evidence_for(counters, is_far),
+                evidence=self._evidence_for(peer, counters),
             )
             if self._send(peer, beat):
                 peer.tick, peer.beat_at = tick, now
@@ -546,22 +546,28 @@
         )
 
     def _evidence_for(
-        self, counters: list[messages.Evidence], is_far: bool
+        self, peer: mesh_peers.Peer, counters: list[messages.Evidence]
     ) -> list[messages.Evidence]:
         """Give the counters that a peer does not hear from others.
 
-        Another hall hears those of our hall from its carriers; the own hall hears each
-        gateway's from itself and, if we carry, other halls' from us.
+        Another hall hears the sums of our hall from its carriers, since a rollout has
+        some 14 counters a gateway; the own hall hears each gateway's from itself and,
+        if we carry, other halls' sums from us.
         """
-        near = {self.name, *(peer.name for peer in self._near())}
+        near = {self.name, *(one.name for one in self._near())}
 
-        def is_wanted(source: str) -> bool:
-            if source == self._evidence.source:
-                return True
-            is_near = source.partition("/")[0] in near
-            return is_near if is_far else self._carried and not is_near
+        def is_near(source: str) -> bool:
+            return source.partition("/")[0] in near
 
-        return [c for c in counters if is_wanted(c.source)]
+        if self._is_far(peer):
+            name = mesh_halls.source_name(self.hall)
+            return self._evidence.sums_since(peer.tick, name, is_near)
+        return [
+            c
+            for c in counters
+            if c.source == self._evidence.source
+            or (self._carried and not is_near(c.source))
+        ]
 
     def _send(self, peer: mesh_peers.Peer, message: mesh_messages.Message) -> bool:
         try:
--- a/gaprock/test/testhalls.py
+++ b/gaprock/test/testhalls.py
@@ -7,11 +7,13 @@
 
 from gaprock import (
     endpoint_state,
+    evidence,
     gateway_api,
     mesh_halls,
     mesh_messages,
     mesh_peers,
     mesh_plan,
+    messages,
 )
 from gaprock.test import fleetcase
 
@@ -130,6 +132,37 @@
     assert totals == [3 * 18] * 18
 
 
+def test_evidence_costs_as_much_between_halls_whatever_gateways_they_have() -> None:
+    sizes = []
+    for each in (3, 12):
+        fleet = settled(2, each)
+        before = fleet.far_bytes
+        for _ in range(10):
+            for member in fleet.members:
+                for label in range(14):
+                    member.evidence.count(
+                        f"a-service@v2#7/new/route-{label}", False, False
+                    )
+            fleet.run(0.5)
+        sizes.append(fleet.far_bytes - before)
+    assert sizes[1] < 1.1 * sizes[0]
+
+
+def test_sums_of_evidence_are_merged_like_counters() -> None:
+    book, far = evidence.EvidenceBook("g1/x"), evidence.EvidenceBook("g9/x")
+    book.count("v2", True, False)
+    book.merge([messages.Evidence("g2/x", "v2", 5, 2, 0)])
+    book.merge([messages.Evidence("g8/x", "v2", 50, 20, 0)])
+    tick, _ = book.since(0)
+    sums = book.sums_since(0, "hall h0", lambda source: source != "g8/x")
+    assert sums == [messages.Evidence("hall h0", "v2", 6, 3, 0)]
+    assert far.merge(sums) and not far.merge(sums)
+    # Another carrier, that knows less, changes nothing.
+    assert not far.merge([messages.Evidence("hall h0", "v2", 4, 4, 0)])
+    assert far.totals("v2") == evidence.Totals(6, 3, 0)
+    assert book.sums_since(tick, "hall h0", lambda source: source != "g8/x") == []
+
+
 # -- Carriers that fail --
 
 
