Play decisions in the same way whatever the hash seed is

Cause: the player told halls' summaries in the order of a set of names, which the process's hash seed decides.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -435,7 +435,7 @@
             self.after(BEAT_S, self._beat)
 
     def _beat_halls(self) -> None:
-        for hall in {g.hall for g in self.gateways}:
+        for hall in sorted({g.hall for g in self.gateways}):
             near = [g for g in self.gateways if g.hall == hall]
             loads = mesh_halls.sum_loads(g.directory.own_loads() for g in near)
             for other in self.gateways:
--- a/gaprock/test/testplacing.py
+++ b/gaprock/test/testplacing.py
@@ -39,7 +39,7 @@
     ("name", "load", "group", "before", "after"),
     [
         ("quick", 1.0, "cluster, largest tenth", 0.891, 0.920),
-        ("slow", 2.0, "all", 0.733, 0.747),
+        ("slow", 2.0, "all", 0.732, 0.740),
     ],
 )
 def test_more_are_answered_well_where_climbing_holds_nobody_up(
@@ -51,6 +51,6 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The shares that are answered well in time, before and after."""
-    assert play(name, load)[group].in_time == pytest.approx(after, abs=0.005)
+    assert play(name, load)[group].in_time == pytest.approx(after, abs=0.001)
     monkeypatch.setattr(mechanisms.HELD, "on", False)
-    assert play(name, load)[group].in_time == pytest.approx(before, abs=0.005)
+    assert play(name, load)[group].in_time == pytest.approx(before, abs=0.001)
