--- a/gaprock/test/testgateway.py
+++ b/gaprock/test/testgateway.py
@@ -1,5 +1,6 @@
 """The whole path of a gateway: what callers and endpoints see, under faults."""
 
+import contextlib
 import socket
 import threading
 import typing
@@ -578,7 +579,7 @@
     def with_mesh(cfg: options.Options) -> None:
         cfg.mesh_port = gatewaysite.free_port()
 
-    with gatewaysite.GatewaySite(with_mesh) as first:
+    with gatewaysite.GatewaySite(with_mesh) as first, contextlib.ExitStack() as stack:
         second = gateway_node.Gateway(
             other_options(first.cfg),
             first.gateway.clock,
@@ -586,6 +587,7 @@
             first.gateway.dialect,
         )
         second.start()
+        stack.callback(second.close)
         fake = first.add("a", "app")
         fake.usual = backend.hang
         gatewaysite.wait_until(lambda: second.mesh.living() == ["gateway-1"])
@@ -595,14 +597,13 @@
         )
         fake.stop()
         later.get()
-        second.close()
 
 
 def test_gateways_that_rest_get_the_configuration_from_readers() -> None:
     def with_mesh(cfg: options.Options) -> None:
         cfg.mesh_port = gatewaysite.free_port()
 
-    with gatewaysite.GatewaySite(with_mesh) as first:
+    with gatewaysite.GatewaySite(with_mesh) as first, contextlib.ExitStack() as stack:
         others = [
             gateway_node.Gateway(
                 other_options(first.cfg, f"gateway-{n}", first.cfg.hall),
@@ -614,6 +615,7 @@
         ]
         for other in others:
             other.start()
+            stack.callback(other.close)
         last = others[-1]
         gatewaysite.wait_until(lambda: last.is_ready, "it is ready")
         gatewaysite.wait_until(last.mesh.has_readers, "it hears two readers")
@@ -635,8 +637,6 @@
             lambda: last.orders.table is not None and last.orders.table.number == 50,
             "the configuration by way of a reader",
         )
-        for other in others:
-            other.close()
 
 
 def other_options(
