Split the mesh into who is there, what beats say, and the talk itself

Code moved, behaviour as before: mesh_members (195 lines) answers by who was heard, mesh_beats (210) writes beats, mesh (352) has the thread, the sockets and what comes.

--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -22,6 +22,7 @@
     gateway_api,
     gateway_rows,
     mesh,
+    mesh_members,
     rollout_writer,
     rollouts,
 )
@@ -123,7 +124,7 @@
         self._is_announced = (
             self._is_announced or own.peers.get(self._name) == self._row
         )
-        found = [mesh.Found(r.address, r.hall, n) for n, r in own.peers.items()]
+        found = [mesh_members.Found(r.address, r.hall, n) for n, r in own.peers.items()]
         self._mesh.found(found)
         self._orders.starts.update(own.starts)
         for (service, revision), started_at in own.starts.items():
--- /dev/null
+++ b/gaprock/mesh_beats.py
@@ -0,0 +1,210 @@
+"""What beats say: to the own hall of this gateway alone, to other halls a summary."""
+
+import typing
+
+from gaprock import (
+    clock,
+    directory,
+    evidence,
+    ids,
+    mesh_halls,
+    mesh_members,
+    mesh_messages,
+    mesh_peers,
+    messages,
+    rollouts,
+)
+
+
+class RowSource(typing.Protocol):
+    """The followers' side: rows to copy, and where copies go."""
+
+    def news(self) -> list[mesh_messages.TableNews]:
+        """Give what is known of each table."""
+
+    def own_proofs(self) -> list[float]:
+        """Give the newest proofs of our own calls, by table."""
+
+    def has_store(self) -> bool:
+        """Whether the store answers us; one that rests reads when it has to."""
+
+    def take_news(
+        self, table: int, news: mesh_messages.TableNews, is_far: bool
+    ) -> bool:
+        """Take what a peer knows; give whether its copy would help."""
+
+    def copy(self, table: int) -> mesh_messages.Rows:
+        """Give a table."""
+
+    def take_copy(self, rows: mesh_messages.Rows) -> None:
+        """Take a table from a peer."""
+
+
+class BeatWriter(mesh_members.Members):
+    """Writes beats, and says which of them are worth sending."""
+
+    def __init__(
+        self,
+        name: str,
+        hall: str,
+        address: str,
+        clock_: clock.Clock,
+        directory_: directory.Directory,
+        rollouts_: rollouts.Rollouts,
+        evidence_: evidence.EvidenceBook,
+    ) -> None:
+        halls = mesh_halls.HallBook(hall, directory_, rollouts_)
+        super().__init__(name, hall, address, clock_, halls)
+        self._directory = directory_
+        self._rollouts = rollouts_
+        self._evidence = evidence_
+        # Given once the rows are followed.
+        self.source: RowSource | None = None
+        self._incarnation = ids.new_token()
+
+    def _urgent_news(self) -> object:
+        """Give what everybody must know at once."""
+        halts = mesh_messages.halts(self._rollout_news())
+        dark = self._directory.dark(), self._directory.doubted()
+        return halts, self._has_store(), self.leaving, dark
+
+    def _near_news(self) -> mesh_peers.News:
+        """Give what is worth a beat to the own hall before the idle one is due."""
+        rolls = self._rollout_news()
+        on_old = [n.on_old for n in rolls]
+        tick, _ = self._evidence.since(1 << 60)
+        versions = [table.changed for table in self._tables()]
+        halts = mesh_messages.halts(rolls)
+        proofs = self._proofs()
+        return mesh_peers.News(
+            (halts, versions, self._has_store(), self.leaving, self._directory.dark()),
+            (self._directory.own_loads(), on_old, tick, proofs),
+        )
+
+    def _far_news(self, now: float) -> mesh_peers.News:
+        """Give what is worth a beat to other halls before the idle one is due.
+
+        Changes of the endpoints' rows can wait for it: each hall reads them itself.
+        """
+        if not self._carried:
+            return mesh_peers.News((), ())
+        hall = self._hall_news(now)
+        tables = self._tables()
+        orders = tables[0].changed if tables else 0
+        on_old = [roll.on_old for roll in hall.rollouts]
+        tick, _ = self._evidence.since(1 << 60)
+        proofs = self._proofs()
+        return mesh_peers.News(
+            (hall.urgent, orders, self.leaving), (hall.loads, on_old, tick, proofs)
+        )
+
+    def _hall_news(self, now: float) -> mesh_messages.HallNews:
+        """Sum our hall up."""
+        near = self._living_near()
+        beats = [peer.beat for peer in near if peer.beat is not None]
+        names = self._carriers(now)
+        carriers = [
+            mesh_messages.Carrier(peer.name, peer.address)
+            for peer in near
+            if peer.name in names
+        ]
+        if self.name in names and not self.leaving:
+            carriers.append(mesh_messages.Carrier(self.name, self.address))
+        carriers.sort(key=lambda carrier: carrier.name)
+        loads = [self._directory.own_loads(), *(beat.loads for beat in beats)]
+        rolls = [self._rollout_news(), *(beat.rollouts for beat in beats)]
+        return mesh_messages.HallNews(
+            self.hall,
+            0.0,
+            carriers,
+            len(near) + (not self.leaving),
+            self._has_store() or any(beat.has_store for beat in beats),
+            mesh_halls.sum_loads(loads),
+            self._directory.found_dark([peer.name for peer in near]),
+            mesh_halls.sum_rollouts(rolls),
+        )
+
+    def _proofs(self) -> list[float]:
+        """Give the proofs of our own calls; a carrier's are also those it was told."""
+        if self.source is None:
+            return []
+        if self._carried:
+            return [table.proved for table in self._tables()]
+        return self.source.own_proofs()
+
+    def _tables(self) -> list[mesh_messages.TableNews]:
+        return self.source.news() if self.source else []
+
+    def _has_store(self) -> bool:
+        return self.source is not None and self.source.has_store()
+
+    def _rollout_news(self) -> list[mesh_messages.RolloutNews]:
+        now = self._clock.now()
+        return [
+            mesh_messages.RolloutNews(
+                r.order.service,
+                r.revision,
+                now - r.started_at,
+                r.halted,
+                self.on_old_here(r.order.service),
+            )
+            for r in self._rollouts.all()
+        ]
+
+    def _near_beat(self, passing: list[mesh_messages.HallNews]) -> mesh_messages.Beat:
+        return mesh_messages.Beat(
+            self.name,
+            self.hall,
+            self.address,
+            self._incarnation,
+            self._tables(),
+            self._has_store(),
+            self._directory.own_loads(),
+            [],
+            self._directory.dark(),
+            self._rollout_news(),
+            [],
+            self.leaving,
+            passing,
+        )
+
+    def _far_beat(self, now: float) -> mesh_messages.Beat:
+        return mesh_messages.Beat(
+            self.name,
+            self.hall,
+            self.address,
+            self._incarnation,
+            self._tables(),
+            self._has_store(),
+            {},
+            [],
+            [],
+            [],
+            [],
+            self.leaving,
+            [self._hall_news(now)],
+        )
+
+    def _evidence_for(
+        self, peer: mesh_peers.Peer, counters: list[messages.Evidence]
+    ) -> list[messages.Evidence]:
+        """Give the counters that a peer does not hear from others.
+
+        Another hall hears the sums of our hall from its carriers, since a rollout has
+        some 14 counters a gateway; the own hall hears each gateway's from itself and,
+        if we carry, other halls' sums from us.
+        """
+        near = {self.name, *(one.name for one in self._near())}
+
+        def is_near(source: str) -> bool:
+            return source.partition("/")[0] in near
+
+        if self._is_far(peer):
+            name = mesh_halls.source_name(self.hall)
+            return self._evidence.sums_since(peer.tick, name, is_near)
+        return [
+            c
+            for c in counters
+            if c.source == self._evidence.source
+            or (self._carried and not is_near(c.source))
+        ]
--- a/gaprock/test/fleetcase.py
+++ b/gaprock/test/fleetcase.py
@@ -6,7 +6,15 @@
 
 import typing
 
-from gaprock import clock, directory, evidence, gateway_api, mesh, rollouts
+from gaprock import (
+    clock,
+    directory,
+    evidence,
+    gateway_api,
+    mesh,
+    mesh_members,
+    rollouts,
+)
 from gaprock.test import rolloutcase
 
 STEP_S: typing.Final = 0.02
@@ -112,7 +120,7 @@
         # Gateways from which nothing comes, though they hear all.
         self.mute: set[str] = set()
         self.far_messages = self.far_bytes = self.near_bytes = 0
-        found = [mesh.Found(m.address, m.hall, m.name) for m in self.members]
+        found = [mesh_members.Found(m.address, m.hall, m.name) for m in self.members]
         order = gateway_api.RolloutOrder(SERVICE, "v2", 60.0)
         for number, member in enumerate(self.members):
             member.mesh.found(found)
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -14,6 +14,7 @@
     gateway_program,
     gateway_store,
     mesh,
+    mesh_members,
     mesh_messages,
     mesh_peers,
     row_exchange,
@@ -142,7 +143,7 @@
     hear("c", has_store=False)
     assert not case.mesh.has_readers()
     hear("c")
-    time.advance(mesh.READER_HEARD_S + 0.1)
+    time.advance(mesh_members.READER_HEARD_S + 0.1)
     assert not case.mesh.has_readers()
 
 
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -29,7 +29,7 @@
     followers,
     freshness,
     gateway_api,
-    mesh,
+    mesh_members,
     mesh_messages,
     mesh_peers,
     options,
@@ -306,5 +306,5 @@
     assert not case.mesh.tries_for_us()
     hear("b", False)
     assert case.mesh.tries_for_us()
-    steady.advance(mesh.READER_HEARD_S + 0.1)
+    steady.advance(mesh_members.READER_HEARD_S + 0.1)
     assert not case.mesh.tries_for_us()
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -57,10 +57,8 @@
         "testfreshness.py::test_a_poll_that_a_peers_copy_went_before_is_asked_about"
         "_and_left",
         "followers.py",
-        "            self._take_whole(page, page.version)\n"
         "            # A poll that does not tell the same soon is not going to.\n"
         "            self.expect_change()\n",
-        "            self._take_whole(page, page.version)\n",
     ),
     _proof(
         "one who rests asks when no proof reaches it",
@@ -262,9 +260,9 @@
     _proof(
         "a peer's word halts a version",
         "testrollouts.py::test_a_peers_word_halts_a_version",
-        "mesh.py",
-        "            if news.halted:\n",
-        "            if False:\n",
+        "rollouts.py",
+        "        if halted:\n            self.halt(",
+        "        if False:\n            self.halt(",
     ),
     _proof(
         "a leaving endpoint gets nothing new",
@@ -393,7 +391,7 @@
         "evidence of a hall goes to others as a sum",
         "testhalls.py::test_evidence_costs_as_much_between_halls_whatever_gateways"
         "_they_have",
-        "mesh.py",
+        "mesh_beats.py",
         "return self._evidence.sums_since(peer.tick, name, is_near)",
         "return [c for c in counters if is_near(c.source)]",
     ),
