Log the version of a send, what dates a rollout, and answers against a version

Cause of the change: the six hypotheses of the incident look the same in the log. route and send-failed name the version, route the session by a mark; rollout-ordered its age, rollout-dated whose word made a start earlier and by how much; version-bad-answer each answer that speaks against a version that is brought in, and why. No decision changes.

--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -350,6 +350,7 @@
             "send-failed",
             request=call.info.request,
             endpoint=attempt.endpoint.name,
+            version=attempt.endpoint.row.version,
             model=attempt.model or "none",
             send=call.sends,
             outcome=outcome,
--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -1,6 +1,7 @@
 """A request on its way through a gateway, and the way back to its caller."""
 
 import typing
+import zlib
 
 from gaprock import errorcodes, gateway_api, http_exchange, routes
 
@@ -174,5 +175,12 @@
         self.retry_s = retry_s
 
 
+def session_mark(call: Call) -> str:
+    """Give a short name of a call's session for the log; ``none`` if it names none."""
+    if not call.info.session:
+        return "none"
+    return f"{zlib.crc32(call.session.encode()):08x}"
+
+
 def _last_part(info: gateway_api.RequestInfo) -> str:
     return info.parts[-1][0] if info.parts else ""
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -106,6 +106,8 @@
             fitting=len(fitting),
             good=len(good),
             choice=chosen.name,
+            version=chosen.row.version,
+            session=gateway_call.session_mark(call),
             load=chosen.load,
             unread=self._directory.unread(chosen),
             reading=prompt.reading,
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -128,7 +128,7 @@
         self._mesh.found(found)
         self._orders.starts.update(own.starts)
         for (service, revision), started_at in own.starts.items():
-            self._rollouts.backdate(service, revision, started_at)
+            self._rollouts.backdate(service, revision, started_at, "own row")
         return True
 
     @property
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -328,13 +328,33 @@
         resumed = call.info.resume_after is not None
         # The endpoints of an unproved version have fuller queues than others.
         expected_s = self._models.expect_first(call, attempt)
-        self._rollouts.judge_answer(
-            call.service,
-            attempt.endpoint.row.version,
-            call.route.name,
-            attempt.model,
-            rollout_pace.Judged(failed, None if resumed else took_s, expected_s),
+        judged = rollout_pace.Judged(failed, None if resumed else took_s, expected_s)
+        self._judge(call, attempt, call.route.name, judged)
+
+    def _judge(
+        self,
+        call: gateway_call.Call,
+        attempt: gateway_attempt.Attempt,
+        route: str,
+        judged: rollout_pace.Judged,
+    ) -> None:
+        """Take an answer as evidence on its version; log one that speaks against it."""
+        version = attempt.endpoint.row.version
+        against = self._rollouts.judge_answer(
+            call.service, version, route, attempt.model, judged
         )
+        if against:
+            eventlog.info(
+                "version-bad-answer",
+                request=call.info.request,
+                service=call.service,
+                version=version,
+                endpoint=attempt.endpoint.name,
+                route=route,
+                reason=against,
+                took_s=judged.took_s or 0.0,
+                expected_s=judged.expected_s or 0.0,
+            )
 
     def _note_pace(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
@@ -343,13 +363,8 @@
         if call.events < MIN_PACE_EVENTS:
             return
         pace_s = (call.wrote_at - call.first_at) / (call.events - 1)
-        self._rollouts.judge_answer(
-            call.service,
-            attempt.endpoint.row.version,
-            f"{call.route.name}~pace",
-            attempt.model,
-            rollout_pace.Judged(False, pace_s),
-        )
+        judged = rollout_pace.Judged(False, pace_s)
+        self._judge(call, attempt, f"{call.route.name}~pace", judged)
 
     def _note_broken(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, detail: str
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -41,6 +41,8 @@
 # The outcome is written at the latest this long before the operator's time, seconds.
 WRITE_BEFORE_S: typing.Final = 2.0
 HASH_RANGE: typing.Final = 2**32
+# A start that is corrected by less is not told in the log, seconds: beats take as long.
+DATED_S: typing.Final = 0.05
 
 
 class State(enum.Enum):
@@ -158,9 +160,10 @@
             version=order.to_version,
             revision=revision,
             finish_s=order.finish_s,
+            age_s=self._clock.now() - started_at,
         )
         if told is not None and told.revision == revision:
-            self.backdate(order.service, revision, told.started_at)
+            self.backdate(order.service, revision, told.started_at, "told before")
             if told.halt_reason:
                 self.halt(order.service, revision, told.halt_reason)
         if outcome is not None:
@@ -194,13 +197,28 @@
             reason=reason,
         )
 
-    def backdate(self, service: str, revision: int, started_at: float) -> None:
-        """Correct the start of a rollout that another process saw earlier."""
+    def backdate(self, service: str, revision: int, started_at: float, by: str) -> None:
+        """Correct the start of a rollout that another process saw earlier.
+
+        :param by: whose word it is, for the log.
+        """
         rollout = self._by_service.get(service)
         if rollout is None or rollout.revision < revision:
             self._note_told(service, revision, started_at)
-        elif rollout.revision == revision:
-            rollout.started_at = min(rollout.started_at, started_at)
+            return
+        if rollout.revision != revision or rollout.started_at <= started_at:
+            return
+        earlier_s = rollout.started_at - started_at
+        rollout.started_at = started_at
+        if earlier_s > DATED_S:
+            eventlog.info(
+                "rollout-dated",
+                service=service,
+                revision=revision,
+                age_s=self._clock.now() - started_at,
+                earlier_s=earlier_s,
+                by=by,
+            )
 
     def take_told(
         self, service: str, revision: int, started_at: float, halted: bool, by: str
@@ -209,7 +227,7 @@
 
         :param by: who tells it, for the log.
         """
-        self.backdate(service, revision, started_at)
+        self.backdate(service, revision, started_at, by)
         if halted:
             self.halt(service, revision, f"told by {by}")
 
@@ -323,10 +341,12 @@
         route: str,
         pace: str,
         answer: rollout_pace.Judged,
-    ) -> None:
+    ) -> str:
         """Count an answer for or against its version.
 
         :param pace: the answers whose times are alike, such as a route and a model.
+        :returns: what is held against a version that is being brought in; empty for
+            nothing.
         """
         rollout = self._by_service.get(service)
         times = self._paces.setdefault(
@@ -337,10 +357,12 @@
         if answer.took_s is not None and not is_new and not answer.failed:
             times.add(answer.took_s)
         if rollout is None or rollout.state is not State.RUNNING:
-            return
+            return ""
         self._count(rollout, route, is_new, answer.failed or slow)
-        if is_new:
-            self._judge(rollout)
+        if not is_new:
+            return ""
+        self._judge(rollout)
+        return "failed" if answer.failed else "slow" if slow else ""
 
     def is_unproved(self, service: str, version: str) -> bool:
         """Whether a version is being brought in."""
--- a/gaprock/test/testrollouts.py
+++ b/gaprock/test/testrollouts.py
@@ -50,7 +50,7 @@
     one.take_order(rolloutcase.order(), 7, time.now())
     time.advance(3.0)
     two.take_order(rolloutcase.order(), 7, time.now())
-    two.backdate("llm", 7, time.now() - 3.0)
+    two.backdate("llm", 7, time.now() - 3.0, "other")
     assert on_new(one) == on_new(two)
 
 
@@ -61,8 +61,8 @@
     one.take_order(rolloutcase.order(), 7, time.now())
     time.advance(11.5)
     # A gateway that was added and has no store hears of the order before it has it.
-    two.backdate("llm", 7, time.now() - 11.5)
-    two.backdate("llm", 6, time.now() - 99.0)
+    two.backdate("llm", 7, time.now() - 11.5, "other")
+    two.backdate("llm", 6, time.now() - 99.0, "other")
     two.take_order(rolloutcase.order(), 7, time.now())
     # No session that has moved is sent back.
     assert on_new(one) == on_new(two)
