Hand times of the store on with the bound that is safe

Cause: the difference between the store's clock and ours was taken as if the store had answered in the moment at which it was asked, and the earliest date that anybody tells of a rollout is kept by all. Now every answer narrows two bounds: proofs use the earliest time, starts of rollouts the latest, so that a start may only look later than it is, which the next beat puts right.

Ruled out: the writer's own delay, which makes starts later.

--- a/gaprock/freshness.py
+++ b/gaprock/freshness.py
@@ -20,7 +20,7 @@
 import random
 import typing
 
-from gaprock import clock
+from gaprock import clock, eventlog
 
 # The first gateway asks after this share of the time in which a change has to be in
 # force.  Others then have it within another two tenths of a second and their own look.
@@ -31,28 +31,56 @@
 
 
 class StoreClock:
-    """The store's steady clock beside ours; one for all tables."""
+    """The store's steady clock beside ours; one for all tables.
 
-    __slots__ = ("_offset",)
+    An answer tells only that the store's time fell between the question and the answer,
+    so the difference of the clocks is known within bounds, which every answer narrows.
+    Whoever hands a time on says which bound is safe there: with the question's moment
+    alone, an answer that took 2 s made a rollout that began 2 s older on all gateways,
+    and sessions moved in its first half (``testmovedsessions``).
+    """
+
+    __slots__ = ("_bounds",)
 
     def __init__(self) -> None:
-        self._offset: float | None = None
+        # The least and the most that our clock may be ahead, seconds.
+        self._bounds: tuple[float, float] | None = None
 
-    def note(self, store_now: float, asked_at: float) -> None:
-        """Take an answer that was not waited for.
+    def note(self, store_now: float, asked_at: float, answered_at: float) -> None:
+        """Take an answer that the store did not hold.
 
         :param store_now: the store's time in the answer, seconds.
-        :param asked_at: when we asked, so that proofs look older than they are.
+        :param asked_at: when we asked.
+        :param answered_at: when the answer was there, or later.
+        """
+        least, most = asked_at - store_now, answered_at - store_now
+        if self._bounds is not None:
+            narrowed = max(least, self._bounds[0]), min(most, self._bounds[1])
+            if narrowed[0] <= narrowed[1]:
+                self._bounds = narrowed
+                return
+            eventlog.info("store-clock-anew", least_s=least, before_s=self._bounds[0])
+        self._bounds = least, most
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the store answered once."""
+        return self._bounds is not None
+
+    def earliest(self, stamp: float) -> float | None:
+        """Give the earliest that a time of the store can be by our clock.
+
+        :returns: ``None`` before the store's first answer.
         """
-        self._offset = asked_at - store_now
+        return None if self._bounds is None else stamp + self._bounds[0]
 
-    def to_ours(self, stamp: float) -> float | None:
-        """Give a time of the store by our clock; ``None`` before its first answer."""
-        return None if self._offset is None else stamp + self._offset
+    def latest(self, stamp: float) -> float | None:
+        """Give the latest that a time of the store can be by our clock."""
+        return None if self._bounds is None else stamp + self._bounds[1]
 
-    def to_store(self, at: float) -> float:
-        """Give a time of ours by the store's clock; unchanged before its answer."""
-        return at - (self._offset or 0.0)
+    def latest_there(self, at: float) -> float:
+        """Give the latest that a time of ours can be by the store's clock."""
+        return at if self._bounds is None else at - self._bounds[0]
 
 
 class Freshness:
@@ -98,7 +126,8 @@
 
     def prove(self, stamp: float) -> None:
         """Take a proof that another gateway handed on."""
-        at = self._store_clock.to_ours(stamp)
+        # A proof may look older than it is, never newer.
+        at = self._store_clock.earliest(stamp)
         # One from the future is of a store that counts anew.
         if at is not None and self.proved_at < at <= self._clock.now():
             self.stamp, self.proved_at = stamp, at
@@ -110,7 +139,7 @@
         :param asked_at: when it was asked for; ``None`` if the store held the call.
         """
         if asked_at is not None:
-            self._store_clock.note(stamp, asked_at)
+            self._store_clock.note(stamp, asked_at, self._clock.now())
         self.own_stamp = stamp
         self._hurry_at = clock.NEVER
         self.prove(stamp)
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -119,7 +119,7 @@
         except gateway_api.StoreError as exc:
             eventlog.warning("own-rows", error=exc)
             return False
-        self._store_clock.note(page.store_now, asked_at)
+        self._store_clock.note(page.store_now, asked_at, self._clock.now())
         own = gateway_rows.OwnRows(page, self._store_clock)
         self._is_announced = (
             self._is_announced or own.peers.get(self._name) == self._row
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -54,7 +54,8 @@
         order = self._dialect.order(row.key, value)
         if order is not None:
             found = self.starts.get((order.service, row.version))
-            started_at = self._clock.now() if found is None else found
+            now = self._clock.now()
+            started_at = now if found is None else min(found, now)
             self._rollouts.take_order(order, row.version, started_at)
 
     def _take_table(self, table: routes.RouteTable, revision: int) -> None:
@@ -175,6 +176,7 @@
         elif key.startswith(rollout_writer.START_PREFIX):
             start = msgspec.json.decode(value, type=rollout_writer.StartRow)
             service = key[len(rollout_writer.START_PREFIX) :]
-            started_at = store_clock.to_ours(start.started)
+            # Too late a start is put right by the next beat, too early a one never is.
+            started_at = store_clock.latest(start.started)
             if started_at is not None:
                 self.starts[(service, start.revision)] = started_at
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -93,7 +93,7 @@
         key = self._dialect.outcome_key(service)
         writes = [gateway_api.Write(table, key, value, expect)]
         if state is rollouts.State.RUNNING:
-            started = self._store_clock.to_store(rollout.started_at)
+            started = self._store_clock.latest_there(rollout.started_at)
             start = msgspec.json.encode(StartRow(rollout.revision, started))
             writes.append(gateway_api.Write(own, START_PREFIX + service, start))
         try:
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -148,7 +148,7 @@
 def test_a_peers_proof_counts_for_the_same_rows_alone() -> None:
     time = clock.ManualClock(150.0)
     store_clock = freshness.StoreClock()
-    store_clock.note(100.0, 150.0)
+    store_clock.note(100.0, 150.0, 150.0)
     fresh = freshness.Freshness(time, store_clock, lambda: rowcase.BOUND_S)
     one = followers.Follower(
         "t", gateway_api.SharedStore(), time, rowcase.Kept(), fresh
--- a/gaprock/test/testmovedsessions.py
+++ b/gaprock/test/testmovedsessions.py
@@ -146,3 +146,17 @@
     writer: tuple[float, float],
 ) -> None:
     assert late_start(writer, (0.0, 0.0)) >= -DATED_S
+
+
+def test_a_start_is_not_written_by_a_clock_that_is_not_known() -> None:
+    time = clock.ManualClock(100.0)
+    store = LateStore(time, 0.0, 0.0)
+    case = rolloutcase.WriterCase(time)
+    # Rows came as a peer's copy; the store has not answered this gateway yet.
+    case.writer._store = store
+    began = time.now()
+    case.book.take_order(rolloutcase.order(), 7, began)
+    case.writer.step()
+    _, orders = read_own_rows(time, store)
+    assert orders.starts.get(("llm", 7), began) >= began - DATED_S
+    assert case.book.all()[0].state is rollouts.State.RUNNING
