Write no start of a rollout before the store's clock is known

Cause: a gateway that has the order from a peer's copy may write the outcome's row before the store has answered any reading of its own; the start then went into the table by its own clock. Every gateway that starts later took the rollout for as much older as the clocks differ: all traffic moves at once, and the rollout completes. The test's case now has a clock of its own; the cases of the writer's other tests say that their store has answered.

--- a/gaprock/freshness.py
+++ b/gaprock/freshness.py
@@ -79,8 +79,13 @@
         return None if self._bounds is None else stamp + self._bounds[1]
 
     def latest_there(self, at: float) -> float:
-        """Give the latest that a time of ours can be by the store's clock."""
-        return at if self._bounds is None else at - self._bounds[0]
+        """Give the latest that a time of ours can be by the store's clock.
+
+        :raises ValueError: before the store's first answer.
+        """
+        if self._bounds is None:
+            raise ValueError("the store has not answered yet")
+        return at - self._bounds[0]
 
 
 class Freshness:
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -72,7 +72,11 @@
             return rollouts.State.ROLLED_BACK
         if self._is_complete(rollout, now):
             return rollouts.State.COMPLETED
-        return rollouts.State.RUNNING if rollout.written is None else None
+        if rollout.written is None and self._store_clock.is_known:
+            return rollouts.State.RUNNING
+        # Its start is written with it, and a start by a clock that is not the store's
+        # makes the rollout as old as the clocks differ for every gateway to come.
+        return None
 
     def _is_complete(self, rollout: rollouts.Rollout, now: float) -> bool:
         """Whether all traffic has moved and nothing runs on the old version."""
--- a/gaprock/test/rolloutcase.py
+++ b/gaprock/test/rolloutcase.py
@@ -68,9 +68,12 @@
         )
         self.on_old = 0
         self.mesh.on_old_here = lambda service: self.on_old
+        # The rows were read from a store whose clock is ours.
+        store_clock = freshness.StoreClock()
+        store_clock.note(0.0, 0.0, 0.0)
         self.writer = rollout_writer.RolloutWriter(
             time,
-            freshness.StoreClock(),
+            store_clock,
             self.store,
             wire.PlatformDialect(),
             self.book,
--- a/gaprock/test/testmovedsessions.py
+++ b/gaprock/test/testmovedsessions.py
@@ -24,7 +24,7 @@
 
 import pytest
 
-from gaprock import clock, freshness, gateway_api, gateway_own, gateway_rows
+from gaprock import clock, freshness, gateway_api, gateway_own, gateway_rows, rollouts
 from gaprock.platform import wire
 from gaprock.test import fleetcase, rolloutcase
 
@@ -153,10 +153,15 @@
     store = LateStore(time, 0.0, 0.0)
     case = rolloutcase.WriterCase(time)
     # Rows came as a peer's copy; the store has not answered this gateway yet.
-    case.writer._store = store
+    store_clock = freshness.StoreClock()
+    case.writer._store, case.writer._store_clock = store, store_clock
     began = time.now()
     case.book.take_order(rolloutcase.order(), 7, began)
     case.writer.step()
     _, orders = read_own_rows(time, store)
     assert orders.starts.get(("llm", 7), began) >= began - DATED_S
     assert case.book.all()[0].state is rollouts.State.RUNNING
+    # Once it has answered, the start is written.
+    store_clock.note(time.now() + 1000.0, time.now(), time.now())
+    case.writer.step()
+    assert "rollout/llm" in store.rows
--- a/gaprock/test/testtakeover.py
+++ b/gaprock/test/testtakeover.py
@@ -85,9 +85,11 @@
         self.on_old = 0
         self.mesh.on_old_here = lambda service: self.on_old
         dialect = wire.PlatformDialect()
+        store_clock = freshness.StoreClock()
+        store_clock.note(0.0, 0.0, 0.0)
         self.writer = rollout_writer.RolloutWriter(
             self.time,
-            freshness.StoreClock(),
+            store_clock,
             world.store,
             dialect,
             self.rollouts,
