Tell other gateways which sessions go on on the old version

Cause: a gateway remembered what its own sessions ran on, and the next request of one in seven sessions comes through another gateway, which took it for a session that begins. Each gateway now tells the marks of the first share's sessions that it saw on the old version, in the beats that it sends anyway; halls hear the union from their carriers. For the first moment of a rollout, a tenth of its time and 2 s at most, every session stays, so that all have told. A session's place is hashed once a request (side).

Ruled out: a hash without the order's number, which would tell the sessions beforehand but make the same ones the first each time; the first share from requests without a session alone: a service may have none. The test of an order beside running sessions waits for the first moment to pass before it asks that others begin on the new version.

--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -148,6 +148,11 @@
         """Endpoints that it may still be sent to."""
         return self.route.attempts - self.sends
 
+    @property
+    def is_in_session(self) -> bool:
+        """Whether the caller named a session that the request belongs to."""
+        return bool(self.info.session)
+
     @property
     def gap_goal_s(self) -> float:
         """The longest pause between events in time; 0 for what is no stream."""
@@ -177,7 +182,7 @@
 
 def session_mark(call: Call) -> str:
     """Give a short name of a call's session for the log; ``none`` if it names none."""
-    if not call.info.session:
+    if not call.is_in_session:
         return "none"
     return f"{zlib.crc32(call.session.encode()):08x}"
 
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -67,14 +67,10 @@
         """
         now = self._clock.now()
         usable = self._directory.usable(call.service, call.excluded)
-        fitting = [
-            e
-            for e in usable
-            if self._rollouts.fits(call.service, e.row.version, call.session)
-        ]
+        side = self._rollouts.side(call.service, call.session, call.is_in_session)
+        fitting = [e for e in usable if side is None or side.takes(e.row.version)]
         narrowed = self._rollouts.narrow(
-            call.service,
-            call.session,
+            side,
             [e.name for e in fitting],
             [e.name for e in fitting if e.row.hall == self._hall],
         )
@@ -92,10 +88,9 @@
         if chosen is None:
             return None
         prompt = prompts[chosen.name]
-        if call.info.session:
-            self._rollouts.sessions.note(
-                call.service, call.session, chosen.row.version, now
-            )
+        if call.is_in_session:
+            version = chosen.row.version
+            self._rollouts.note_session(call.service, call.session, version)
         eventlog.info(
             "route",
             request=call.info.request,
@@ -118,8 +113,8 @@
 
     def note_end(self, call: gateway_call.Call) -> None:
         """Note that a call is over: a session's rest begins."""
-        now = self._clock.now()
-        self._rollouts.sessions.note_end(call.service, call.session, now)
+        if call.is_in_session:
+            self._rollouts.note_session_end(call.service, call.session)
 
     def _is_avoided(
         self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint, now: float
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -288,13 +288,7 @@
         for hall in beat.halls:
             self.halls.take(hall, now, is_passed_on=not self._is_far(peer))
         for news in beat.rollouts:
-            self._rollouts.take_told(
-                news.service,
-                news.revision,
-                now - news.age_s,
-                news.halted,
-                beat.sender,
-            )
+            self._rollouts.take_told(news, now, beat.sender)
         if beat.evidence and self._evidence.merge(beat.evidence):
             self._rollouts.note_routes(beat.evidence)
             self._rollouts.look()
--- a/gaprock/mesh_beats.py
+++ b/gaprock/mesh_beats.py
@@ -64,21 +64,22 @@
 
     def _urgent_news(self) -> object:
         """Give what everybody must know at once."""
-        halts = mesh_messages.halts(self._rollout_news())
+        rolls = self._rollouts.all()
+        halts = [(r.order.service, r.revision, r.halted) for r in rolls]
         dark = self._directory.dark(), self._directory.doubted()
         return halts, self._has_store(), self.leaving, dark
 
     def _near_news(self) -> mesh_peers.News:
         """Give what is worth a beat to the own hall before the idle one is due."""
         rolls = self._rollout_news()
-        on_old = [n.on_old for n in rolls]
+        moving = [(n.on_old, n.kept) for n in rolls]
         tick, _ = self._evidence.since(1 << 60)
         versions = [table.changed for table in self._tables()]
         halts = mesh_messages.halts(rolls)
         proofs = self._proofs()
         return mesh_peers.News(
             (halts, versions, self._has_store(), self.leaving, self._directory.dark()),
-            (self._directory.own_loads(), on_old, tick, proofs),
+            (self._directory.own_loads(), moving, tick, proofs),
         )
 
     def _far_news(self, now: float) -> mesh_peers.News:
@@ -91,11 +92,11 @@
         hall = self._hall_news(now)
         tables = self._tables()
         orders = tables[0].changed if tables else 0
-        on_old = [roll.on_old for roll in hall.rollouts]
+        moving = [(roll.on_old, roll.kept) for roll in hall.rollouts]
         tick, _ = self._evidence.since(1 << 60)
         proofs = self._proofs()
         return mesh_peers.News(
-            (hall.urgent, orders, self.leaving), (hall.loads, on_old, tick, proofs)
+            (hall.urgent, orders, self.leaving), (hall.loads, moving, tick, proofs)
         )
 
     def _hall_news(self, now: float) -> mesh_messages.HallNews:
@@ -147,6 +148,7 @@
                 now - r.started_at,
                 r.halted,
                 self.on_old_here(r.order.service),
+                self._rollouts.kept_sessions(r),
             )
             for r in self._rollouts.all()
         ]
--- a/gaprock/mesh_halls.py
+++ b/gaprock/mesh_halls.py
@@ -72,9 +72,7 @@
         self._directory.take_loads(name, news.loads)
         self._directory.take_dark(name, news.dark)
         for told in news.rollouts:
-            self._rollouts.take_told(
-                told.service, told.revision, now - told.age_s, told.halted, name
-            )
+            self._rollouts.take_told(told, now, name)
 
     def forget_silent(self, now: float) -> None:
         """Drop what is too old."""
@@ -149,7 +147,10 @@
 def sum_rollouts(
     told: typing.Iterable[list[mesh_messages.RolloutNews]],
 ) -> list[mesh_messages.RolloutNews]:
-    """Give each rollout once: the newest order, halted if anybody halted it."""
+    """Give each rollout once: the newest order, halted if anybody halted it.
+
+    A session is kept that one of them keeps.
+    """
     total: dict[str, mesh_messages.RolloutNews] = {}
     for news in told:
         for roll in news:
@@ -163,5 +164,6 @@
                     max(old.age_s, roll.age_s),
                     old.halted or roll.halted,
                     old.on_old + roll.on_old,
+                    sorted({*old.kept, *roll.kept}),
                 )
     return list(total.values())
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -15,6 +15,8 @@
 
     :param age_s: seconds since the order, by the sender's clock.
     :param on_old: the sender's requests that run on the old version.
+    :param kept: marks of the sessions that the sender saw on the old version and that
+        go on (``rollout_sessions``).
     """
 
     service: str
@@ -22,6 +24,7 @@
     age_s: float
     halted: bool
     on_old: int
+    kept: list[int] = []
 
 
 class TableNews(msgspec.Struct, array_like=True, frozen=True):
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -17,7 +17,6 @@
 import enum
 import threading
 import typing
-import zlib
 
 from gaprock import (
     clock,
@@ -25,6 +24,7 @@
     evidence,
     gateway_api,
     mechanisms,
+    mesh_messages,
     messages,
     policy_api,
     rollout_pace,
@@ -40,7 +40,11 @@
 SETTLE_S: typing.Final = 2.0
 # The outcome is written at the latest this long before the operator's time, seconds.
 WRITE_BEFORE_S: typing.Final = 2.0
-HASH_RANGE: typing.Final = 2**32
+# So long after the order every session stays on the old version, as a share of the
+# rollout's time and at most, seconds: beats between halls take up to two seconds to
+# tell everybody which sessions go on.
+HOLD_SHARE: typing.Final = 0.1
+HOLD_S: typing.Final = 2.0
 # A start that is corrected by less is not told in the log, seconds: beats take as long.
 DATED_S: typing.Final = 0.05
 
@@ -72,14 +76,27 @@
     :param started_at: when the order was given, by this process's clock.
     """
 
-    __slots__ = ("order", "revision", "started_at", "state", "halted", "written")
+    __slots__ = (
+        "order",
+        "revision",
+        "started_at",
+        "kept",
+        "state",
+        "halted",
+        "written",
+    )
 
     def __init__(
-        self, order: gateway_api.RolloutOrder, revision: int, started_at: float
+        self,
+        order: gateway_api.RolloutOrder,
+        revision: int,
+        started_at: float,
+        session_s: float,
     ) -> None:
         self.order = order
         self.revision = revision
         self.started_at = started_at
+        self.kept = rollout_sessions.KeptSessions(session_s)
         self.state = State.RUNNING
         # Stopped by evidence, here or elsewhere, whatever the rows say yet.
         self.halted = False
@@ -95,6 +112,28 @@
         """Give the share of the rollout's time that has passed."""
         return (now - self.started_at) / max(0.001, self.order.finish_s)
 
+    def keeps_sessions(self, now: float) -> bool:
+        """Whether sessions that go on stay where they are."""
+        return self.state is State.RUNNING and self.passed(now) < STEPS[0][0]
+
+    def is_held(self, now: float) -> bool:
+        """Whether not everybody has told yet which sessions go on."""
+        return now < self.started_at + min(HOLD_S, HOLD_SHARE * self.order.finish_s)
+
+
+class Side(typing.NamedTuple):
+    """Where a session stands in a rollout.
+
+    :param on_new: whether it gets the new version.
+    """
+
+    rollout: Rollout
+    on_new: bool
+
+    def takes(self, version: str) -> bool:
+        """Whether the session's requests may run on a version."""
+        return (version == self.rollout.order.to_version) == self.on_new
+
 
 class _Told:
     """What other gateways told of an order that has not come here yet."""
@@ -124,7 +163,7 @@
         session_s: float = 5.0,
     ) -> None:
         self._clock = clock_
-        self.sessions = rollout_sessions.RecentSessions(session_s)
+        self._sessions = rollout_sessions.RecentSessions(session_s)
         self._canary = canary_share * CANARY_USE
         self._guard = guard
         self._evidence = evidence_
@@ -150,7 +189,8 @@
             old = self._by_service.get(order.service)
             if old is not None and old.revision >= revision:
                 return old
-            rollout = Rollout(order, revision, started_at)
+            rollout = Rollout(order, revision, started_at, self._sessions.kept_s)
+            self._keep_sessions(rollout)
             self._by_service[order.service] = rollout
             outcome = self._outcomes.get(order.service)
             told = self._told.get(order.service)
@@ -220,16 +260,18 @@
                 by=by,
             )
 
-    def take_told(
-        self, service: str, revision: int, started_at: float, halted: bool, by: str
-    ) -> None:
+    def take_told(self, news: mesh_messages.RolloutNews, now: float, by: str) -> None:
         """Take what another gateway tells of a rollout.
 
+        :param now: when it was told.
         :param by: who tells it, for the log.
         """
-        self.backdate(service, revision, started_at, by)
-        if halted:
-            self.halt(service, revision, f"told by {by}")
+        self.backdate(news.service, news.revision, now - news.age_s, by)
+        if news.halted:
+            self.halt(news.service, news.revision, f"told by {by}")
+        rollout = self._by_service.get(news.service)
+        if rollout is not None and rollout.revision == news.revision:
+            rollout.kept.take_told(news.kept, now)
 
     def _note_told(
         self,
@@ -282,36 +324,78 @@
                 share = wanted
         return share
 
-    def side(self, service: str, session: str) -> tuple[Rollout, bool] | None:
-        """Give the rollout of a service and whether a session gets its new version."""
+    def side(self, service: str, session: str, is_named: bool = False) -> Side | None:
+        """Give where a session stands; ``None`` without a rollout of the service.
+
+        :param is_named: whether the caller named it, so that requests belong together.
+        """
         rollout = self._by_service.get(service)
         if rollout is None:
             return None
-        name = f"{session}#{rollout.label}"
-        point = zlib.crc32(name.encode()) / HASH_RANGE
-        on_new = point < self.share(rollout)
-        return rollout, on_new and not self._stays_on_old(rollout, session)
+        mark = rollout_sessions.mark_of(session, rollout.label)
+        on_new = mark < self.share(rollout) * rollout_sessions.HASH_RANGE
+        if on_new and is_named:
+            on_new = not self._stays_on_old(rollout, session, mark)
+        return Side(rollout, on_new)
 
-    def _stays_on_old(self, rollout: Rollout, session: str) -> bool:
+    def _stays_on_old(self, rollout: Rollout, session: str, mark: int) -> bool:
         """Whether a session that goes on stays where it was, in the first half."""
         now = self._clock.now()
-        if rollout.state is State.COMPLETED or rollout.passed(now) >= STEPS[0][0]:
+        if not rollout.keeps_sessions(now):
             return False
-        version = self.sessions.version(rollout.order.service, session, now)
-        return version is not None and version != rollout.order.to_version
+        version = self._sessions.version(rollout.order.service, session, now)
+        if version is not None:
+            return version != rollout.order.to_version
+        return rollout.is_held(now) or rollout.kept.is_told(mark, now)
+
+    def note_session(self, service: str, session: str, version: str) -> None:
+        """Note that a request of a session is sent to a version."""
+        now = self._clock.now()
+        self._sessions.note(service, session, version, now)
+        self._note_kept(service, session, version, now)
+
+    def note_session_end(self, service: str, session: str) -> None:
+        """Note the end of a session's request; its rest begins now."""
+        now = self._clock.now()
+        self._sessions.note_end(service, session, now)
+        version = self._sessions.version(service, session, now)
+        if version is not None:
+            self._note_kept(service, session, version, now)
+
+    def _note_kept(self, service: str, session: str, version: str, now: float) -> None:
+        """Note a session that other gateways have to keep on the old version too."""
+        rollout = self._by_service.get(service)
+        if rollout is None or version == rollout.order.to_version:
+            return
+        if rollout.keeps_sessions(now):
+            self._keep(rollout, session, now)
+
+    def _keep_sessions(self, rollout: Rollout) -> None:
+        """Note the sessions that go on as an order comes."""
+        order, now = rollout.order, self._clock.now()
+        recent = self._sessions.besides(order.service, order.to_version, now)
+        for session, seen_at in recent.items():
+            self._keep(rollout, session, seen_at)
+
+    def _keep(self, rollout: Rollout, session: str, seen_at: float) -> None:
+        mark = rollout_sessions.mark_of(session, rollout.label)
+        if mark < self._canary * rollout_sessions.HASH_RANGE:
+            rollout.kept.note(mark, seen_at)
+
+    def kept_sessions(self, rollout: Rollout) -> list[int]:
+        """Give the sessions to tell others of, which go on on the old version."""
+        now = self._clock.now()
+        return rollout.kept.own(now) if rollout.keeps_sessions(now) else []
 
     def fits(self, service: str, version: str, session: str) -> bool:
-        """Whether a session's request may run on a version of a service."""
-        found = self.side(service, session)
-        if found is None:
-            return True
-        rollout, on_new = found
-        return (version == rollout.order.to_version) == on_new
+        """Whether a request on its own may run on a version of a service."""
+        side = self.side(service, session)
+        return side is None or side.takes(version)
 
     def narrow(
-        self, service: str, session: str, names: list[str], near: list[str]
+        self, side: Side | None, names: list[str], near: list[str]
     ) -> typing.Collection[str]:
-        """Give the endpoints that a session's request may go to.
+        """Give the endpoints that a request may go to.
 
         The share of an unproved version goes to the same share of its endpoints, so
         that each of them is about as loaded as all of them will be; a version that
@@ -319,13 +403,13 @@
         hall has enough of them, it is a share of those: what others have there is known
         best, and the wait behind that is no fault of the version.
 
+        :param side: where the request's session stands.
         :param names: the usable endpoints of the session's version.
         :param near: those of them in the own hall.
         """
-        found = self.side(service, session)
-        if found is None or not found[1]:
+        if side is None or not side.on_new:
             return names
-        share = self.share(found[0])
+        share = self.share(side.rollout)
         if share >= 1.0 or not mechanisms.CANARY_PLACE.on:
             return names
         if in_hall := round(share * len(near)):
--- a/gaprock/test/testmovedsessions.py
+++ b/gaprock/test/testmovedsessions.py
@@ -34,11 +34,11 @@
 DATED_S: typing.Final = 0.05
 
 
-def run_request(member: fleetcase.Member, session: str, now: float) -> str:
+def run_request(member: fleetcase.Member, session: str) -> str:
     """Have a request of a session choose its version, as the gateway does."""
-    on_new = member.book.fits(SERVICE, "v2", session)
-    version = "v2" if on_new else "v1"
-    member.book.sessions.note(SERVICE, session, version, now)
+    side = member.book.side(SERVICE, session, is_named=True)
+    version = "v2" if side is not None and side.on_new else "v1"
+    member.book.note_session(SERVICE, session, version)
     return version
 
 
@@ -50,7 +50,7 @@
     members = fleet.members
     fleet.run(4.0)
     for number, session in enumerate(SESSIONS):
-        run_request(members[number % len(members)], session, fleet.time.now())
+        run_request(members[number % len(members)], session)
     order = gateway_api.RolloutOrder(SERVICE, "v2", 40.0)
     for member in members:
         member.book.take_order(order, 2, fleet.time.now())
@@ -58,14 +58,13 @@
     fresh: dict[str, str] = {}
     for turn in range(1, 9):
         fleet.run(2.0)
-        now = fleet.time.now()
         for number, session in enumerate(SESSIONS):
             member = members[(number + turn) % len(members)]
-            if run_request(member, session, now) == "v2":
+            if run_request(member, session) == "v2":
                 moved.add(session)
         for number in range(100):
             name = f"fresh{turn}-{number}"
-            fresh[name] = run_request(members[number % len(members)], name, now)
+            fresh[name] = run_request(members[number % len(members)], name)
     assert moved == set()
     # Sessions that begin later do get the new version, about as many as they should.
     share = sum(version == "v2" for version in fresh.values()) / len(fresh)
--- a/gaprock/test/testrollouts.py
+++ b/gaprock/test/testrollouts.py
@@ -1,5 +1,6 @@
 """Rollouts: who gets the new version, how it is judged, and its written outcome."""
 
+import itertools
 import typing
 
 import pytest
@@ -82,13 +83,15 @@
     book.take_order(rolloutcase.order(), 7, time.now())
     session = sorted(on_new(book))[0]
     names = [f"e{number}" for number in range(20)]
-    assert len(book.narrow("llm", session, names, names[:2])) == 2
+    assert len(book.narrow(book.side("llm", session), names, names[:2])) == 2
     # With enough of them in the own hall, its own share of those.
-    assert list(book.narrow("llm", session, names, names[13:])) == names[13:14]
+    assert (
+        list(book.narrow(book.side("llm", session), names, names[13:])) == names[13:14]
+    )
     old = next(f"s{n}" for n in range(99) if not book.fits("llm", "v2", f"s{n}"))
-    assert list(book.narrow("llm", old, names, names)) == names
+    assert list(book.narrow(book.side("llm", old), names, names)) == names
     time.advance(19.0)
-    assert list(book.narrow("llm", session, names, names)) == names
+    assert list(book.narrow(book.side("llm", session), names, names)) == names
 
 
 def judged(failed: bool, took_s: float = 0.1) -> rollout_pace.Judged:
@@ -245,6 +248,12 @@
             assert site.generate(Session=session).status == 200
         # Others begin on the new version, these go on where they were.
         assert {seen.headers["session"] for seen in fake.seen} == set()
-        for session in (f"other{number}" for number in range(SESSIONS)):
-            assert site.generate(Session=session).status == 200
-        assert fake.seen
+        numbers = itertools.count()
+
+        def others_begin_on_new() -> bool:
+            assert site.generate(Session=f"other{next(numbers)}").status == 200
+            return bool(fake.seen)
+
+        gatewaysite.wait_until(others_begin_on_new, "others get it after the hold")
+        started = {seen.headers["session"] for seen in fake.seen}
+        assert all(name.startswith("other") for name in started)
