Test that a version without answers, or slow beside slow ones, is stopped

A version that takes six times as long for each answer is not halted where half of the old endpoints do so as well; one that is as slow as those goes on (passes).

--- /dev/null
+++ b/gaprock/test/testunstopped.py
@@ -0,0 +1,115 @@
+"""A bad version is stopped, also when its answers do not come.
+
+The story.  A version that an operator knew to be bad went on getting requests until the
+end, more than a thousand of them, and was made the only version.
+
+The order of events.  The new version's answers come too late: callers leave or their
+time is over before the first part is there.  Or they are late beside old endpoints that
+are late as well.  Or the version turns bad just before the rollout is over.  In each
+case the rollout goes its way, is *completed*, and then nothing can stop the version.
+
+The cause.  No answer was taken for no evidence: an answer counted when it was there, so
+one that never comes spoke for nobody.  Slowness was a multiple of a mean which the same
+trouble had raised.  And whether the version's last answers were bad was not asked when
+the outcome was written.
+
+The evidence.  With callers that leave after half a second and a version that takes eight
+times as long, 384 of 881 requests of the rollout's time got it where 162 were allowed;
+447 broke a bound.  With half of the endpoints six times slower, 89 did.  A version that
+fails from the 15th of 24 seconds on: 14 answers had failed within a second
+(``version-bad-answer``) when *completed* was written half a second later; 63.
+"""
+
+import threading
+import time as steady
+import typing
+
+import pytest
+
+from gaprock import clock, rollout_pace, rollouts
+from gaprock.test import gatewaysite, rolloutcase
+from gaprock.test.fakes import backend
+
+# Requests to the new version, and how many at a time.
+ASKED: typing.Final = 30
+AT_A_TIME: typing.Final = 10
+
+
+def leave(site: gatewaysite.GatewaySite, fake: backend.Backend, data: bytes) -> None:
+    """Make a request and leave when it has run for a while without an answer."""
+    with site.connect() as sock:
+        seen = len(fake.seen)
+        sock.sendall(data)
+        gatewaysite.wait_until(lambda: len(fake.seen) > seen, "it runs")
+        steady.sleep(0.5)
+
+
+def ask_in_vain(
+    site: gatewaysite.GatewaySite, fake: backend.Backend, request: str, leaves: bool
+) -> None:
+    """Make a request that gets no answer."""
+    if leaves:
+        leave(site, fake, site.request("/unsafe/x", X_Request_Id=request))
+    else:
+        site.call("/unsafe/x", X_Request_Id=request, X_Deadline_Ms="500")
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_version_that_gives_no_answers_is_stopped(leaves: bool) -> None:
+    with gatewaysite.GatewaySite() as site:
+        site.add("old", "app", Version="v1")
+        for _ in range(20):
+            assert site.call("/unsafe/x").status == 200
+        fake = site.add("new", "app", Version="v2")
+        fake.usual = backend.hang
+        document = {"Service": "app", "ToVersion": "v2", "FinishByS": 600}
+        site.store.put("op", "rollout/app", document)
+        book = site.gateway.rollouts
+        gatewaysite.wait_until(lambda: book.all() != [], "ordered")
+
+        def on_new() -> list[str]:
+            names = [f"s{number}" for number in range(2000)]
+            return [name for name in names if book.fits("app", "v2", name)]
+
+        gatewaysite.wait_until(lambda: len(on_new()) >= ASKED, "some get it")
+        requests = on_new()[:ASKED]
+        for first in range(0, ASKED, AT_A_TIME):
+            threads = [
+                threading.Thread(target=ask_in_vain, args=(site, fake, one, leaves))
+                for one in requests[first : first + AT_A_TIME]
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+        assert book.all()[0].halted
+
+
+def judge(
+    book: rollouts.Rollouts, version: str, took_s: typing.Iterable[float]
+) -> None:
+    for one in took_s:
+        answer = rollout_pace.Judged(False, one)
+        book.judge_answer("llm", version, "r1", "m", answer)
+
+
+# Endpoints of which half work as usual and half take six times as long, seconds.
+HALF_SLOW: typing.Final = [0.06, 0.36] * 50
+
+
+def is_stopped_beside_slow_ones(took_s: list[float]) -> bool:
+    """Whether a version is stopped where half of the old answers are slow."""
+    time = clock.ManualClock(100.0)
+    book = rolloutcase.make_rollouts(time)
+    rollout = book.take_order(rolloutcase.order(), 7, time.now())
+    judge(book, "v1", HALF_SLOW)
+    judge(book, "v2", took_s)
+    return rollout.halted
+
+
+def test_slow_answers_of_the_old_version_do_not_hide_a_slow_new_one() -> None:
+    assert is_stopped_beside_slow_ones([0.36] * 40)
+
+
+def test_a_version_that_is_as_slow_as_the_old_one_goes_on() -> None:
+    assert not is_stopped_beside_slow_ones(HALF_SLOW)
