Take a send that waits too long as evidence, whether its answer comes or not

Cause: an answer counted for or against its version when it was there. A version whose answers come after the deadline, or after its callers left, had no bad answer; one that takes several times as long was measured by a multiple of a mean that slow old endpoints raise. Now a send is judged when it is known to be late, at each look and at its end, on both versions alike; an answer that breaks off is a failure where the endpoint takes connections; slow is five times the faster quarter of the stable version's latest answers, by what its queue let expect where that is known.

Before: 30 sends without an answer, not halted; six times slower beside slow ones, not halted. After: halted; one that is as slow as the old one goes on. The test's callers that leave wait a fixed time instead of for the endpoint, which gets nothing more after the halt; it fails on the code before in both forms.

--- /dev/null
+++ b/gaprock/gateway_judge.py
@@ -0,0 +1,134 @@
+"""What answers tell of their endpoints and versions, and what their absence does.
+
+A send speaks for or against the version that it went to as soon as that is known: with
+the first part of its answer, with a failure, or when it has waited far longer than the
+stable version takes, whether an answer still comes or not.  Callers of a slow version
+leave, or their time is over, before its answers are there: of 881 requests of a rollout
+384 went to a version that took eight times as long while callers left after half a
+second, since only answers counted (``testunstopped``).
+"""
+
+import typing
+
+from gaprock import (
+    clock,
+    directory,
+    eventlog,
+    gateway_attempt,
+    gateway_call,
+    rollout_pace,
+    rollouts,
+)
+
+# Events of a stream that show its pace.
+MIN_PACE_EVENTS: typing.Final = 5
+
+
+class AnswerJudge:
+    """Takes sends as evidence; safe for all threads."""
+
+    __slots__ = ("_clock", "_directory", "_rollouts")
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        directory_: directory.Directory,
+        rollouts_: rollouts.Rollouts,
+    ) -> None:
+        self._clock = clock_
+        self._directory = directory_
+        self._rollouts = rollouts_
+
+    def answered(
+        self,
+        call: gateway_call.Call,
+        attempt: gateway_attempt.Attempt,
+        failed: bool,
+    ) -> None:
+        """Take the first part of an answer."""
+        self._directory.answered(attempt.endpoint, failed)
+        if attempt.is_judged:
+            return
+        attempt.is_judged = True
+        took_s = None if call.info.resume_after is not None else self._took(attempt)
+        judged = rollout_pace.Judged(failed, took_s, self._expected(call, attempt))
+        self._judge(call, attempt, call.route.name, judged)
+
+    def waits(self, call: gateway_call.Call, attempt: gateway_attempt.Attempt) -> None:
+        """Take that a send has no answer yet, or ends without one."""
+        if attempt.is_judged or not attempt.sent_at:
+            return
+        if call.info.resume_after is not None:
+            return
+        judged = rollout_pace.Judged(
+            False, self._took(attempt), self._expected(call, attempt), is_open=True
+        )
+        if self._judge(call, attempt, call.route.name, judged):
+            attempt.is_judged = True
+
+    def broke(
+        self,
+        call: gateway_call.Call,
+        attempt: gateway_attempt.Attempt,
+        lives: typing.Callable[[], bool],
+    ) -> None:
+        """Take that an answer broke off.
+
+        :param lives: whether the endpoint takes connections.  One that crashed is no
+            fault of its version, and has many answers break off at once.
+        """
+        self._directory.answered(attempt.endpoint, failed=True)
+        if not self._rollouts.is_judged(call.service) or not lives():
+            return
+        attempt.is_judged = True
+        judged = rollout_pace.Judged(True, None)
+        self._judge(call, attempt, call.route.name, judged)
+
+    def paced(self, call: gateway_call.Call, attempt: gateway_attempt.Attempt) -> None:
+        """Take the time between a whole stream's events."""
+        if call.events < MIN_PACE_EVENTS:
+            return
+        pace_s = (call.wrote_at - call.first_at) / (call.events - 1)
+        judged = rollout_pace.Judged(False, pace_s)
+        self._judge(call, attempt, f"{call.route.name}~pace", judged)
+
+    def _took(self, attempt: gateway_attempt.Attempt) -> float:
+        return self._clock.now() - attempt.sent_at
+
+    def _expected(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
+    ) -> float | None:
+        """Give the seconds to the first part that were expected, if known.
+
+        The endpoints of an unproved version have fuller queues than others.
+        """
+        if not attempt.tokens_ahead:
+            return None
+        return self._directory.pace.expect(call.service, attempt.tokens_ahead)
+
+    def _judge(
+        self,
+        call: gateway_call.Call,
+        attempt: gateway_attempt.Attempt,
+        route: str,
+        judged: rollout_pace.Judged,
+    ) -> str:
+        """Hand evidence on; give what it holds against the version."""
+        version = attempt.endpoint.row.version
+        against = self._rollouts.judge_answer(
+            call.service, version, route, attempt.model, judged
+        )
+        if against and self._rollouts.is_unproved(call.service, version):
+            eventlog.info(
+                "version-bad-answer",
+                request=call.info.request,
+                service=call.service,
+                version=version,
+                endpoint=attempt.endpoint.name,
+                route=route,
+                reason=against,
+                open=judged.is_open,
+                took_s=judged.took_s or 0.0,
+                expected_s=judged.expected_s or 0.0,
+            )
+        return against
--- a/gaprock/gateway_models.py
+++ b/gaprock/gateway_models.py
@@ -114,14 +114,6 @@
             tokens = attempt.prompt.tokens
             pace.observe_model(service, attempt.model, tokens, ahead_share, took_s)
 
-    def expect_first(
-        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
-    ) -> float | None:
-        """Give the seconds that a send's first event was expected to take, if known."""
-        if not attempt.tokens_ahead:
-            return None
-        return self._directory.pace.expect(call.service, attempt.tokens_ahead)
-
     def _ask(self, call: gateway_call.Call) -> policy_api.ModelAsk:
         service = self._services().get(call.service)
         known = {m.name: m for m in service.models} if service else {}
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -19,14 +19,15 @@
     followers,
     freshness,
     gateway_api,
-    gateway_attempt,
     gateway_choose,
     gateway_http,
+    gateway_judge,
     gateway_metrics,
     gateway_models,
     gateway_own,
     gateway_relay,
     gateway_rows,
+    gateway_sender,
     gateway_serve,
     gateway_store,
     ids,
@@ -280,8 +281,9 @@
             plugin.find(policy_api.Routing, cfg.gateway_routing)(),
             self._services,
         )
-        sender = gateway_attempt.Sender(
-            self.clock, self.dialect, self.directory, self.metrics
+        judge = gateway_judge.AnswerJudge(self.clock, self.directory, self.rollouts)
+        sender = gateway_sender.Sender(
+            self.clock, self.dialect, self.directory, self.metrics, judge
         )
         models = gateway_models.ModelPicker(
             self.clock,
@@ -295,7 +297,7 @@
             self.clock,
             self.directory,
             sender,
-            self.rollouts,
+            judge,
             models,
         )
         return gateway_serve.Server(
@@ -305,6 +307,7 @@
             chooser,
             sender,
             relay,
+            judge,
             self.budget,
             self.metrics,
             self._max_calls(),
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -15,16 +15,13 @@
     eventlog,
     gateway_attempt,
     gateway_call,
+    gateway_judge,
     gateway_models,
+    gateway_sender,
     gateway_source,
     http_exchange,
-    rollout_pace,
-    rollouts,
 )
 
-# Events of a stream that show its pace.
-MIN_PACE_EVENTS: typing.Final = 5
-
 
 class Sends(typing.Protocol):
     """What a relay needs of the server: sends and the budget."""
@@ -55,14 +52,14 @@
         self,
         clock_: clock.Clock,
         directory_: directory.Directory,
-        sender: gateway_attempt.Sender,
-        rollouts_: rollouts.Rollouts,
+        sender: gateway_sender.Sender,
+        judge: gateway_judge.AnswerJudge,
         models: gateway_models.ModelPicker,
     ) -> None:
         self._clock = clock_
         self.directory = directory_
         self._sender = sender
-        self._rollouts = rollouts_
+        self._judge = judge
         self._models = models
 
     def run(
@@ -112,7 +109,7 @@
             try:
                 larger = self._models.larger(call, attempt)
                 if larger:
-                    self.note_answer(call, attempt, failed=False, blame_version=True)
+                    self._judge.answered(call, attempt, failed=False)
                     attempt.finish(self.directory)
                     sends.take_repeat(call, "climb")
                     model = larger
@@ -122,7 +119,7 @@
                         continue
                     return source, None
                 events = self._first_events(call, sends, source)
-                self.note_answer(call, attempt, failed=False, blame_version=True)
+                self._judge.answered(call, attempt, failed=False)
                 return source, events
             except gateway_source.Broken as exc:
                 attempt.finish(self.directory)
@@ -143,12 +140,13 @@
         :raises gateway_source.Broken: when none came, and another endpoint is worth it.
         """
         heard_at = self._clock.now()
-        patience_s = gateway_attempt.LOST_GAPS * call.route.gap_s
+        patience_s = gateway_sender.LOST_GAPS * call.route.gap_s
         while True:
-            look_at = self._clock.now() + gateway_attempt.LOOK_S
+            look_at = self._clock.now() + gateway_sender.LOOK_S
             try:
                 return source.next_events(min(call.deadline, look_at))
             except http_exchange.TimedOut as exc:
+                self._judge.waits(call, source.attempt)
                 reason = self._sender.lost_reason(
                     call, source.attempt, heard_at, patience_s
                 )
@@ -164,7 +162,7 @@
     ) -> bool:
         """Whether an endpoint's failure is tried elsewhere."""
         failed = attempt.head.status >= gateway_attempt.SERVER_ERROR
-        self.note_answer(call, attempt, failed, blame_version=True)
+        self._judge.answered(call, attempt, failed)
         if not failed or not sends.may_repeat(call):
             return False
         call.excluded.add(attempt.endpoint.name)
@@ -206,7 +204,7 @@
             try:
                 self._relay_one(call, reply, sends, source, events, last)
                 if source is first:
-                    self._note_pace(call, source.attempt)
+                    self._judge.paced(call, source.attempt)
                 return True
             except _Stopped as exc:
                 last, detail = exc.last, exc.detail
@@ -249,7 +247,7 @@
                 reply.write(b"".join(e.raw for e in fresh))
                 numbers = [e.number for e in fresh if e.number is not None]
                 last = numbers[-1] if numbers else last
-            look_at = self._clock.now() + gateway_attempt.LOOK_S
+            look_at = self._clock.now() + gateway_sender.LOOK_S
             try:
                 events = source.next_events(min(call.deadline, look_at))
             except gateway_source.Broken as exc:
@@ -272,7 +270,7 @@
         exc: Exception,
     ) -> None:
         """Stop a stream that is past its deadline, or lost and can go on elsewhere."""
-        patience_s = gateway_attempt.LOST_GAPS * call.route.gap_s
+        patience_s = gateway_sender.LOST_GAPS * call.route.gap_s
         reason = self._sender.lost_reason(call, source.attempt, heard_at, patience_s)
         if not reason:
             return
@@ -311,67 +309,16 @@
             detail = f"status {attempt.head.status}"
         return None
 
-    # -- What answers tell --
-
-    def note_answer(
-        self,
-        call: gateway_call.Call,
-        attempt: gateway_attempt.Attempt,
-        failed: bool,
-        blame_version: bool,
-    ) -> None:
-        """Take an answer as evidence on its endpoint, and on its version."""
-        self.directory.answered(attempt.endpoint, failed)
-        if not blame_version:
-            return
-        took_s = self._clock.now() - attempt.sent_at
-        resumed = call.info.resume_after is not None
-        # The endpoints of an unproved version have fuller queues than others.
-        expected_s = self._models.expect_first(call, attempt)
-        judged = rollout_pace.Judged(failed, None if resumed else took_s, expected_s)
-        self._judge(call, attempt, call.route.name, judged)
-
-    def _judge(
-        self,
-        call: gateway_call.Call,
-        attempt: gateway_attempt.Attempt,
-        route: str,
-        judged: rollout_pace.Judged,
-    ) -> None:
-        """Take an answer as evidence on its version; log one that speaks against it."""
-        version = attempt.endpoint.row.version
-        against = self._rollouts.judge_answer(
-            call.service, version, route, attempt.model, judged
-        )
-        if against:
-            eventlog.info(
-                "version-bad-answer",
-                request=call.info.request,
-                service=call.service,
-                version=version,
-                endpoint=attempt.endpoint.name,
-                route=route,
-                reason=against,
-                took_s=judged.took_s or 0.0,
-                expected_s=judged.expected_s or 0.0,
-            )
-
-    def _note_pace(
-        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
-    ) -> None:
-        """Take the time between events as evidence on the version."""
-        if call.events < MIN_PACE_EVENTS:
-            return
-        pace_s = (call.wrote_at - call.first_at) / (call.events - 1)
-        judged = rollout_pace.Judged(False, pace_s)
-        self._judge(call, attempt, f"{call.route.name}~pace", judged)
-
     def _note_broken(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, detail: str
     ) -> None:
-        if detail != "deadline":
+        if detail != gateway_attempt.DEADLINE:
             call.excluded.add(attempt.endpoint.name)
-        self.directory.answered(attempt.endpoint, failed=True)
+        if detail == gateway_attempt.DEADLINE:
+            self._judge.waits(call, attempt)
+            self.directory.answered(attempt.endpoint, failed=True)
+        else:
+            self._sender.note_break(call, attempt)
         self._sender.note_failure(call, attempt, "broken", detail)
 
 
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -23,8 +23,10 @@
     gateway_attempt,
     gateway_call,
     gateway_choose,
+    gateway_judge,
     gateway_metrics,
     gateway_relay,
+    gateway_sender,
     http_exchange,
     retry_window,
     return_times,
@@ -66,8 +68,9 @@
         dialect: gateway_api.Dialect,
         source: ConfigSource,
         chooser: gateway_choose.Chooser,
-        sender: gateway_attempt.Sender,
+        sender: gateway_sender.Sender,
         relay: gateway_relay.Relay,
+        judge: gateway_judge.AnswerJudge,
         budget: retry_window.RetryWindow,
         metrics: gateway_metrics.GatewayMetrics,
         max_calls: int,
@@ -80,6 +83,7 @@
         self._chooser = chooser
         self._sender = sender
         self._relay = relay
+        self._judge = judge
         self._budget = budget
         self._metrics = metrics
         self._max_calls = max_calls
@@ -334,12 +338,11 @@
             body = self._sender.read_whole(call, attempt, lambda: self.may_repeat(call))
         except gateway_attempt.Failed:
             call.excluded.add(attempt.endpoint.name)
-            self._relay.note_answer(call, attempt, failed=True, blame_version=False)
             raise
         finally:
             attempt.finish(self._relay.directory)
         failed = attempt.head.status >= gateway_attempt.SERVER_ERROR
-        self._relay.note_answer(call, attempt, failed, blame_version=True)
+        self._judge.answered(call, attempt, failed)
         return body
 
     # -- Ends --
--- a/gaprock/rollout_pace.py
+++ b/gaprock/rollout_pace.py
@@ -1,60 +1,79 @@
 """Whether an answer of a new version took far longer than the stable one's do."""
 
+import collections
 import typing
 
-# An answer is slow beyond this multiple of what the stable version takes.  The new
-# one's endpoints are more loaded while it is unproved, so it must be well above that.
-SLOW_TIMES: typing.Final = 4.0
-# Answers of the stable version before slowness is judged, and the weight of each.
+# An answer is slow beyond this multiple of what the stable version's faster answers
+# take.  The new one's endpoints are more loaded while it is unproved, so it must be
+# well above one.
+SLOW_TIMES: typing.Final = 5.0
+# The faster answers: a quarter of the latest ones are below.  A mean rises with
+# whatever slows a part of the old endpoints, and hid a version that was as slow as
+# those (``testunstopped``).
+FAST_SHARE: typing.Final = 0.25
+LATEST: typing.Final = 64
+# Answers of the stable version before slowness is judged.
 MIN_TIMES: typing.Final = 8
-TIME_WEIGHT: typing.Final = 0.1
 # Differences below this are never slowness, seconds.
 SLOW_FLOOR_S: typing.Final = 0.15
 
 
 class Pace:
-    """Running mean of how long the stable version takes on a route and model."""
+    """How long the stable version's faster answers take on a route and model.
 
-    __slots__ = ("mean_s", "count")
+    Times are seconds, or multiples of what was expected where that is known.
+    """
+
+    __slots__ = ("_latest",)
 
     def __init__(self) -> None:
-        self.mean_s = 0.0
-        self.count = 0
+        self._latest: collections.deque[float] = collections.deque(maxlen=LATEST)
 
-    def add(self, took_s: float) -> None:
+    def add(self, took: float) -> None:
         """Take an answer of the stable version."""
-        self.count += 1
-        weight = max(TIME_WEIGHT, 1 / self.count)
-        self.mean_s += weight * (took_s - self.mean_s)
+        self._latest.append(took)
 
-    def is_slow(self, took_s: float) -> bool:
-        """Whether a time is far above the mean; never before there are some."""
-        if self.count < MIN_TIMES:
-            return False
-        return is_slow(took_s, self.mean_s)
+    @property
+    def usual(self) -> float | None:
+        """The time of the faster answers; ``None`` before there are some."""
+        times = sorted(self._latest)
+        if len(times) < MIN_TIMES:
+            return None
+        return times[int(FAST_SHARE * len(times))]
 
 
 class Judged(typing.NamedTuple):
-    """What an answer says of its version.
+    """What a send says of its version.
 
     :param took_s: seconds to its first part; ``None`` where that tells nothing.
-    :param expected_s: what the stable version would have taken, where that is known;
-        otherwise it is compared with the mean of its kind.
+    :param expected_s: what the stable version would have taken by its queue, where
+        that is known.
+    :param is_open: whether there is no answer yet, so that it speaks only if it is late
+        already.
     """
 
     failed: bool
     took_s: float | None
     expected_s: float | None = None
+    is_open: bool = False
+
+    @property
+    def took(self) -> float | None:
+        """The time by which paces are kept."""
+        if self.took_s is None or self.expected_s is None:
+            return self.took_s
+        return self.took_s / max(1e-3, self.expected_s)
 
-    def slow(self, usual: Pace) -> bool:
+    def slow(self, pace: Pace) -> bool:
         """Whether it took far longer than the stable version takes."""
         if self.took_s is None:
             return False
-        if self.expected_s is None:
-            return usual.is_slow(self.took_s)
-        return is_slow(self.took_s, self.expected_s)
-
-
-def is_slow(took_s: float, usual_s: float) -> bool:
-    """Whether a time is far above what is usual."""
-    return took_s > max(SLOW_TIMES * usual_s, usual_s + SLOW_FLOOR_S)
+        usual = pace.usual
+        if self.expected_s is not None:
+            # Before there are answers to compare with, what was expected stands.
+            usual_s = self.expected_s * (1.0 if usual is None else usual)
+        elif usual is None:
+            return False
+        else:
+            usual_s = usual
+        return self.took_s > max(SLOW_TIMES * usual_s, usual_s + SLOW_FLOOR_S)
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -429,24 +429,30 @@
         """Count an answer for or against its version.
 
         :param pace: the answers whose times are alike, such as a route and a model.
-        :returns: what is held against a version that is being brought in; empty for
-            nothing.
+        :returns: what it holds against its version; empty for nothing.
         """
         rollout = self._by_service.get(service)
-        times = self._paces.setdefault(
-            (service, f"{route}/{pace}"), rollout_pace.Pace()
-        )
+        # Times and multiples of what was expected are not to be compared.
+        kind = "multiple" if answer.expected_s is not None else "seconds"
+        key = service, f"{route}/{pace}/{kind}"
+        times = self._paces.setdefault(key, rollout_pace.Pace())
         is_new = rollout is not None and version == rollout.order.to_version
         slow = answer.slow(times)
-        if answer.took_s is not None and not is_new and not answer.failed:
-            times.add(answer.took_s)
-        if rollout is None or rollout.state is not State.RUNNING:
+        if answer.is_open and not slow:
             return ""
-        self._count(rollout, route, is_new, answer.failed or slow)
-        if not is_new:
-            return ""
-        self._judge(rollout)
-        return "failed" if answer.failed else "slow" if slow else ""
+        if answer.took is not None and not is_new and not answer.failed:
+            times.add(answer.took)
+        against = "failed" if answer.failed else "slow" if slow else ""
+        if rollout is not None and rollout.state is State.RUNNING:
+            self._count(rollout, route, is_new, bool(against))
+            if is_new:
+                self._judge(rollout)
+        return against
+
+    def is_judged(self, service: str) -> bool:
+        """Whether answers of a service are evidence now."""
+        rollout = self._by_service.get(service)
+        return rollout is not None and rollout.state is State.RUNNING
 
     def is_unproved(self, service: str, version: str) -> bool:
         """Whether a version is being brought in."""
--- a/gaprock/test/testunstopped.py
+++ b/gaprock/test/testunstopped.py
@@ -13,10 +13,10 @@
 trouble had raised.  And whether the version's last answers were bad was not asked when
 the outcome was written.
 
-The evidence.  With callers that leave after half a second and a version that takes eight
-times as long, 384 of 881 requests of the rollout's time got it where 162 were allowed;
-447 broke a bound.  With half of the endpoints six times slower, 89 did.  A version that
-fails from the 15th of 24 seconds on: 14 answers had failed within a second
+The evidence.  With callers that leave after half a second and a version that takes
+eight times as long, 384 of 881 requests of the rollout's time got it where 162 were
+allowed; 447 broke a bound.  With half of the endpoints six times slower, 89 did.  A
+version that fails from the 15th of 24 seconds on: 14 answers had failed within a second
 (``version-bad-answer``) when *completed* was written half a second later; 63.
 """
 
@@ -35,21 +35,16 @@
 AT_A_TIME: typing.Final = 10
 
 
-def leave(site: gatewaysite.GatewaySite, fake: backend.Backend, data: bytes) -> None:
-    """Make a request and leave when it has run for a while without an answer."""
-    with site.connect() as sock:
-        seen = len(fake.seen)
-        sock.sendall(data)
-        gatewaysite.wait_until(lambda: len(fake.seen) > seen, "it runs")
-        steady.sleep(0.5)
+# A caller waits so long, seconds.
+WAIT_S: typing.Final = 0.5
 
 
-def ask_in_vain(
-    site: gatewaysite.GatewaySite, fake: backend.Backend, request: str, leaves: bool
-) -> None:
-    """Make a request that gets no answer."""
+def ask_in_vain(site: gatewaysite.GatewaySite, request: str, leaves: bool) -> None:
+    """Make a request that gets no answer in its time, or until its caller leaves."""
     if leaves:
-        leave(site, fake, site.request("/unsafe/x", X_Request_Id=request))
+        with site.connect() as sock:
+            sock.sendall(site.request("/unsafe/x", X_Request_Id=request))
+            steady.sleep(WAIT_S)
     else:
         site.call("/unsafe/x", X_Request_Id=request, X_Deadline_Ms="500")
 
@@ -75,7 +70,7 @@
         requests = on_new()[:ASKED]
         for first in range(0, ASKED, AT_A_TIME):
             threads = [
-                threading.Thread(target=ask_in_vain, args=(site, fake, one, leaves))
+                threading.Thread(target=ask_in_vain, args=(site, one, leaves))
                 for one in requests[first : first + AT_A_TIME]
             ]
             for thread in threads:
