--- a/gaprock/test/testunstopped.py
+++ b/gaprock/test/testunstopped.py
@@ -108,3 +108,53 @@
 
 def test_a_version_that_is_as_slow_as_the_old_one_goes_on() -> None:
     assert not is_stopped_beside_slow_ones(HALF_SLOW)
+
+
+def answers(book: rollouts.Rollouts, version: str, bad: int, good: int) -> None:
+    for number in range(bad + good):
+        answer = rollout_pace.Judged(number < bad, 0.1)
+        book.judge_answer("llm", version, "r1", "m", answer)
+
+
+def moved_with_doubt(time: clock.ManualClock) -> rolloutcase.WriterCase:
+    """Bring a rollout to its end with some bad answers just before it."""
+    case = rolloutcase.WriterCase(time)
+    case.store.answers = [8, 9, 10]
+    case.book.take_order(rolloutcase.order(24.0), 7, time.now())
+    case.writer.step()
+    answers(case.book, "v1", 0, 100)
+    answers(case.book, "v2", 0, 100)
+    time.advance(17.3)
+    case.writer.step()
+    answers(case.book, "v2", 5, 2)
+    assert not case.book.all()[0].halted
+    time.advance(2.5)
+    case.writer.step()
+    return case
+
+
+def test_a_version_in_doubt_is_not_completed() -> None:
+    time = clock.ManualClock(100.0)
+    case = moved_with_doubt(time)
+    assert case.written() == ["running"]
+    answers(case.book, "v2", 8, 2)
+    time.advance(0.2)
+    case.writer.step()
+    assert case.written() == ["running", "rolled_back"]
+
+
+def test_a_version_whose_doubt_is_over_is_completed() -> None:
+    time = clock.ManualClock(100.0)
+    case = moved_with_doubt(time)
+    answers(case.book, "v2", 0, 30)
+    time.advance(0.2)
+    case.writer.step()
+    assert case.written() == ["running", "completed"]
+
+
+def test_a_version_that_is_still_in_doubt_at_the_end_is_not_completed() -> None:
+    time = clock.ManualClock(100.0)
+    case = moved_with_doubt(time)
+    time.advance(24.0 - rollouts.WRITE_BEFORE_S - 19.8 + 0.1)
+    case.writer.step()
+    assert case.written() == ["running", "rolled_back"]
