Complete no version whose latest answers speak against it

Cause: the outcome was written when all traffic had moved and nothing ran on the old version, whatever the latest answers were; after it nothing can stop a version. A guard now also tells a doubt, from the same sums as a halt but at 100 to one instead of ten million; a version in doubt waits, and one that is in doubt when its time ends is rolled back.

--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -277,6 +277,13 @@
         """
         raise NotImplementedError
 
+    def is_doubted(self, version: str) -> bool:
+        """Whether the evidence speaks against a version, but not enough to stop it.
+
+        As of the last ``is_bad``.
+        """
+        return False
+
 
 class Move(typing.NamedTuple):
     """An order that placement asks for."""
--- a/gaprock/policy_guard.py
+++ b/gaprock/policy_guard.py
@@ -19,6 +19,10 @@
 ERROR_CHANCE: typing.Final = 0.005
 # Log of the mean number of good answers between two false stops of the CUSUM.
 CUSUM_LIMIT: typing.Final = math.log(1e7)
+# The same for a doubt, which lasts until good answers have outweighed the bad ones.  A
+# version is not made the only one meanwhile: with 14 of the answers of its last second
+# bad it was, and then nothing could stop it (``testunstopped``).
+DOUBT_LIMIT: typing.Final = math.log(100)
 # A version may be worse than the stable one by this much.
 TOLERANCE: typing.Final = 0.03
 # The stable version's rate is taken at this many standard deviations above.
@@ -97,6 +101,10 @@
         from_start = log_mean(log_ratios(seen, bound))
         return from_start > -math.log(ERROR_CHANCE) or highest > CUSUM_LIMIT
 
+    def is_doubted(self, version: str) -> bool:
+        record = self._records.get(version)
+        return record is not None and max(record.sums) > DOUBT_LIMIT
+
 
 @plugin.register(policy_api.Guard, "fixed-window")
 class FixedWindow(policy_api.Guard):
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -68,26 +68,36 @@
         """Give the state that the row should show."""
         if rollout.written in (rollouts.State.COMPLETED, rollouts.State.ROLLED_BACK):
             return None
+        if self._has_moved(rollout, now):
+            if not self._rollouts.is_doubted(rollout):
+                return rollouts.State.COMPLETED
+            if now >= self._latest(rollout):
+                self._rollouts.halt(
+                    rollout.order.service, rollout.revision, "in doubt at the end"
+                )
         if rollout.halted:
             return rollouts.State.ROLLED_BACK
-        if self._is_complete(rollout, now):
-            return rollouts.State.COMPLETED
         if rollout.written is None and self._store_clock.is_known:
             return rollouts.State.RUNNING
         # Its start is written with it, and a start by a clock that is not the store's
         # makes the rollout as old as the clocks differ for every gateway to come.
         return None
 
-    def _is_complete(self, rollout: rollouts.Rollout, now: float) -> bool:
+    def _has_moved(self, rollout: rollouts.Rollout, now: float) -> bool:
         """Whether all traffic has moved and nothing runs on the old version."""
         if self._rollouts.share(rollout) < 1.0:
             self._moved.pop(rollout.revision, None)
             return False
         moved_at = self._moved.setdefault(rollout.revision, now)
-        latest = rollout.started_at + rollout.order.finish_s - rollouts.WRITE_BEFORE_S
         if now < moved_at + rollouts.SETTLE_S:
             return False
-        return now >= latest or not self._mesh.on_old_version(rollout.order.service)
+        service = rollout.order.service
+        return now >= self._latest(rollout) or not self._mesh.on_old_version(service)
+
+    def _latest(self, rollout: rollouts.Rollout) -> float:
+        """Give when the outcome is due at the latest."""
+        due_at = rollout.started_at + rollout.order.finish_s
+        return due_at - rollouts.WRITE_BEFORE_S
 
     def _write(self, rollout: rollouts.Rollout, state: rollouts.State) -> None:
         service = rollout.order.service
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -480,11 +480,22 @@
             if route:
                 self._routes.setdefault(label, set()).add(route)
 
+    def is_doubted(self, rollout: Rollout) -> bool:
+        """Whether the latest evidence speaks against a version, as of the last look."""
+        with self._lock:
+            return any(
+                self._guard.is_doubted(f"{rollout.label}{tail}")
+                for tail in self._tails(rollout)
+            )
+
+    def _tails(self, rollout: Rollout) -> list[str]:
+        """Give what evidence is kept under: the whole, and each route."""
+        return ["", *(f"/{r}" for r in sorted(self._routes.get(rollout.label, ())))]
+
     def _judge(self, rollout: Rollout) -> None:
         if rollout.state is not State.RUNNING or rollout.halted:
             return
-        tails = [""] + [f"/{r}" for r in sorted(self._routes.get(rollout.label, ()))]
-        for tail in tails:
+        for tail in self._tails(rollout):
             new = self._evidence.totals(f"{rollout.label}/new{tail}")
             old = self._evidence.totals(f"{rollout.label}/old{tail}")
             with self._lock:
