Tell an endpoint's lives apart, and use no row that another writer left

An endpoint may start again under its id: born, where it says it, names its life. When it changes, the directory begins a new endpoint; maps by id or address that were looked through: the directory's endpoints, its prompts to be told, loads, dark and doubted marks in beats and summaries of halls (all by life now), a call's endpoints that are not asked again (by life), the chooser's prompts and the narrowed names (within one choice), an attempt's endpoint (the life it was sent to). Connections are not kept, paces are a service's, evidence goes by version. Sends to the earlier life end at their next look, as failed, never as not run; a stream goes on as a new run.

A row that lacks a field, has one of another type or out of range, or cannot be read, is odd: it names nothing, an endpoint's earlier row under that key ends, all others hold. One line a key in ten seconds, and a figure by table. Found with it: a document nested deeper than the interpreter's stack raised what nobody caught, in the followers and in the reading of our own rows, after which no table was followed.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -57,7 +57,9 @@
         self._clock = clock_
         self._drain_s = drain_s
         self._lock = threading.Lock()
+        # The present life of each endpoint, by its id and by the life's name.
         self._endpoints: dict[str, endpoint_state.Endpoint] = {}
+        self._lives: dict[str, endpoint_state.Endpoint] = {}
         # Until when missing rows are taken for lapsed ones.
         self._lapses_until = 0.0
         self._rng = random.Random()
@@ -109,12 +111,16 @@
             for name, endpoint in list(self._endpoints.items()):
                 idle = endpoint.row_gone and not endpoint.running
                 if idle and now > endpoint.leave_at + self._drain_s:
-                    del self._endpoints[name]
+                    del self._endpoints[name], self._lives[endpoint.life]
 
     def _update(self, name: str, row: gateway_api.EndpointRow) -> None:
         endpoint = self._endpoints.get(name)
+        if endpoint is not None and endpoint.row.born != row.born:
+            self._end_life(endpoint, row.born)
+            endpoint = None
         if endpoint is None:
             endpoint = self._endpoints[name] = endpoint_state.Endpoint(name, row)
+            self._lives[endpoint.life] = endpoint
             eventlog.info(
                 "endpoint-new",
                 endpoint=name,
@@ -134,6 +140,21 @@
             endpoint.leave_at = clock.NEVER
             eventlog.info("endpoint-back", endpoint=name)
 
+    def _end_life(self, endpoint: endpoint_state.Endpoint, born: int) -> None:
+        """Forget an endpoint that has started again.
+
+        Sends to it go on with what they have, and end as soon as they look.
+        """
+        endpoint.is_over = True
+        del self._lives[endpoint.life]
+        eventlog.info(
+            "endpoint-reborn",
+            endpoint=endpoint.name,
+            born=born,
+            before=endpoint.row.born,
+            running=endpoint.running,
+        )
+
     def _row_gone(self, endpoint: endpoint_state.Endpoint) -> None:
         if endpoint.row_gone:
             return
@@ -170,7 +191,7 @@
                 e
                 for e in self._endpoints.values()
                 if e.row.service == service
-                and e.name not in excluded
+                and e.life not in excluded
                 and now < e.leave_at
             ]
         staying = [e for e in live if e.leave_at == clock.NEVER or e.lapsed]
@@ -231,7 +252,7 @@
             endpoint.backlog.remove(prompt.reading, self._clock.now())
             if prompt.marks:
                 self._use(endpoint, prompt.marks)
-                self._prompts.append((endpoint.name, prompt.marks))
+                self._prompts.append((endpoint.life, prompt.marks))
                 self._prompt_count += 1
 
     def drop(
@@ -273,6 +294,15 @@
             endpoint.looked_at = now
             return True
 
+    def claim_check(self, endpoint: endpoint_state.Endpoint) -> bool:
+        """Whether an endpoint that broke an answer off is to be looked at now."""
+        now = self._clock.now()
+        with self._lock:
+            if now < endpoint.looked_at + LOOK_EVERY_S:
+                return False
+            endpoint.looked_at = now
+            return True
+
     def answered(self, endpoint: endpoint_state.Endpoint, failed: bool) -> None:
         """Note an answer, or the lack of one that the endpoint is to blame for."""
         with self._lock:
@@ -324,7 +354,7 @@
         """Give what we have at each endpoint."""
         with self._lock:
             return {
-                e.name: endpoint_state.Load(e.running, round(e.backlog.own))
+                e.life: endpoint_state.Load(e.running, round(e.backlog.own))
                 for e in self._endpoints.values()
                 if e.running
             }
@@ -343,21 +373,21 @@
         if not mechanisms.TOLD_PROMPTS.on:
             return
         with self._lock:
-            for name, marks in prompts:
-                endpoint = self._endpoints.get(name)
+            for life, marks in prompts:
+                endpoint = self._lives.get(life)
                 if endpoint is not None:
                     self._use(endpoint, marks)
 
     def dark(self) -> list[str]:
         """Give the endpoints that we find dark."""
         with self._lock:
-            return sorted(e.name for e in self._endpoints.values() if e.is_dark)
+            return sorted(e.life for e in self._endpoints.values() if e.is_dark)
 
     def found_dark(self, gateways: typing.Collection[str]) -> list[str]:
         """Give the endpoints that we or some others, by their names, find dark."""
         with self._lock:
             return sorted(
-                e.name
+                e.life
                 for e in self._endpoints.values()
                 if e.is_dark or not e.doubters.isdisjoint(gateways)
             )
@@ -365,11 +395,11 @@
     def doubted(self) -> list[str]:
         """Give the endpoints that anybody finds dark."""
         with self._lock:
-            found = [e.name for e in self._endpoints.values() if e.doubters]
+            found = [e.life for e in self._endpoints.values() if e.doubters]
         return sorted(found)
 
     def take_dark(self, gateway: str, names: typing.Collection[str]) -> None:
-        """Take the endpoints that another gateway finds dark."""
+        """Take the endpoints that another gateway finds dark, by their lives."""
         if not mechanisms.DOUBTED.on:
             return
         now = self._clock.now()
@@ -378,11 +408,11 @@
             found: dict[str, int] = collections.Counter()
             for endpoint in self._endpoints.values():
                 sizes[endpoint.row.service] += 1
-                found[endpoint.row.service] += endpoint.name in names
+                found[endpoint.row.service] += endpoint.life in names
             for endpoint in self._endpoints.values():
                 service = endpoint.row.service
                 likely = found[service] <= max(1, DARK_SHARE * sizes[service])
-                if endpoint.name not in names or not likely:
+                if endpoint.life not in names or not likely:
                     endpoint.doubters.discard(gateway)
                 elif gateway not in endpoint.doubters:
                     if not endpoint.doubters:
@@ -401,13 +431,13 @@
         )
 
     def take_loads(self, gateway: str, loads: dict[str, endpoint_state.Load]) -> None:
-        """Take another gateway's requests by endpoint."""
+        """Take another gateway's requests by the endpoints' lives."""
         if not mechanisms.TOLD_LOADS.on:
             return
         now = self._clock.now()
         with self._lock:
             for endpoint in self._endpoints.values():
-                load = loads.get(endpoint.name)
+                load = loads.get(endpoint.life)
                 endpoint.backlog.take(gateway, load.reading if load else 0.0, now)
                 if load is not None:
                     endpoint.others[gateway] = load
--- a/gaprock/endpoint_state.py
+++ b/gaprock/endpoint_state.py
@@ -39,11 +39,13 @@
 
 
 class Endpoint:
-    """One endpoint; its numbers are guarded by the directory's lock."""
+    """One life of an endpoint; its numbers are guarded by the directory's lock."""
 
     __slots__ = (
         "name",
+        "life",
         "row",
+        "is_over",
         "leave_at",
         "row_gone",
         "lapsed",
@@ -66,7 +68,12 @@
 
     def __init__(self, name: str, row: gateway_api.EndpointRow) -> None:
         self.name = name
+        # The name of this life among gateways: one that starts again under its id
+        # knows nothing of before, and nothing that is told of before is true of it.
+        self.life = f"{name}@{row.born}" if row.born else name
         self.row = row
+        # Whether it has started again since.
+        self.is_over = False
         # When it stops being used; ``NEVER`` while it is not leaving.
         self.leave_at = clock.NEVER
         # Whether its row is missing from the store.
--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -139,6 +139,7 @@
     """An endpoint as it reports itself.
 
     :param version: of its software; what rollouts change.
+    :param born: its start, Unix milliseconds; 0 if it does not say.
     """
 
     service: str
@@ -148,6 +149,7 @@
     version: str
     slots: int
     draining: bool
+    born: int = 0
 
 
 class RolloutOrder(typing.NamedTuple):
--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -115,7 +115,7 @@
         self.session = info.session or _last_part(info) or info.request
         own = workspace.priority if workspace else None
         self.urgency = route.priority if own is None else own
-        # Endpoints that it was sent to, and those that are not asked again.
+        # Sends so far, and the lives of endpoints that are not asked again.
         self.sends = 0
         self.excluded: set[str] = set()
         # Whether an endpoint may have begun to run it.
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -27,6 +27,7 @@
         "store_connected",
         "store_proof_age",
         "store_calls",
+        "odd_rows",
     )
 
     def __init__(self) -> None:
@@ -93,6 +94,12 @@
             ["kind", "table"],
             registry=registry,
         )
+        self.odd_rows = prometheus_client.Gauge(
+            "gaprock_odd_rows",
+            "Rows that could not be used since the start, by table",
+            ["table"],
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Give the text of all metrics."""
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -226,10 +226,13 @@
 
     def _make_followers(self) -> list[followers.Follower]:
         tables = self.dialect.tables
-        endpoint_rows = gateway_rows.EndpointRows(self.dialect, self.directory)
+        endpoint_rows = gateway_rows.EndpointRows(
+            self.clock, self.dialect, self.directory
+        )
         outcome_rows = gateway_rows.OutcomeRows(
-            self.dialect, self.rollouts, self.writer
+            self.clock, self.dialect, self.rollouts, self.writer
         )
+        self._odd = [self.orders.odd, endpoint_rows.odd, outcome_rows.odd]
         gather_s = GATHER_SHARE * self.cfg.bounds.drain_s
         cfg = self.cfg
         return [
@@ -366,6 +369,8 @@
         table = self.orders.table
         self.metrics.config_number.set(table.number if table else 0)
         self.metrics.log_lines_dropped.set(eventlog.dropped_lines())
+        for odd in self._odd:
+            self.metrics.odd_rows.labels(odd.table).set(odd.count)
         for follower in self.followers:
             gauge = self.metrics.store_connected.labels(follower.table)
             gauge.set(follower.connected)
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -120,7 +120,7 @@
             eventlog.warning("own-rows", error=exc)
             return False
         self._store_clock.note(page.store_now, asked_at, self._clock.now())
-        own = gateway_rows.OwnRows(page, self._store_clock)
+        own = gateway_rows.OwnRows(self._clock, page, self._store_clock)
         self._is_announced = (
             self._is_announced or own.peers.get(self._name) == self._row
         )
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -150,8 +150,8 @@
                 reason = self._sender.lost_reason(
                     call, source.attempt, heard_at, patience_s
                 )
-                is_late = reason == gateway_attempt.DEADLINE
-                if is_late or reason and sends.may_repeat(call):
+                is_final = reason in gateway_attempt.FINAL
+                if is_final or reason and sends.may_repeat(call):
                     raise gateway_source.Broken(reason) from exc
 
     def _fails_over(
@@ -165,7 +165,7 @@
         self._judge.answered(call, attempt, failed)
         if not failed or not sends.may_repeat(call):
             return False
-        call.excluded.add(attempt.endpoint.name)
+        call.excluded.add(attempt.endpoint.life)
         attempt.finish(self.directory)
         sends.take_repeat(call, f"status {attempt.head.status}")
         return True
@@ -274,7 +274,7 @@
         reason = self._sender.lost_reason(call, source.attempt, heard_at, patience_s)
         if not reason:
             return
-        if reason == gateway_attempt.DEADLINE:
+        if reason in gateway_attempt.FINAL:
             raise _Stopped(reason, last) from exc
         if last is not None and sends.may_repeat(call):
             raise _Stopped(reason, last) from exc
@@ -305,7 +305,7 @@
                 )
                 return gateway_source.Source(attempt, self._clock, self.directory)
             attempt.finish(self.directory)
-            call.excluded.add(attempt.endpoint.name)
+            call.excluded.add(attempt.endpoint.life)
             detail = f"status {attempt.head.status}"
         return None
 
@@ -313,7 +313,7 @@
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, detail: str
     ) -> None:
         if detail != gateway_attempt.DEADLINE:
-            call.excluded.add(attempt.endpoint.name)
+            call.excluded.add(attempt.endpoint.life)
         if detail == gateway_attempt.DEADLINE:
             self._judge.waits(call, attempt)
             self.directory.answered(attempt.endpoint, failed=True)
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -1,6 +1,6 @@
 """Takes the rows of the shared store into force: routes, endpoints, rollouts.
 
-A row that cannot be decoded is logged with the reason and changes nothing.
+A row that cannot be decoded names nothing (``odd_rows``).
 """
 
 import typing
@@ -13,6 +13,7 @@
     eventlog,
     freshness,
     gateway_api,
+    odd_rows,
     rollout_writer,
     rollouts,
     routes,
@@ -31,6 +32,7 @@
         self._clock = clock_
         self._dialect = dialect
         self._rollouts = rollouts_
+        self.odd = odd_rows.OddRows("orders", clock_)
         # The configuration in force; ``None`` before the first one.
         self.table: routes.RouteTable | None = None
         # Starts of rollouts that were found in the store, by (service, revision).
@@ -44,7 +46,7 @@
             try:
                 self._take(row, row.value)
             except gateway_api.InvalidDocument as exc:
-                eventlog.warning("invalid-row", key=row.key, error=exc)
+                self.odd.note(row, exc)
 
     def _take(self, row: gateway_api.Row, value: bytes) -> None:
         table = self._dialect.route_table(row.key, value)
@@ -78,13 +80,17 @@
 class EndpointRows:
     """The endpoints' rows."""
 
-    __slots__ = ("_dialect", "_directory")
+    __slots__ = ("_dialect", "_directory", "odd")
 
     def __init__(
-        self, dialect: gateway_api.Dialect, directory_: directory.Directory
+        self,
+        clock_: clock.Clock,
+        dialect: gateway_api.Dialect,
+        directory_: directory.Directory,
     ) -> None:
         self._dialect = dialect
         self._directory = directory_
+        self.odd = odd_rows.OddRows("endpoints", clock_)
 
     def take_page(self, page: gateway_api.Page, whole: bool) -> None:
         """Take changed rows, or the whole table."""
@@ -96,7 +102,9 @@
             try:
                 found[row.key] = self._dialect.endpoint(row.key, row.value)
             except gateway_api.InvalidDocument as exc:
-                eventlog.warning("invalid-row", key=row.key, error=exc)
+                self.odd.note(row, exc)
+                # What stood there before is written over: it names nothing any more.
+                self._directory.update(row.key, None)
         if whole:
             self._directory.replace(found)
             return
@@ -107,10 +115,11 @@
 class OutcomeRows:
     """The rows that tell what became of rollouts."""
 
-    __slots__ = ("_dialect", "_rollouts", "_writer")
+    __slots__ = ("_dialect", "_rollouts", "_writer", "odd")
 
     def __init__(
         self,
+        clock_: clock.Clock,
         dialect: gateway_api.Dialect,
         rollouts_: rollouts.Rollouts,
         writer: rollout_writer.RolloutWriter,
@@ -118,6 +127,7 @@
         self._dialect = dialect
         self._rollouts = rollouts_
         self._writer = writer
+        self.odd = odd_rows.OddRows("outcomes", clock_)
 
     def take_page(self, page: gateway_api.Page, whole: bool) -> None:
         """Take changed rows."""
@@ -126,27 +136,31 @@
                 continue
             try:
                 self._take(row, row.value)
-            except (gateway_api.InvalidDocument, ValueError) as exc:
-                eventlog.warning("invalid-row", key=row.key, error=exc)
+            except gateway_api.InvalidDocument as exc:
+                self.odd.note(row, exc)
 
     def _take(self, row: gateway_api.Row, value: bytes) -> None:
         found = self._dialect.outcome(row.key, value)
         if found is None:
             return
-        service, version, state = found
+        service, version, name = found
+        state = rollouts.STATES.get(name)
+        if state is None:
+            raise gateway_api.InvalidDocument(f"no such state: {name!r}")
         known = self._writer.row_versions.get(service, 0)
         self._writer.row_versions[service] = max(known, row.version)
-        outcome = rollouts.Outcome(version, rollouts.State(state), row.version)
+        outcome = rollouts.Outcome(version, state, row.version)
         self._rollouts.take_outcome(service, outcome)
 
 
 PEER_PREFIX: typing.Final = "peer/"
+PEER_ADDRESS: typing.Final = r"^tcp://[^/\s:]+:[0-9]{1,5}$"
 
 
 class PeerRow(msgspec.Struct):
     """Where a gateway takes messages, and the hall where it stands."""
 
-    address: str
+    address: typing.Annotated[str, msgspec.Meta(pattern=PEER_ADDRESS)]
     hall: str = ""
 
 
@@ -156,8 +170,12 @@
     __slots__ = ("peers", "starts")
 
     def __init__(
-        self, page: gateway_api.Page, store_clock: freshness.StoreClock
+        self,
+        clock_: clock.Clock,
+        page: gateway_api.Page,
+        store_clock: freshness.StoreClock,
     ) -> None:
+        odd = odd_rows.OddRows("own", clock_)
         # By the gateways' names.
         self.peers: dict[str, PeerRow] = {}
         self.starts: dict[tuple[str, int], float] = {}
@@ -166,15 +184,15 @@
                 continue
             try:
                 self._take(row.key, row.value, store_clock)
-            except msgspec.DecodeError as exc:
-                eventlog.warning("invalid-row", key=row.key, error=exc)
+            except gateway_api.InvalidDocument as exc:
+                odd.note(row, exc)
 
     def _take(self, key: str, value: bytes, store_clock: freshness.StoreClock) -> None:
         if key.startswith(PEER_PREFIX):
             name = key[len(PEER_PREFIX) :]
-            self.peers[name] = msgspec.json.decode(value, type=PeerRow)
+            self.peers[name] = odd_rows.decode(PeerRow, value)
         elif key.startswith(rollout_writer.START_PREFIX):
-            start = msgspec.json.decode(value, type=rollout_writer.StartRow)
+            start = odd_rows.decode(rollout_writer.StartRow, value)
             service = key[len(rollout_writer.START_PREFIX) :]
             # Too late a start is put right by the next beat, too early a one never is.
             started_at = store_clock.latest(start.started)
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -99,7 +99,7 @@
             attempt.exchange.connect(min(call.deadline, now + CONNECT_S))
         except http_exchange.Unreachable as exc:
             self._directory.unreachable(attempt.endpoint, str(exc))
-            call.excluded.add(attempt.endpoint.name)
+            call.excluded.add(attempt.endpoint.life)
             raise gateway_attempt.NotRun(f"unreachable: {exc}") from exc
 
     def _hand_over(
@@ -142,7 +142,7 @@
                 self._look(call, attempt, may_give_up)
             except http_exchange.Broken as exc:
                 call.has_run = True
-                call.excluded.add(endpoint.name)
+                call.excluded.add(endpoint.life)
                 self.note_break(call, attempt)
                 raise gateway_attempt.Failed(str(exc)) from exc
         self._directory.heard(endpoint)
@@ -196,7 +196,7 @@
         if not reason:
             return
         call.has_run = True
-        call.excluded.add(attempt.endpoint.name)
+        call.excluded.add(attempt.endpoint.life)
         self._directory.answered(attempt.endpoint, failed=True)
         raise gateway_attempt.Failed(reason)
 
@@ -209,9 +209,8 @@
     ) -> str:
         """Say why not to wait on for a silent endpoint; empty to wait on."""
         reason = self.lost_reason(call, attempt, heard_at, self._patience(call))
-        if reason != gateway_attempt.DEADLINE and not may_give_up():
-            return ""
-        return reason
+        is_final = reason in gateway_attempt.FINAL
+        return reason if is_final or may_give_up() else ""
 
     def _patience(self, call: gateway_call.Call) -> float:
         """Give the seconds after which a live endpoint has lost a call."""
@@ -235,6 +234,8 @@
         endpoint = attempt.endpoint
         if now >= call.deadline:
             return gateway_attempt.DEADLINE
+        if endpoint.is_over:
+            return gateway_attempt.STARTED_AGAIN
         if endpoint.is_dark or self._is_dark_now(attempt):
             return "endpoint unreachable"
         is_full = endpoint.load > FREE_FILL * endpoint.row.slots
@@ -255,7 +256,7 @@
 
     def _lives(self, endpoint: endpoint_state.Endpoint) -> bool:
         """Whether an endpoint was just seen to take a connection."""
-        return self._directory.claim_look(endpoint) and self._connects(endpoint)
+        return self._directory.claim_check(endpoint) and self._connects(endpoint)
 
     def _connects(self, endpoint: endpoint_state.Endpoint) -> bool:
         look = http_exchange.Exchange(
@@ -264,7 +265,7 @@
         try:
             look.connect(self._clock.now() + LOOK_CONNECT_S)
         except http_exchange.Unreachable as exc:
-            self._directory.unreachable(endpoint, f"silent, and {exc}")
+            self._directory.unreachable(endpoint, f"silent or broke off, and {exc}")
             return False
         finally:
             look.close()
@@ -276,7 +277,7 @@
         """Sort out answers that are refusals, or not answers to this call."""
         head, endpoint = attempt.head, attempt.endpoint
         if head.not_run:
-            call.excluded.add(endpoint.name)
+            call.excluded.add(endpoint.life)
             # A model that the caller named may be what the endpoint refuses.
             ours = bool(attempt.model) or not call.route.models
             if head.wrong_endpoint and ours:
@@ -286,7 +287,7 @@
         wrong = head.echo and head.echo != call.info.request
         unsigned = head.status < 300 and not head.signed
         if wrong or unsigned or head.encoded:
-            call.excluded.add(endpoint.name)
+            call.excluded.add(endpoint.life)
             self._directory.answered(endpoint, failed=True)
             raise gateway_attempt.Failed("not an answer to this request")
 
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -220,7 +220,7 @@
                 kept = (attempt.head, body)
                 bad = attempt.head.status >= gateway_attempt.SERVER_ERROR
                 if bad and self.may_repeat(call):
-                    call.excluded.add(attempt.endpoint.name)
+                    call.excluded.add(attempt.endpoint.life)
                     self.take_repeat(call, f"status {attempt.head.status}")
                     continue
             head, body = kept
@@ -337,7 +337,7 @@
         try:
             body = self._sender.read_whole(call, attempt, lambda: self.may_repeat(call))
         except gateway_attempt.Failed:
-            call.excluded.add(attempt.endpoint.name)
+            call.excluded.add(attempt.endpoint.life)
             raise
         finally:
             attempt.finish(self._relay.directory)
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -143,7 +143,13 @@
 
     def _connect(self, context: typing.Any, address: str) -> typing.Any:
         sock = push_socket(context)
-        sock.connect(address)
+        try:
+            sock.connect(address)
+        except zmq.ZMQError as exc:
+            # An address that somebody else wrote; the talk with all others goes on.
+            eventlog.warning("peer-address", address=address, error=exc)
+            sock.close(linger=0)
+            return None
         return sock
 
     # -- Whom we speak to --
--- a/gaprock/platform/documents.py
+++ b/gaprock/platform/documents.py
@@ -3,11 +3,13 @@
 The structs name the fields as the platform spells them; unknown fields are ignored.
 """
 
+import socket
+import time
 import typing
 
 import msgspec
 
-from gaprock import gateway_api, routes
+from gaprock import gateway_api, odd_rows, routes
 
 CONFIG_KEY: typing.Final = "config"
 ROLLOUT_PREFIX: typing.Final = "rollout/"
@@ -17,7 +19,15 @@
     "streaming": routes.RouteKind.STREAM,
 }
 DRAINING: typing.Final = "draining"
-D = typing.TypeVar("D")
+# More slots or a later start than these are nobody's, milliseconds for the start: our
+# time of day and theirs differ by seconds.
+MAX_SLOTS: typing.Final = 1_000_000
+MAX_AHEAD_MS: typing.Final = 24 * 3600 * 1000
+MAX_PORT: typing.Final = 65_535
+DOTS: typing.Final = 3
+# A rollout's time, seconds.
+MAX_FINISH_S: typing.Final = 7 * 24 * 3600
+Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class BackendDoc(msgspec.Struct, frozen=True):
@@ -84,22 +94,27 @@
 
 
 class ServerDoc(msgspec.Struct, frozen=True):
-    """An endpoint; ``Version`` is that of its software."""
+    """An endpoint; ``Version`` is that of its software.
 
-    Service: str
+    Endpoints write all of this, but for ``born``, which not all of them have.  Whatever
+    lacks a field or has another type was written by somebody else.
+    """
+
+    Service: Text
     Addr: str
-    Zone: str = ""
-    Version: str = ""
-    Slots: int = 1
-    State: str = "ready"
+    Zone: str
+    Version: str
+    Slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    State: typing.Literal["ready", "draining"]
+    born: typing.Annotated[int, msgspec.Meta(ge=1)] = 0
 
 
 class RolloutDoc(msgspec.Struct, frozen=True):
     """An operator's order; ``FinishByS`` counts from the order."""
 
-    Service: str
-    ToVersion: str
-    FinishByS: float
+    Service: Text
+    ToVersion: Text
+    FinishByS: typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_FINISH_S)]
 
 
 class OutcomeDoc(msgspec.Struct, frozen=True):
@@ -107,20 +122,9 @@
     State: str
 
 
-def decode(kind: type[D], value: bytes) -> D:
-    """Decode a document.
-
-    :raises gateway_api.InvalidDocument: naming the field.
-    """
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise gateway_api.InvalidDocument(str(exc)) from exc
-
-
 def route_table(value: bytes) -> routes.RouteTable:
     """Decode a whole configuration."""
-    doc = decode(ConfigDoc, value)
+    doc = odd_rows.decode(ConfigDoc, value)
     return routes.RouteTable(
         doc.Version,
         [_route(item) for item in doc.Routes],
@@ -132,21 +136,36 @@
 
 def endpoint(value: bytes) -> gateway_api.EndpointRow:
     """Decode an endpoint's row."""
-    doc = decode(ServerDoc, value)
-    host, _, port = doc.Addr.rpartition(":")
-    if not host or not port.isdigit():
-        raise gateway_api.InvalidDocument(f"Addr is not IP:PORT: {doc.Addr!r}")
+    doc = odd_rows.decode(ServerDoc, value)
+    host, port = _address(doc.Addr)
+    if doc.born and doc.born > time.time() * 1000 + MAX_AHEAD_MS:
+        raise gateway_api.InvalidDocument(f"born is in the future: {doc.born}")
     return gateway_api.EndpointRow(
         doc.Service,
         host,
-        int(port),
+        port,
         doc.Zone,
         doc.Version,
-        max(1, doc.Slots),
+        doc.Slots,
         doc.State == DRAINING,
+        doc.born,
     )
 
 
+def _address(text: str) -> tuple[str, int]:
+    """Read an IP number and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        socket.inet_aton(host)
+        number = int(port)
+    except (OSError, ValueError) as exc:
+        raise gateway_api.InvalidDocument(f"Addr is not IP:PORT: {text!r}") from exc
+    # Both take shorter forms as well.
+    if host.count(".") != DOTS or not port.isdigit() or not 0 < number <= MAX_PORT:
+        raise gateway_api.InvalidDocument(f"Addr is not IP:PORT: {text!r}")
+    return host, number
+
+
 def _route(doc: RouteDoc) -> routes.Route:
     if doc.Kind not in KINDS:
         raise gateway_api.InvalidDocument(f"route {doc.Name}: Kind {doc.Kind!r}")
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -22,8 +22,8 @@
 class StartRow(msgspec.Struct):
     """When a rollout began, by the store's clock, for gateways that start later."""
 
-    revision: int
-    started: float
+    revision: typing.Annotated[int, msgspec.Meta(ge=0)]
+    started: typing.Annotated[float, msgspec.Meta(ge=0)]
 
 
 class RolloutWriter:
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -57,6 +57,9 @@
     ROLLED_BACK = "rolled_back"
 
 
+STATES: typing.Final = {state.value: state for state in State}
+
+
 class Outcome(typing.NamedTuple):
     """What a row says became of a rollout.
 
--- a/gaprock/test/fakes/backend.py
+++ b/gaprock/test/fakes/backend.py
@@ -165,12 +165,17 @@
 
 
 def stream_to(
-    last: int, whole: bool = True, torn: bytes = b"", confidence: str = "90"
+    last: int,
+    whole: bool = True,
+    torn: bytes = b"",
+    confidence: str = "90",
+    silent: bool = False,
 ) -> Script:
     """Stream events after ``Last-Event-Id`` up to a number.
 
     :param whole: whether the stream then ends as whole, or breaks off.
     :param torn: bytes of an event that breaks off in its middle.
+    :param silent: whether the connection then stays open without a word.
     """
 
     def script(backend: Backend, seen: Seen, conn: socket.socket) -> None:
@@ -189,5 +194,7 @@
             conn.sendall(chunk(torn))
         if whole:
             conn.sendall(b"0\r\n\r\n")
+        elif silent:
+            hang(backend, seen, conn)
 
     return script
--- /dev/null
+++ b/gaprock/test/testreborn.py
@@ -0,0 +1,182 @@
+"""An endpoint starts again under its id: nothing of its earlier life holds."""
+
+import typing
+
+import pytest
+
+from gaprock import (
+    clock,
+    directory,
+    endpoint_state,
+    gateway_api,
+    mesh_messages,
+    prefix_cache,
+)
+from gaprock.test import gatewaysite
+from gaprock.test.fakes import backend
+
+BORN: typing.Final = 1_790_000_000_000
+MARKS: typing.Final = [prefix_cache.Mark(7, 500)]
+PROMPT: typing.Final = endpoint_state.Prompt(500.0, MARKS, 500)
+
+
+def row(born: int, **more: typing.Any) -> gateway_api.EndpointRow:
+    first = gateway_api.EndpointRow(
+        "llm", "127.0.0.1", 9, "h1", "v1", 8, False, born=born
+    )
+    return first._replace(**more)
+
+
+@pytest.fixture
+def book() -> directory.Directory:
+    found = directory.Directory(clock.ManualClock(100.0), 2.0)
+    found.set_memory({"llm": 10_000})
+    found.update("e", row(BORN))
+    return found
+
+
+def only(book: directory.Directory) -> endpoint_state.Endpoint:
+    (found,) = book.usable("llm", set())
+    return found
+
+
+def live_through(book: directory.Directory) -> endpoint_state.Endpoint:
+    """Have everything that is kept of an endpoint differ from a new one's."""
+    old = only(book)
+    book.begin(old, PROMPT)
+    book.read(old, PROMPT)
+    book.heard(old)
+    book.begin(old, PROMPT)
+    for _ in range(8):
+        book.answered(old, failed=True)
+    book.unreachable(old, "no connection")
+    book.take_loads("other", {old.life: endpoint_state.Load(3, 900.0)})
+    book.take_dark("other", [old.life])
+    return old
+
+
+def state_of(endpoint: endpoint_state.Endpoint) -> dict[str, object]:
+    """Give what is kept of an endpoint, but for its row and life."""
+    left_out = {"row", "backlog", "cache", "is_over"}
+    slots = [slot for slot in endpoint.__slots__ if slot not in left_out]
+    found = {slot: getattr(endpoint, slot) for slot in slots}
+    return found | {
+        "unread": endpoint.backlog.told,
+        "kept": endpoint.cache.kept(MARKS),
+    }
+
+
+@pytest.mark.parametrize("change", [{}, {"port": 10}, {"version": "v2"}])
+def test_a_new_life_knows_nothing_of_the_one_before(
+    book: directory.Directory, change: dict[str, typing.Any]
+) -> None:
+    old = live_through(book)
+    # A smaller count of its own, an older row, whatever: another start, another life.
+    for born in (BORN + 5, BORN - 5):
+        book.update("e", row(born, **change))
+        new = only(book)
+        fresh = endpoint_state.Endpoint("e", row(born, **change))
+        assert state_of(new) == state_of(fresh)
+        assert old.is_over and not new.is_over
+    # What was under way ends at the old one, and leaves the new one as it is.
+    book.drop(old, PROMPT)
+    book.end(old)
+    book.answered(old, failed=True)
+    assert state_of(only(book)) == state_of(fresh)
+
+
+def test_what_others_tell_of_an_earlier_life_changes_nothing(
+    book: directory.Directory,
+) -> None:
+    old = only(book)
+    book.update("e", row(BORN + 5))
+    before = state_of(only(book))
+    book.take_loads("other", {old.life: endpoint_state.Load(3, 900.0)})
+    book.take_prompts([(old.life, MARKS)])
+    book.take_dark("other", [old.life])
+    assert state_of(only(book)) == before
+    # What they tell of the new one counts.
+    book.take_prompts([(only(book).life, MARKS)])
+    assert only(book).cache.kept(MARKS) == 500
+
+
+def test_what_is_told_names_the_life(book: directory.Directory) -> None:
+    one = only(book)
+    book.begin(one, PROMPT)
+    book.read(one, PROMPT)
+    book.unreachable(one, "no connection")
+    assert list(book.own_loads()) == book.dark() == book.found_dark([]) == [one.life]
+    assert book.prompts_since(0) == (1, [(one.life, MARKS)])
+    assert one.life != only_after(book, BORN + 5).life
+
+
+def only_after(book: directory.Directory, born: int) -> endpoint_state.Endpoint:
+    book.update("e", row(born))
+    return only(book)
+
+
+def test_a_leaving_one_that_starts_again_stays(book: directory.Directory) -> None:
+    book.update("e", row(BORN, draining=True))
+    assert only(book).leave_at != clock.NEVER
+    assert only_after(book, BORN + 5).leave_at == clock.NEVER
+
+
+def test_an_endpoint_that_tells_no_start_keeps_its_knowledge() -> None:
+    book = directory.Directory(clock.ManualClock(100.0), 2.0)
+    book.update("e", row(0))
+    one = only(book)
+    assert one.life == "e"
+    book.update("e", row(0, slots=4))
+    assert only(book) is one
+
+
+def test_a_call_may_ask_the_new_life_again(book: directory.Directory) -> None:
+    excluded = {only(book).life}
+    assert book.usable("llm", excluded) == []
+    book.update("e", row(BORN + 5))
+    assert len(book.usable("llm", excluded)) == 1
+
+
+def hang_once(fake: backend.Backend) -> None:
+    """Have an endpoint leave its next request open without a word."""
+    fake.scripts.append(backend.hang)
+
+
+@pytest.mark.parametrize("target, status", [("/safe/x", 200), ("/unsafe/x", 502)])
+def test_what_was_sent_to_the_earlier_life_ends_as_cut(
+    target: str, status: int
+) -> None:
+    with gatewaysite.GatewaySite() as site:
+        fake = site.add("one", "app", born=BORN)
+        hang_once(fake)
+        later = site.call_later(target, X_Deadline_Ms="20000")
+        gatewaysite.wait_until(lambda: bool(fake.seen), "it runs")
+        # It crashed and is back within a heartbeat; the old connection says nothing.
+        site.write_row("one", "app", born=BORN + 5)
+        answer = later.get()
+        assert answer.status == status
+        assert "retry-after" not in answer.headers
+
+
+def test_a_stream_goes_on_as_a_new_run_after_a_new_start() -> None:
+    with gatewaysite.GatewaySite() as site:
+        fake = site.add("one", "llm", born=BORN)
+        fake.scripts.append(backend.stream_to(2, whole=False, silent=True))
+        later = gatewaysite.Later(lambda: site.generate(X_Deadline_Ms="20000"))
+        gatewaysite.wait_until(lambda: bool(fake.seen), "it runs")
+        site.write_row("one", "llm", born=BORN + 5)
+        answer = later.get()
+        assert answer.whole and answer.body.count(b"id: ") == fake.events
+        assert fake.seen[1].headers["last-event-id"] == "2"
+
+
+def test_beats_carry_lives() -> None:
+    """A summary of a hall adds up what is told of one life alone."""
+    told = {"e@1": endpoint_state.Load(1, 0.0), "e@2": endpoint_state.Load(2, 0.0)}
+    news = mesh_messages.HallNews("h", 0.0, [], 1, True, told, ["e@1"], [])
+    beat = mesh_messages.Beat(
+        "n", "h", "a", "i", [], True, {}, [], [], [], [], False, [news]
+    )
+    again = mesh_messages.decode(mesh_messages.encode(beat))
+    assert isinstance(again, mesh_messages.Beat)
+    assert again.halls[0].loads == told
--- a/gaprock/test/testrouting.py
+++ b/gaprock/test/testrouting.py
@@ -350,7 +350,9 @@
     with pytest.raises(gateway_api.InvalidDocument, match="Version"):
         documents.route_table(bad)
     with pytest.raises(gateway_api.InvalidDocument, match="Addr"):
-        documents.endpoint(b'{"Service": "s", "Addr": "nowhere"}')
+        row = {"Service": "s", "Addr": "nowhere", "Zone": "z", "Version": "v"}
+        more = {"Slots": 1, "State": "ready"}
+        documents.endpoint(msgspec.json.encode({**row, **more}))
 
 
 def test_a_configuration_without_tenants_needs_no_key() -> None:
--- a/gaprock/test/testtakeover.py
+++ b/gaprock/test/testtakeover.py
@@ -95,7 +95,9 @@
             self.rollouts,
             self.mesh,
         )
-        self.rows = gateway_rows.OutcomeRows(dialect, self.rollouts, self.writer)
+        self.rows = gateway_rows.OutcomeRows(
+            self.time, dialect, self.rollouts, self.writer
+        )
         order = gateway_api.RolloutOrder(SERVICE, "v2", FINISH_S)
         self.rollout = self.rollouts.take_order(order, 1, world.started_at)
         self.hear(world.store)
