--- a/gaprock/test/testunstopped.py
+++ b/gaprock/test/testunstopped.py
@@ -49,25 +49,36 @@
         site.call("/unsafe/x", X_Request_Id=request, X_Deadline_Ms="500")
 
 
+def order_beside(
+    site: gatewaysite.GatewaySite, old_takes_s: float
+) -> tuple[backend.Backend, list[str]]:
+    """Order a new version beside an old one that has answered.
+
+    :returns: the new one's endpoint, and requests that it gets.
+    """
+    old = site.add("old", "app", Version="v1")
+
+    def answer_late(*args: typing.Any) -> None:
+        steady.sleep(old_takes_s)
+        backend.answer(*args)
+
+    old.usual = answer_late
+    for _ in range(2 * rollout_pace.MIN_TIMES):
+        assert site.call("/unsafe/x").status == 200
+    fake = site.add("new", "app", Version="v2")
+    document = {"Service": "app", "ToVersion": "v2", "FinishByS": 600}
+    site.store.put("op", "rollout/app", document)
+    book = site.gateway.rollouts
+    gatewaysite.wait_until(lambda: book.all() != [], "ordered")
+    names = [f"s{number}" for number in range(5000)]
+    return fake, [name for name in names if book.fits("app", "v2", name)]
+
+
 @pytest.mark.parametrize("leaves", [False, True])
 def test_a_version_that_gives_no_answers_is_stopped(leaves: bool) -> None:
     with gatewaysite.GatewaySite() as site:
-        site.add("old", "app", Version="v1")
-        for _ in range(20):
-            assert site.call("/unsafe/x").status == 200
-        fake = site.add("new", "app", Version="v2")
+        fake, requests = order_beside(site, 0.0)
         fake.usual = backend.hang
-        document = {"Service": "app", "ToVersion": "v2", "FinishByS": 600}
-        site.store.put("op", "rollout/app", document)
-        book = site.gateway.rollouts
-        gatewaysite.wait_until(lambda: book.all() != [], "ordered")
-
-        def on_new() -> list[str]:
-            names = [f"s{number}" for number in range(2000)]
-            return [name for name in names if book.fits("app", "v2", name)]
-
-        gatewaysite.wait_until(lambda: len(on_new()) >= ASKED, "some get it")
-        requests = on_new()[:ASKED]
         for first in range(0, ASKED, AT_A_TIME):
             threads = [
                 threading.Thread(target=ask_in_vain, args=(site, one, leaves))
@@ -77,7 +88,7 @@
                 thread.start()
             for thread in threads:
                 thread.join()
-        assert book.all()[0].halted
+        assert site.gateway.rollouts.all()[0].halted
 
 
 def judge(
@@ -158,3 +169,32 @@
     time.advance(24.0 - rollouts.WRITE_BEFORE_S - 19.8 + 0.1)
     case.writer.step()
     assert case.written() == ["running", "rolled_back"]
+
+
+def test_answers_that_break_off_speak_against_their_version() -> None:
+    with gatewaysite.GatewaySite() as site:
+        fake, requests = order_beside(site, 0.0)
+        fake.usual = backend.reset
+
+        def is_halted() -> bool:
+            site.call("/unsafe/x", X_Request_Id=requests.pop())
+            return site.gateway.rollouts.all()[0].halted
+
+        gatewaysite.wait_until(is_halted, "halted")
+
+
+def test_an_endpoint_that_crashes_does_not_speak_against_its_version() -> None:
+    with gatewaysite.GatewaySite() as site:
+        # Nothing is late before it has crashed.
+        fake, requests = order_beside(site, 0.3)
+        crashed = threading.Event()
+        fake.usual = lambda *args: typing.cast(None, crashed.wait(10.0))
+        later = [
+            site.call_later("/unsafe/x", X_Request_Id=name)
+            for name in requests[:AT_A_TIME]
+        ]
+        gatewaysite.wait_until(lambda: len(fake.seen) == AT_A_TIME, "they run")
+        fake.stop()
+        crashed.set()
+        assert {one.get().status for one in later} == {502}
+        assert not site.gateway.rollouts.all()[0].halted
