--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -278,7 +278,7 @@
         raise NotImplementedError
 
     def outcome(self, key: str, value: bytes) -> tuple[str, str, str] | None:
-        """Decode an outcome: service, version, state name of ``rollouts.State``.
+        """Decode an outcome: service, version, state name of ``rollout_state.State``.
 
         :raises InvalidDocument: when it is not valid.
         """
--- a/gaprock/gateway_judge.py
+++ b/gaprock/gateway_judge.py
@@ -58,6 +58,8 @@
         """Take that a send has no answer yet, or ends without one."""
         if attempt.is_judged or not attempt.sent_at:
             return
+        if not self._rollouts.is_judged(call.service):
+            return
         if call.info.resume_after is not None:
             return
         judged = rollout_pace.Judged(
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -14,6 +14,7 @@
     freshness,
     gateway_api,
     odd_rows,
+    rollout_state,
     rollout_writer,
     rollouts,
     routes,
@@ -144,12 +145,12 @@
         if found is None:
             return
         service, version, name = found
-        state = rollouts.STATES.get(name)
+        state = rollout_state.STATES.get(name)
         if state is None:
             raise gateway_api.InvalidDocument(f"no such state: {name!r}")
         known = self._writer.row_versions.get(service, 0)
         self._writer.row_versions[service] = max(known, row.version)
-        outcome = rollouts.Outcome(version, state, row.version)
+        outcome = rollout_state.Outcome(version, state, row.version)
         self._rollouts.take_outcome(service, outcome)
 
 
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -10,7 +10,15 @@
 
 import msgspec
 
-from gaprock import clock, eventlog, freshness, gateway_api, mesh, rollouts
+from gaprock import (
+    clock,
+    eventlog,
+    freshness,
+    gateway_api,
+    mesh,
+    rollout_state,
+    rollouts,
+)
 
 # Each further gateway waits this much longer before it writes, seconds.
 TURN_S: typing.Final = 0.6
@@ -47,7 +55,7 @@
         # Versions of the outcome rows, by service.
         self.row_versions: dict[str, int] = {}
         # When a state was first due, by (revision, state).
-        self._due: dict[tuple[int, rollouts.State], float] = {}
+        self._due: dict[tuple[int, rollout_state.State], float] = {}
         # When all traffic had moved, by revision.
         self._moved: dict[int, float] = {}
         self._quiet_until = 0.0
@@ -64,49 +72,56 @@
             if now >= turn_at and now >= self._quiet_until:
                 self._write(rollout, state)
 
-    def _wanted(self, rollout: rollouts.Rollout, now: float) -> rollouts.State | None:
+    def _wanted(
+        self, rollout: rollout_state.Rollout, now: float
+    ) -> rollout_state.State | None:
         """Give the state that the row should show."""
-        if rollout.written in (rollouts.State.COMPLETED, rollouts.State.ROLLED_BACK):
+        if rollout.written in (
+            rollout_state.State.COMPLETED,
+            rollout_state.State.ROLLED_BACK,
+        ):
             return None
         if self._has_moved(rollout, now):
             if not self._rollouts.is_doubted(rollout):
-                return rollouts.State.COMPLETED
+                return rollout_state.State.COMPLETED
             if now >= self._latest(rollout):
                 self._rollouts.halt(
                     rollout.order.service, rollout.revision, "in doubt at the end"
                 )
         if rollout.halted:
-            return rollouts.State.ROLLED_BACK
+            return rollout_state.State.ROLLED_BACK
         if rollout.written is None and self._store_clock.is_known:
-            return rollouts.State.RUNNING
+            return rollout_state.State.RUNNING
         # Its start is written with it, and a start by a clock that is not the store's
         # makes the rollout as old as the clocks differ for every gateway to come.
         return None
 
-    def _has_moved(self, rollout: rollouts.Rollout, now: float) -> bool:
+    def _has_moved(self, rollout: rollout_state.Rollout, now: float) -> bool:
         """Whether all traffic has moved and nothing runs on the old version."""
         if self._rollouts.share(rollout) < 1.0:
             self._moved.pop(rollout.revision, None)
             return False
         moved_at = self._moved.setdefault(rollout.revision, now)
-        if now < moved_at + rollouts.SETTLE_S:
+        if now < moved_at + rollout_state.SETTLE_S:
             return False
         service = rollout.order.service
         return now >= self._latest(rollout) or not self._mesh.on_old_version(service)
 
-    def _latest(self, rollout: rollouts.Rollout) -> float:
+    def _latest(self, rollout: rollout_state.Rollout) -> float:
         """Give when the outcome is due at the latest."""
         due_at = rollout.started_at + rollout.order.finish_s
-        return due_at - rollouts.WRITE_BEFORE_S
+        return due_at - rollout_state.WRITE_BEFORE_S
 
-    def _write(self, rollout: rollouts.Rollout, state: rollouts.State) -> None:
+    def _write(
+        self, rollout: rollout_state.Rollout, state: rollout_state.State
+    ) -> None:
         service = rollout.order.service
         table, own = self._dialect.tables.outcomes, self._dialect.tables.own
         expect = self.row_versions.get(service, 0)
         value = self._dialect.outcome_value(rollout.order.to_version, state.value)
         key = self._dialect.outcome_key(service)
         writes = [gateway_api.Write(table, key, value, expect)]
-        if state is rollouts.State.RUNNING:
+        if state is rollout_state.State.RUNNING:
             started = self._store_clock.latest_there(rollout.started_at)
             start = msgspec.json.encode(StartRow(rollout.revision, started))
             writes.append(gateway_api.Write(own, START_PREFIX + service, start))
@@ -128,5 +143,5 @@
         )
         if done:
             self.row_versions[service] = done
-            outcome = rollouts.Outcome(rollout.order.to_version, state, done)
+            outcome = rollout_state.Outcome(rollout.order.to_version, state, done)
             self._rollouts.take_outcome(service, outcome)
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -2,9 +2,10 @@
 
 How a rollout runs, by the share of its time that has passed:
 
-1. Until the first of ``STEPS`` a fixed share of sessions gets the new version.  A
-   session's side follows from a hash of its name, so that every gateway agrees without
-   a word, and no session changes sides.
+1. Until the first of ``rollout_state.STEPS`` a fixed share of sessions gets the new
+   version.  A session's side follows from a hash of its name, so that every gateway
+   agrees without a word, and no session changes sides; one that ran on the old version
+   already stays there (``rollout_sessions``).
 2. Then the share grows in steps; sessions only ever move to the new version.
 3. When all traffic has moved and nothing runs on the old version anywhere, the outcome
    *completed* is written.  Evidence against the new version at any time stops it here
@@ -14,7 +15,6 @@
 start) or comes with the others' next beat (evidence, halts).
 """
 
-import enum
 import threading
 import typing
 
@@ -27,117 +27,18 @@
     mesh_messages,
     messages,
     policy_api,
+    rollout_evidence,
     rollout_pace,
     rollout_sessions,
+    rollout_state,
 )
 
 # Share of the allowed exposure that is used while a version is unproved.
 CANARY_USE: typing.Final = 0.8
-# Shares of sessions on the new version, each from this share of the time on.  In the
-# first half no session changes its version.
-STEPS: typing.Final = ((0.5, 0.25), (0.56, 0.5), (0.62, 1.0))
-# All traffic must have moved for this long before a rollout completes, seconds.
-SETTLE_S: typing.Final = 2.0
-# The outcome is written at the latest this long before the operator's time, seconds.
-WRITE_BEFORE_S: typing.Final = 2.0
-# So long after the order every session stays on the old version, as a share of the
-# rollout's time and at most, seconds: beats between halls take up to two seconds to
-# tell everybody which sessions go on.
-HOLD_SHARE: typing.Final = 0.1
-HOLD_S: typing.Final = 2.0
 # A start that is corrected by less is not told in the log, seconds: beats take as long.
 DATED_S: typing.Final = 0.05
 
 
-class State(enum.Enum):
-    """What became of a rollout; the names are those of the outcome rows."""
-
-    RUNNING = "running"
-    COMPLETED = "completed"
-    ROLLED_BACK = "rolled_back"
-
-
-STATES: typing.Final = {state.value: state for state in State}
-
-
-class Outcome(typing.NamedTuple):
-    """What a row says became of a rollout.
-
-    :param row_version: the store's version of the row; one older than the order's
-        tells of an earlier order for the same version.
-    """
-
-    version: str
-    state: State
-    row_version: int
-
-
-class Rollout:
-    """One order and what we know of it.
-
-    :param revision: the store's version of the order's row; names the attempt.
-    :param started_at: when the order was given, by this process's clock.
-    """
-
-    __slots__ = (
-        "order",
-        "revision",
-        "started_at",
-        "kept",
-        "state",
-        "halted",
-        "written",
-    )
-
-    def __init__(
-        self,
-        order: gateway_api.RolloutOrder,
-        revision: int,
-        started_at: float,
-        session_s: float,
-    ) -> None:
-        self.order = order
-        self.revision = revision
-        self.started_at = started_at
-        self.kept = rollout_sessions.KeptSessions(session_s)
-        self.state = State.RUNNING
-        # Stopped by evidence, here or elsewhere, whatever the rows say yet.
-        self.halted = False
-        # The state that the outcome's row shows; ``None`` while there is no row.
-        self.written: State | None = None
-
-    @property
-    def label(self) -> str:
-        """The name of this attempt in the evidence."""
-        return f"{self.order.service}@{self.order.to_version}#{self.revision}"
-
-    def passed(self, now: float) -> float:
-        """Give the share of the rollout's time that has passed."""
-        return (now - self.started_at) / max(0.001, self.order.finish_s)
-
-    def keeps_sessions(self, now: float) -> bool:
-        """Whether sessions that go on stay where they are."""
-        return self.state is State.RUNNING and self.passed(now) < STEPS[0][0]
-
-    def is_held(self, now: float) -> bool:
-        """Whether not everybody has told yet which sessions go on."""
-        return now < self.started_at + min(HOLD_S, HOLD_SHARE * self.order.finish_s)
-
-
-class Side(typing.NamedTuple):
-    """Where a session stands in a rollout.
-
-    :param on_new: whether it gets the new version.
-    """
-
-    rollout: Rollout
-    on_new: bool
-
-    def takes(self, version: str) -> bool:
-        """Whether the session's requests may run on a version."""
-        return (version == self.rollout.order.to_version) == self.on_new
-
-
 class _Told:
     """What other gateways told of an order that has not come here yet."""
 
@@ -168,31 +69,29 @@
         self._clock = clock_
         self._sessions = rollout_sessions.RecentSessions(session_s)
         self._canary = canary_share * CANARY_USE
-        self._guard = guard
-        self._evidence = evidence_
+        self._evidence = rollout_evidence.RolloutEvidence(guard, evidence_)
         self._lock = threading.Lock()
-        self._by_service: dict[str, Rollout] = {}
+        self._by_service: dict[str, rollout_state.Rollout] = {}
         # Outcomes read before their orders: (version, state) by service.
-        self._outcomes: dict[str, Outcome] = {}
+        self._outcomes: dict[str, rollout_state.Outcome] = {}
         # A gateway that the store does not answer hears of an order by beats before it
         # has a copy of it; until the next beat it sent sessions back that had moved,
         # and requests to a version that was halted.
         self._told: dict[str, _Told] = {}
-        self._paces: dict[tuple[str, str], rollout_pace.Pace] = {}
-        # Labels with evidence of their own, per route, by rollout label.
-        self._routes: dict[str, set[str]] = {}
 
     # -- Orders and outcomes --
 
     def take_order(
         self, order: gateway_api.RolloutOrder, revision: int, started_at: float
-    ) -> Rollout:
+    ) -> rollout_state.Rollout:
         """Take an operator's order; the same one again changes nothing."""
         with self._lock:
             old = self._by_service.get(order.service)
             if old is not None and old.revision >= revision:
                 return old
-            rollout = Rollout(order, revision, started_at, self._sessions.kept_s)
+            rollout = rollout_state.Rollout(
+                order, revision, started_at, self._sessions.kept_s
+            )
             self._keep_sessions(rollout)
             self._by_service[order.service] = rollout
             outcome = self._outcomes.get(order.service)
@@ -213,7 +112,7 @@
             self._apply_outcome(rollout, outcome)
         return rollout
 
-    def take_outcome(self, service: str, outcome: "Outcome") -> None:
+    def take_outcome(self, service: str, outcome: rollout_state.Outcome) -> None:
         """Take what a row says became of a rollout."""
         with self._lock:
             self._outcomes[service] = outcome
@@ -229,7 +128,7 @@
             return
         if rollout.revision != revision or rollout.halted:
             return
-        if rollout.state is State.COMPLETED:
+        if rollout.state is rollout_state.State.COMPLETED:
             return
         rollout.halted = True
         eventlog.warning(
@@ -292,12 +191,14 @@
                 told.started_at = min(told.started_at, started_at)
                 told.halt_reason = told.halt_reason or halt_reason
 
-    def all(self) -> list[Rollout]:
+    def all(self) -> list[rollout_state.Rollout]:
         """Give all rollouts."""
         with self._lock:
             return list(self._by_service.values())
 
-    def _apply_outcome(self, rollout: Rollout, outcome: "Outcome") -> None:
+    def _apply_outcome(
+        self, rollout: rollout_state.Rollout, outcome: rollout_state.Outcome
+    ) -> None:
         same = outcome.version == rollout.order.to_version
         if not same or outcome.row_version < rollout.revision:
             # It tells of an earlier order.
@@ -314,20 +215,22 @@
 
     # -- Which version a request gets --
 
-    def share(self, rollout: Rollout) -> float:
+    def share(self, rollout: rollout_state.Rollout) -> float:
         """Give the share of sessions that the new version gets now."""
-        if rollout.state is State.COMPLETED:
+        if rollout.state is rollout_state.State.COMPLETED:
             return 1.0
-        if rollout.halted or rollout.state is State.ROLLED_BACK:
+        if rollout.halted or rollout.state is rollout_state.State.ROLLED_BACK:
             return 0.0
         passed = rollout.passed(self._clock.now())
         share = self._canary
-        for since, wanted in STEPS:
+        for since, wanted in rollout_state.STEPS:
             if passed >= since:
                 share = wanted
         return share
 
-    def side(self, service: str, session: str, is_named: bool = False) -> Side | None:
+    def side(
+        self, service: str, session: str, is_named: bool = False
+    ) -> rollout_state.Side | None:
         """Give where a session stands; ``None`` without a rollout of the service.
 
         :param is_named: whether the caller named it, so that requests belong together.
@@ -339,9 +242,11 @@
         on_new = mark < self.share(rollout) * rollout_sessions.HASH_RANGE
         if on_new and is_named:
             on_new = not self._stays_on_old(rollout, session, mark)
-        return Side(rollout, on_new)
+        return rollout_state.Side(rollout, on_new)
 
-    def _stays_on_old(self, rollout: Rollout, session: str, mark: int) -> bool:
+    def _stays_on_old(
+        self, rollout: rollout_state.Rollout, session: str, mark: int
+    ) -> bool:
         """Whether a session that goes on stays where it was, in the first half."""
         now = self._clock.now()
         if not rollout.keeps_sessions(now):
@@ -373,19 +278,21 @@
         if rollout.keeps_sessions(now):
             self._keep(rollout, session, now)
 
-    def _keep_sessions(self, rollout: Rollout) -> None:
+    def _keep_sessions(self, rollout: rollout_state.Rollout) -> None:
         """Note the sessions that go on as an order comes."""
         order, now = rollout.order, self._clock.now()
         recent = self._sessions.besides(order.service, order.to_version, now)
         for session, seen_at in recent.items():
             self._keep(rollout, session, seen_at)
 
-    def _keep(self, rollout: Rollout, session: str, seen_at: float) -> None:
+    def _keep(
+        self, rollout: rollout_state.Rollout, session: str, seen_at: float
+    ) -> None:
         mark = rollout_sessions.mark_of(session, rollout.label)
         if mark < self._canary * rollout_sessions.HASH_RANGE:
             rollout.kept.note(mark, seen_at)
 
-    def kept_sessions(self, rollout: Rollout) -> list[int]:
+    def kept_sessions(self, rollout: rollout_state.Rollout) -> list[int]:
         """Give the sessions to tell others of, which go on on the old version."""
         now = self._clock.now()
         return rollout.kept.own(now) if rollout.keeps_sessions(now) else []
@@ -396,7 +303,7 @@
         return side is None or side.takes(version)
 
     def narrow(
-        self, side: Side | None, names: list[str], near: list[str]
+        self, side: rollout_state.Side | None, names: list[str], near: list[str]
     ) -> typing.Collection[str]:
         """Give the endpoints that a request may go to.
 
@@ -435,19 +342,12 @@
         :returns: what it holds against its version; empty for nothing.
         """
         rollout = self._by_service.get(service)
-        # Times and multiples of what was expected are not to be compared.
-        kind = "multiple" if answer.expected_s is not None else "seconds"
-        key = service, f"{route}/{pace}/{kind}"
-        times = self._paces.setdefault(key, rollout_pace.Pace())
         is_new = rollout is not None and version == rollout.order.to_version
-        slow = answer.slow(times)
-        if answer.is_open and not slow:
+        against = self._evidence.weigh(service, f"{route}/{pace}", answer, is_new)
+        if against is None:
             return ""
-        if answer.took is not None and not is_new and not answer.failed:
-            times.add(answer.took)
-        against = "failed" if answer.failed else "slow" if slow else ""
-        if rollout is not None and rollout.state is State.RUNNING:
-            self._count(rollout, route, is_new, bool(against))
+        if rollout is not None and rollout.state is rollout_state.State.RUNNING:
+            self._evidence.count(rollout.label, route, is_new, bool(against))
             if is_new:
                 self._judge(rollout)
         return against
@@ -455,12 +355,12 @@
     def is_judged(self, service: str) -> bool:
         """Whether answers of a service are evidence now."""
         rollout = self._by_service.get(service)
-        return rollout is not None and rollout.state is State.RUNNING
+        return rollout is not None and rollout.state is rollout_state.State.RUNNING
 
     def is_unproved(self, service: str, version: str) -> bool:
         """Whether a version is being brought in."""
         rollout = self._by_service.get(service)
-        if rollout is None or rollout.state is not State.RUNNING:
+        if rollout is None or rollout.state is not rollout_state.State.RUNNING:
             return False
         return version == rollout.order.to_version
 
@@ -469,46 +369,17 @@
         for rollout in self.all():
             self._judge(rollout)
 
-    def _count(self, rollout: Rollout, route: str, is_new: bool, bad: bool) -> None:
-        side = "new" if is_new else "old"
-        self._evidence.count(f"{rollout.label}/{side}", bad, False)
-        self._evidence.count(f"{rollout.label}/{side}/{route}", bad, False)
-        self._routes.setdefault(rollout.label, set()).add(route)
-
     def note_routes(self, counters: list[messages.Evidence]) -> None:
         """Learn from others' evidence which routes a rollout has."""
-        for counts in counters:
-            label, _, rest = counts.version.partition("/")
-            route = rest.partition("/")[2]
-            if route:
-                self._routes.setdefault(label, set()).add(route)
+        self._evidence.note_routes(counters)
 
-    def is_doubted(self, rollout: Rollout) -> bool:
+    def is_doubted(self, rollout: rollout_state.Rollout) -> bool:
         """Whether the latest evidence speaks against a version, as of the last look."""
-        with self._lock:
-            return any(
-                self._guard.is_doubted(f"{rollout.label}{tail}")
-                for tail in self._tails(rollout)
-            )
-
-    def _tails(self, rollout: Rollout) -> list[str]:
-        """Give what evidence is kept under: the whole, and each route."""
-        return ["", *(f"/{r}" for r in sorted(self._routes.get(rollout.label, ())))]
+        return self._evidence.is_doubted(rollout.label)
 
-    def _judge(self, rollout: Rollout) -> None:
-        if rollout.state is not State.RUNNING or rollout.halted:
+    def _judge(self, rollout: rollout_state.Rollout) -> None:
+        if rollout.state is not rollout_state.State.RUNNING or rollout.halted:
             return
-        for tail in self._tails(rollout):
-            new = self._evidence.totals(f"{rollout.label}/new{tail}")
-            old = self._evidence.totals(f"{rollout.label}/old{tail}")
-            with self._lock:
-                bad = self._guard.is_bad(
-                    f"{rollout.label}{tail}",
-                    policy_api.Counts(new.answers, new.bad),
-                    policy_api.Counts(old.answers, old.bad),
-                )
-            if bad:
-                reason = f"{new.bad} of {new.answers} answers bad{tail}"
-                reason += f", stable {old.bad} of {old.answers}"
-                self.halt(rollout.order.service, rollout.revision, reason)
-                return
+        reason = self._evidence.reason_to_stop(rollout.label)
+        if reason:
+            self.halt(rollout.order.service, rollout.revision, reason)
--- a/gaprock/test/fleetcase.py
+++ b/gaprock/test/fleetcase.py
@@ -13,7 +13,7 @@
     gateway_api,
     mesh,
     mesh_members,
-    rollouts,
+    rollout_state,
 )
 from gaprock.test import rolloutcase
 
@@ -86,7 +86,7 @@
         self.kept: list[bytes] = []
 
     @property
-    def rollout(self) -> rollouts.Rollout:
+    def rollout(self) -> rollout_state.Rollout:
         """The one rollout."""
         return self.book.all()[0]
 
--- a/gaprock/test/testmovedsessions.py
+++ b/gaprock/test/testmovedsessions.py
@@ -24,7 +24,14 @@
 
 import pytest
 
-from gaprock import clock, freshness, gateway_api, gateway_own, gateway_rows, rollouts
+from gaprock import (
+    clock,
+    freshness,
+    gateway_api,
+    gateway_own,
+    gateway_rows,
+    rollout_state,
+)
 from gaprock.platform import wire
 from gaprock.test import fleetcase, rolloutcase
 
@@ -71,6 +78,19 @@
     assert 0.06 < share < 0.15
 
 
+def test_no_session_moves_before_all_have_told() -> None:
+    fleet = fleetcase.Fleet(2, 2)
+    fleet.run(4.0)
+    first, last = fleet.members[0], fleet.members[-1]
+    for session in SESSIONS:
+        run_request(first, session)
+    order = gateway_api.RolloutOrder(SERVICE, "v2", 40.0)
+    for member in fleet.members:
+        member.book.take_order(order, 2, fleet.time.now())
+    # Nothing has been told yet.
+    assert {run_request(last, session) for session in SESSIONS} == {"v1"}
+
+
 class LateStore(rolloutcase.Scripted):
     """A store whose clock runs 1,000 s ahead of ours and which answers late.
 
@@ -159,7 +179,7 @@
     case.writer.step()
     _, orders = read_own_rows(time, store)
     assert orders.starts.get(("llm", 7), began) >= began - DATED_S
-    assert case.book.all()[0].state is rollouts.State.RUNNING
+    assert case.book.all()[0].state is rollout_state.State.RUNNING
     # Once it has answered, the start is written.
     store_clock.note(time.now() + 1000.0, time.now(), time.now())
     case.writer.step()
--- a/gaprock/test/testoddrows.py
+++ b/gaprock/test/testoddrows.py
@@ -14,8 +14,8 @@
     gateway_api,
     gateway_rows,
     odd_rows,
+    rollout_state,
     rollout_writer,
-    rollouts,
 )
 from gaprock.platform import wire
 from gaprock.test import gatewaysite, rolloutcase
@@ -272,4 +272,4 @@
     assert with_it.orders.table is not None and without.orders.table is not None
     with_it.outcomes.take_page(page(("rollout/z", value)), whole=whole)
     ours = [r for r in with_it.case.book.all() if r.revision == 1]
-    assert all(r.state is rollouts.State.RUNNING for r in ours)
+    assert all(r.state is rollout_state.State.RUNNING for r in ours)
--- a/gaprock/test/testrollouts.py
+++ b/gaprock/test/testrollouts.py
@@ -11,6 +11,7 @@
     mesh_messages,
     mesh_peers,
     rollout_pace,
+    rollout_state,
     rollouts,
 )
 from gaprock.test import gatewaysite, rolloutcase
@@ -159,10 +160,14 @@
     time: clock.ManualClock,
 ) -> None:
     book = rolloutcase.make_rollouts(time)
-    book.take_outcome("llm", rollouts.Outcome("v2", rollouts.State.ROLLED_BACK, 5))
+    book.take_outcome(
+        "llm", rollout_state.Outcome("v2", rollout_state.State.ROLLED_BACK, 5)
+    )
     rollout = book.take_order(rolloutcase.order(), 7, time.now())
-    assert rollout.state is rollouts.State.RUNNING
-    book.take_outcome("llm", rollouts.Outcome("v2", rollouts.State.ROLLED_BACK, 8))
+    assert rollout.state is rollout_state.State.RUNNING
+    book.take_outcome(
+        "llm", rollout_state.Outcome("v2", rollout_state.State.ROLLED_BACK, 8)
+    )
     assert on_new(book) == set()
 
 
--- a/gaprock/test/testtakeover.py
+++ b/gaprock/test/testtakeover.py
@@ -21,6 +21,7 @@
     gateway_rows,
     mesh,
     policy_guard,
+    rollout_state,
     rollout_writer,
     rollouts,
 )
@@ -150,7 +151,7 @@
     )
     def time_passes(self, steps: int, living: tuple[int, ...]) -> None:
         """Time passes, and those who are not paused look at their duty."""
-        until = self.started_at + FINISH_S - rollouts.WRITE_BEFORE_S
+        until = self.started_at + FINISH_S - rollout_state.WRITE_BEFORE_S
         for _ in range(steps):
             if self.clock.now() >= until:
                 return
@@ -195,7 +196,7 @@
         """A version that is halted here gets nothing, unless its outcome stands."""
         for member in self.members:
             rollout = member.rollout
-            if rollout.halted and rollout.state is not rollouts.State.COMPLETED:
+            if rollout.halted and rollout.state is not rollout_state.State.COMPLETED:
                 assert member.rollouts.share(rollout) == 0.0
 
 
--- a/gaprock/test/testunstopped.py
+++ b/gaprock/test/testunstopped.py
@@ -26,7 +26,7 @@
 
 import pytest
 
-from gaprock import clock, rollout_pace, rollouts
+from gaprock import clock, rollout_pace, rollout_state, rollouts
 from gaprock.test import gatewaysite, rolloutcase
 from gaprock.test.fakes import backend
 
@@ -166,7 +166,7 @@
 def test_a_version_that_is_still_in_doubt_at_the_end_is_not_completed() -> None:
     time = clock.ManualClock(100.0)
     case = moved_with_doubt(time)
-    time.advance(24.0 - rollouts.WRITE_BEFORE_S - 19.8 + 0.1)
+    time.advance(24.0 - rollout_state.WRITE_BEFORE_S - 19.8 + 0.1)
     case.writer.step()
     assert case.written() == ["running", "rolled_back"]
 
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -223,16 +223,16 @@
     _proof(
         "evidence is judged route by route",
         "testrollouts.py::test_a_version_that_fails_on_one_route_is_stopped",
-        "rollouts.py",
-        'tails = [""] + [f"/{r}" for r in sorted(self._routes.get(rollout.label, ()))]',
-        'tails = [""]',
+        "rollout_evidence.py",
+        'return ["", *(f"/{route}" for route in sorted(self._routes.get(label, ())))]',
+        'return [""]',
     ),
     _proof(
         "slow answers are evidence",
         "testrollouts.py::test_a_version_that_is_slow_is_stopped",
-        "rollouts.py",
-        "answer.failed or slow",
-        "answer.failed",
+        "rollout_evidence.py",
+        'return "slow" if slow else ""',
+        'return ""',
     ),
     _proof(
         "a canary's share goes to the same share of endpoints",
@@ -241,6 +241,80 @@
         "return sorted(names)[: max(1, int(share * len(names)))]",
         "return names",
     ),
+    _proof(
+        "a session keeps its version whichever gateway it comes through",
+        "testmovedsessions.py::test_a_session_keeps_its_version_whichever_gateway_it"
+        "_comes_through",
+        "rollouts.py",
+        "return rollout.is_held(now) or rollout.kept.is_told(mark, now)",
+        "return rollout.is_held(now)",
+    ),
+    _proof(
+        "no session moves before all gateways have told theirs",
+        "testmovedsessions.py::test_no_session_moves_before_all_have_told",
+        "rollouts.py",
+        "return rollout.is_held(now) or rollout.kept.is_told(mark, now)",
+        "return rollout.kept.is_told(mark, now)",
+    ),
+    _proof(
+        "a late answer of the store makes no rollout older",
+        "testmovedsessions.py::test_a_store_that_answers_late_makes_no_rollout_older",
+        "gateway_rows.py",
+        "store_clock.latest(start.started)",
+        "store_clock.earliest(start.started)",
+    ),
+    _proof(
+        "no start is written by a clock that is not the store's",
+        "testmovedsessions.py::test_a_start_is_not_written_by_a_clock_that_is_not"
+        "_known",
+        "rollout_writer.py",
+        "rollout.written is None and self._store_clock.is_known",
+        "rollout.written is None",
+    ),
+    _proof(
+        "a version without answers is stopped",
+        "testunstopped.py::test_a_version_that_gives_no_answers_is_stopped",
+        "gateway_judge.py",
+        "        if self._judge(call, attempt, call.route.name, judged):\n",
+        "        if False:\n",
+    ),
+    _proof(
+        "slow old answers do not hide a slow new version",
+        "testunstopped.py::test_slow_answers_of_the_old_version_do_not_hide_a_slow"
+        "_new_one",
+        "rollout_pace.py",
+        "return times[int(FAST_SHARE * len(times))]",
+        "return sum(times) / len(times)",
+    ),
+    _proof(
+        "a crash speaks against no version",
+        "testunstopped.py::test_an_endpoint_that_crashes_does_not_speak_against_its"
+        "_version",
+        "gateway_judge.py",
+        "if not self._rollouts.is_judged(call.service) or not lives():",
+        "if not self._rollouts.is_judged(call.service):",
+    ),
+    _proof(
+        "a version in doubt is not completed",
+        "testunstopped.py::test_a_version_in_doubt_is_not_completed",
+        "rollout_writer.py",
+        "if not self._rollouts.is_doubted(rollout):",
+        "if True:",
+    ),
+    _proof(
+        "an endpoint that starts again is a new one",
+        "testreborn.py::test_a_new_life_knows_nothing_of_the_one_before",
+        "directory.py",
+        "endpoint is not None and endpoint.row.born != row.born",
+        "False and endpoint is not None",
+    ),
+    _proof(
+        "an odd row names no endpoint",
+        "testoddrows.py::test_an_odd_row_names_no_endpoint_and_the_others_hold",
+        "gateway_rows.py",
+        "self._directory.update(row.key, None)\n        if whole:",
+        "pass\n        if whole:",
+    ),
     _proof(
         "an outcome of an earlier order is ignored",
         "testrollouts.py::test_an_outcome_of_an_earlier_order_says_nothing_of_a_later"
@@ -254,7 +328,7 @@
         "testrollouts.py::test_a_rollout_completes_when_nothing_runs_on_the_old"
         "_version",
         "rollout_writer.py",
-        "now >= latest or not self._mesh.on_old_version(rollout.order.service)",
+        "now >= self._latest(rollout) or not self._mesh.on_old_version(service)",
         "True",
     ),
     _proof(
--- a/misc/write_days.py
+++ b/misc/write_days.py
@@ -2,14 +2,16 @@
 
     python -m misc.write_days
 
-The days lie in ``bench/days``; each is played on any site by the bench's ``run``.  They
-hold no traffic of their own, so the site's plays.
+The days lie in ``deploy/days``; each is played on any site by the bench's ``run``, and
+its ``hunt`` plays them with times and figures varied.  They hold no traffic of their
+own, so the site's plays; ``@s0`` and ``@c0`` stand for a site's first service and kind
+of request.
 """
 
 import pathlib
 import typing
 
-FOLDER: typing.Final = pathlib.Path(__file__).resolve().parent.parent / "bench/days"
+FOLDER: typing.Final = pathlib.Path(__file__).resolve().parent.parent / "deploy/days"
 SEED: typing.Final = 7
 AT_S: typing.Final = 6.0
 Trouble = dict[str, object]
@@ -147,6 +149,53 @@
         fault("node_kill", "leader race", at=13.0, on="core", count=1),
         fault("herd_kill", at=18.0, share=1.0),
     ],
+    "bad-without-answers": [
+        rollout("rollout_bad", "slow", x=8.0, service="@s0"),
+        fault("give_up", at=1.0, share=0.6, x=500.0, for_s=28.0),
+    ],
+    "bad-beside-slow-endpoints": [
+        rollout("rollout_bad", "slow", x=6.0),
+        fault("srv_slow", at=0.5, share=0.5, x=6.0, for_s=28.0),
+    ],
+    "bad-at-the-end": [rollout("rollout_bad", "late", gap_s=15.0)],
+    "bad-at-the-very-end": [
+        rollout("rollout_bad", "late", gap_s=18.0, service="@s0"),
+        fault("node_slow", at=0.5, share=1.0, x=6.0, for_s=28.0),
+    ],
+    "bad-of-one-class-beside-hangs": [
+        rollout("rollout_bad", "one_class", service="@s0"),
+        fault("srv_grey", "hang", at=1.0, share=0.4, x=0.6, for_s=25.0),
+    ],
+    "good-beside-hangs": [
+        rollout("rollout_good", service="@s0"),
+        fault("srv_grey", "hang", at=1.0, share=0.4, x=0.6, for_s=25.0),
+        fault("platform_compact", at=3.0, x=5.0, for_s=12.0),
+    ],
+    "good-beside-slow-machines": [
+        rollout("rollout_good"),
+        fault("node_slow", at=0.5, share=1.0, x=6.0, for_s=28.0),
+    ],
+    "good-while-starts-read-late": [
+        rollout("rollout_good", service="@s0"),
+        fault("platform_slow", at=4.0, x=500.0, for_s=25.0),
+        fault("node_kill", at=6.0, share=0.3),
+        plan("add_nodes", at=8.0),
+    ],
+    "good-while-callers-change-gateways": [
+        rollout("rollout_good", service="@s0"),
+        fault("burst", at=1.0, x=2.0, for_s=12.0),
+        plan("roll_term", at=3.0, share=1.0, gap_s=2.0),
+    ],
+    "endpoints-crash-beside-a-cut": [
+        fault("srv_cut", "all reborn", at=5.0, share=0.3, for_s=4.0),
+        fault("srv_crash", at=12.0, share=0.4, for_s=1.0),
+        fault("node_cut", at=12.0, share=0.3, for_s=3.0),
+    ],
+    "silent-store-in-a-release": [
+        plan("release", at=4.0, share=0.5, gap_s=1.0),
+        fault("platform_down", "silent lapse", at=6.0, for_s=5.0),
+        fault("srv_crash", "dark", at=8.0, share=0.2, for_s=4.0),
+    ],
     "drain-in-gap": [
         fault("platform_compact", "drain", x=6.0, for_s=10.0),
         plan("scale_in", at=7.0, share=0.2),
