--- a/gaprock/test/soak.py
+++ b/gaprock/test/soak.py
@@ -47,6 +47,10 @@
 PLANNED: typing.Final[list[Step]] = []
 FAULTS_BESIDE: typing.Final[list[Step]] = []
 PLANNED_BESIDE: typing.Final[list[Step]] = []
+# What is done to rows, with chances of its own as well; the second list harms nobody.
+ROW_SHARE: typing.Final = 0.3
+ROW_FAULTS: typing.Final[list[Step]] = []
+ODD_ROWS: typing.Final[list[Step]] = []
 
 
 def fault(function: Step) -> Step:
@@ -73,6 +77,19 @@
     return function
 
 
+def row_fault(function: Step) -> Step:
+    """Register a fault of an endpoint's row."""
+    ROW_FAULTS.append(function)
+    return function
+
+
+def odd_row(function: Step) -> Step:
+    """Register rows of other writers that are to harm nobody."""
+    ROW_FAULTS.append(function)
+    ODD_ROWS.append(function)
+    return function
+
+
 class Soak:
     """One seed's run."""
 
@@ -80,6 +97,7 @@
         self.rng = random.Random(seed)
         # Chances of what comes beside.
         self.rng_beside = random.Random(-1 - seed)
+        self.rng_rows = random.Random(f"rows {seed}")
         self.ledger = soak_ledger.Ledger()
         self.fleet = soak_fleet.Fleet(self.ledger, logs, gateways)
         self._seed = seed
@@ -136,13 +154,16 @@
 
     def _disturb(self) -> None:
         steps, beside = FAULTS + PLANNED, FAULTS_BESIDE + PLANNED_BESIDE
+        rows = ROW_FAULTS
         if self._seed % PLANNED_EVERY == 0:
-            steps, beside = PLANNED, PLANNED_BESIDE
+            steps, beside, rows = PLANNED, PLANNED_BESIDE, ODD_ROWS
         until = time.monotonic() + self._seconds
         while time.monotonic() < until:
             self.rng.choice(steps)(self)
             if self.rng_beside.random() < BESIDE_SHARE:
                 self.rng_beside.choice(beside)(self)
+            if self.rng_rows.random() < ROW_SHARE:
+                self.rng_rows.choice(rows)(self)
             time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
         for thread in self._threads:
             thread.join(soak_fleet.STOP_WAIT_S)
@@ -395,6 +416,39 @@
     soak.later(work)
 
 
+@row_fault
+def endpoint_starts_again(soak: Soak) -> None:
+    """An endpoint crashes and is back at once under its id; its row never goes."""
+    endpoint = soak.rng_rows.choice(list(soak.fleet.endpoints.values()))
+    cut = soak.rng_rows.choice([endpoint.relay.reset, endpoint.relay.mute])
+
+    def begin() -> None:
+        cut()
+        endpoint.born += 1
+        soak.fleet.beat_row(endpoint)
+
+    soak.during("endpoint again", soak_ledger.ALL, begin, lambda: None, soak.rng_rows)
+
+
+@row_fault
+def row_written_over(soak: Soak) -> None:
+    """Another writer writes over an endpoint's row, until its next heartbeat."""
+    endpoint = soak.rng_rows.choice(list(soak.fleet.endpoints.values()))
+    soak.during(
+        "row written over",
+        soak_ledger.ALL,
+        lambda: soak.fleet.write_odd_row(endpoint.name, soak.rng_rows),
+        lambda: soak.fleet.beat_row(endpoint),
+        soak.rng_rows,
+    )
+
+
+@odd_row
+def row_of_another_writer(soak: Soak) -> None:
+    """Another writer leaves a row that names nothing, for good."""
+    soak.fleet.write_odd_row(f"odd{soak.rng_rows.randrange(9)}", soak.rng_rows)
+
+
 # -- The operator --
 
 
--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -8,6 +8,7 @@
 import hashlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -74,6 +75,7 @@
         self.fake.usual = self._answer
         self.relay = cutproxy.CutProxy(self.fake.port)
         self.row_s = "ready"
+        self.born = int(time.time() * 1000)
 
     def row(self) -> dict[str, object]:
         """Write its row of the store."""
@@ -84,6 +86,7 @@
             "Version": "v1",
             "Slots": SLOTS,
             "State": self.row_s,
+            "born": self.born,
         }
 
     def stop(self) -> None:
@@ -303,6 +306,26 @@
         """Write an endpoint's row, as the endpoint does."""
         self.store.put("servers", endpoint.name, endpoint.row())
 
+    def beat_row(self, endpoint: Endpoint) -> None:
+        """Write the row of an endpoint that is still there, as its heartbeat does."""
+        if endpoint.name in self.endpoints:
+            self.write_row(endpoint)
+
+    def write_odd_row(self, key: str, rng: random.Random) -> None:
+        """Write a row that names no endpoint."""
+        good: dict[str, object] = {
+            "Service": "app",
+            "Addr": "127.0.0.1:9",
+            "Zone": "h1",
+            "Version": "v1",
+            "Slots": SLOTS,
+            "State": "ready",
+        }
+        name = rng.choice(sorted(good))
+        wrong: list[object] = [7.5, None, [], {"a": 1}]
+        odd = rng.choice(wrong)
+        self.store.put("servers", key, rng.choice([{**good, name: odd}, [], "odd"]))
+
     def heal(self) -> None:
         """End all disturbances."""
         self.store.faults.clear()
