--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -78,7 +78,7 @@
         "a proof keeps its age under way",
         "testfreshness.py::test_a_proof_keeps_its_age_however_long_it_was_under_way",
         "freshness.py",
-        "at = self._store_clock.to_ours(stamp)",
+        "at = self._store_clock.earliest(stamp)",
         "at = self._clock.now()",
     ),
     _proof(
