Wait a moment for the only agent that lacks a revision

Shown by a test that has the agent lack it three times: refused before, answered after. The entry now asks agents that lack a revision again for a second at most; others are tried first, as before.

--- a/gaprock/entry_dispatch.py
+++ b/gaprock/entry_dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import threading
 import typing
 
 from gaprock import (
@@ -34,6 +35,10 @@
     errorcodes.ENDPOINT_UNREACHABLE,
 )
 MAX_FREE_RETRIES: typing.Final = 8
+# An endpoint that lacks a revision is asked again for so long, and so often, seconds; a
+# delta is there within some milliseconds.
+BEHIND_S: typing.Final = 1.0
+BEHIND_LOOK_S: typing.Final = 0.02
 # Refusals after which another endpoint may still serve.
 RETRIED: typing.Final = (
     *FREE_RETRIES,
@@ -120,16 +125,29 @@
         """
         self.budget.note_first()
         excluded: set[str] = set()
+        behind: set[str] = set()
+        behind_until = min(call.deadline, self._clock.now() + BEHIND_S)
         free_retries = 0
         refusal: errors.GaprockError | None = None
         while True:
-            candidate = self._route(call, version, excluded, refusal)
+            candidate = self._route(call, version, excluded)
+            if candidate is None and behind and self._clock.now() < behind_until:
+                # The only ones left lack a revision that is on its way to them; with
+                # one agent each change refused what came in that instant.
+                threading.Event().wait(BEHIND_LOOK_S)
+                excluded -= behind
+                behind.clear()
+                continue
+            if candidate is None:
+                raise refusal or self.no_endpoint(version)
             try:
                 return self._attempt(call, version, candidate, progress)
             except errors.GaprockError as exc:
                 excluded.add(candidate.name)
                 refusal = _earlier(refusal, exc)
-                if exc.code in FREE_RETRIES and free_retries < MAX_FREE_RETRIES:
+                if exc.code is errorcodes.BEHIND:
+                    behind.add(candidate.name)
+                elif exc.code in FREE_RETRIES and free_retries < MAX_FREE_RETRIES:
                     free_retries += 1
                 elif not self._may_retry(call, exc):
                     raise refusal
@@ -140,8 +158,7 @@
         call: entry_call.Call,
         version: str,
         excluded: set[str],
-        refusal: errors.GaprockError | None,
-    ) -> policy_api.Candidate:
+    ) -> policy_api.Candidate | None:
         candidates = self._links.candidates(version, call.prefix, excluded)
         chosen = self._routing.choose(candidates, self._rng)
         self._decisions.log(
@@ -152,8 +169,6 @@
             ruled_out=",".join(f"{name}:refused" for name in sorted(excluded)),
             choice=chosen.name if chosen else "none",
         )
-        if chosen is None:
-            raise refusal or self.no_endpoint(version)
         return chosen
 
     def _attempt(
--- a/gaprock/test/testguard.py
+++ b/gaprock/test/testguard.py
@@ -1,6 +1,6 @@
 """A version that turns bad is stopped over the whole path."""
 
-from gaprock import documents, errors
+from gaprock import agent_gate, documents, errorcodes, errors, messages
 from gaprock.test import site
 
 
@@ -70,3 +70,20 @@
             return rollout is not None and rollout.step == 1
 
         site.wait_until(advanced, "advanced on evidence")
+
+
+def test_the_only_agent_lacks_a_revision_for_a_moment() -> None:
+    with site.Site() as s:
+        s.start()
+        agent = next(iter(s.agents.values()))
+        refused: list[int] = []
+
+        def check(start: messages.Start) -> agent_gate.Slot:
+            if len(refused) < 3:
+                refused.append(start.revision)
+                raise errors.GaprockError(errorcodes.BEHIND, "it comes")
+            return usual(start)
+
+        usual, agent.gate._check = agent.gate._check, check  # type: ignore
+        assert s.chat().status == 200
+        assert len(refused) == 3
