--- /dev/null
+++ b/bench/placing_player.py
@@ -0,0 +1,429 @@
+"""The player of ``bench.placing``: engines, gateways and callers on a virtual clock."""
+
+import collections
+import heapq
+import itertools
+import random
+import typing
+
+from gaprock import (
+    clock,
+    directory,
+    endpoint_state,
+    evidence,
+    gateway_api,
+    gateway_attempt,
+    gateway_call,
+    gateway_choose,
+    gateway_models,
+    mesh_halls,
+    plugin,
+    policy_api,
+    policy_models,
+    prefix_cache,
+    retry_window,
+    rollouts,
+    routes,
+)
+
+SERVICE: typing.Final = "llm"
+# Models by name, with the price of a token and the share of requests that they do well.
+MODELS: typing.Final = (
+    ("small", 0.05, 0.6),
+    ("middle", 0.3, 0.75),
+    ("large", 1.0, 0.97),
+)
+# Between gateways of a hall, and between halls, seconds.
+BEAT_S: typing.Final = 0.2
+HALL_BEAT_S: typing.Final = 1.0
+WAY_S: typing.Final = 0.001
+# Share of its pace that a stream loses while its engine reads a prompt piece by piece.
+SLOWED: typing.Final = 0.9
+# Where the prompts' sizes are cut, in means.
+LONGEST: typing.Final = 8.0
+
+
+class Kind(typing.NamedTuple):
+    """A kind of request.
+
+    :param share: of all requests.
+    :param tokens: mean length of the prompt, the shared part included.
+    :param spread: of the logarithm of the length.
+    :param shared: length of the part that requests of a subject share.
+    :param subjects: how many there are.
+    :param run_s: time that the answer's events take without any pause, seconds.
+    """
+
+    name: str
+    share: float
+    tokens: float
+    spread: float
+    shared: int
+    subjects: int
+    run_s: float
+    goal_s: float
+    gap_s: float
+
+
+class Site(typing.NamedTuple):
+    """The machines and the load.
+
+    :param tokens_per_s: that an engine reads, of the largest model.
+    :param per_s: requests a second at a load of 1.
+    :param burst: when it begins and ends, seconds, and how many times the load it is.
+    """
+
+    halls: int
+    gateways: int
+    engines: int
+    slots: int
+    memory: int
+    tokens_per_s: float
+    per_s: float
+    kinds: tuple[Kind, ...]
+    burst: tuple[float, float, float] = (4.0, 8.0, 2.0)
+    seconds: float = 12.0
+
+
+# Many quick engines with few requests each.
+QUICK: typing.Final = Site(
+    3,
+    3,
+    4,
+    16,
+    586_000,
+    40_000.0,
+    45.0,
+    (
+        Kind("cluster", 0.3, 9_000, 1.0, 5_000, 60, 1.2, 2.0, 1.2),
+        Kind("digest", 0.17, 800, 0.8, 200, 60, 0.9, 1.5, 1.2),
+        Kind("tag", 0.53, 2_300, 0.8, 500, 200, 0.1, 1.5, 1.2),
+    ),
+)
+# Few slow engines where a long prompt holds up many.
+SLOW: typing.Final = Site(
+    3,
+    1,
+    2,
+    64,
+    468_000,
+    12_000.0,
+    12.0,
+    (
+        Kind("dossier", 0.36, 17_000, 0.5, 13_000, 30, 3.0, 4.0, 0.8),
+        Kind("brief", 0.25, 9_000, 0.5, 6_000, 30, 1.5, 3.0, 0.8),
+        Kind("reply", 0.39, 1_400, 0.8, 350, 60, 4.0, 2.0, 0.8),
+    ),
+)
+SITES: typing.Final = {"quick": QUICK, "slow": SLOW}
+
+
+class Outcome(typing.NamedTuple):
+    """What a caller got.
+
+    :param end: ``in time``, ``too small``, ``late`` or ``unserved``.
+    :param size: of the prompt against the mean of its kind.
+    """
+
+    kind: str
+    end: str
+    size: float
+    cost: float
+
+
+class Engine:
+    """One engine: a queue of prompts to read, and the streams that run."""
+
+    def __init__(self, player: "Player", name: str, hall: str) -> None:
+        site = player.site
+        self.row = gateway_api.EndpointRow(
+            SERVICE, name, 1, hall, "v1", site.slots, False
+        )
+        self.name = name
+        self._player = player
+        self._waiting: collections.deque[Send] = collections.deque()
+        self._is_reading = False
+        self._cache = prefix_cache.PrefixCache()
+        self.running: set[Send] = set()
+
+    def take(self, send: "Send") -> None:
+        """Take a request."""
+        self._waiting.append(send)
+        self._read_next()
+
+    def leave(self, send: "Send") -> None:
+        """Drop a request."""
+        self.running.discard(send)
+        self._read_next()
+
+    def _read_next(self) -> None:
+        if self._is_reading or not self._waiting:
+            return
+        if len(self.running) >= self._player.site.slots:
+            return
+        send = self._waiting.popleft()
+        marks = send.attempt.prompt.marks
+        tokens = max(0, send.job.tokens - self._cache.kept(marks))
+        weight = dict((name, cost) for name, cost, _ in MODELS)[send.model]
+        seconds = weight * tokens / self._player.site.tokens_per_s + 0.005
+        self._cache.use(marks, self._player.site.memory)
+        self._is_reading = True
+        for other in self.running:
+            other.slow(seconds)
+        self._player.after(seconds, lambda: self._read(send))
+
+    def _read(self, send: "Send") -> None:
+        self._is_reading = False
+        self.running.add(send)
+        send.begun()
+        self._read_next()
+
+
+class Job:
+    """One caller's request."""
+
+    def __init__(
+        self, player: "Player", kind: Kind, gateway: "Gateway", number: int
+    ) -> None:
+        # Of its own, so that the same callers come whatever is decided.
+        self.rng = rng = random.Random(f"{player.seed}/{number}")
+        own = max(1, kind.tokens - kind.shared)
+        size = min(LONGEST, rng.lognormvariate(-(kind.spread**2) / 2, kind.spread))
+        self.player, self.kind, self.gateway = player, kind, gateway
+        self.tokens = kind.shared + int(own * size)
+        self.size = self.tokens / kind.tokens
+        self.hardness = rng.random()
+        self.cost = 0.0
+        subject = f"{kind.name}{rng.randrange(kind.subjects)}"
+        parts = [(subject, kind.shared), (f"{number}", self.tokens - kind.shared)]
+        info = gateway_api.RequestInfo(
+            f"{number}", "h", "", 20.0, True, self.tokens, 300, parts, "", None
+        )
+        route = routes.Route(
+            kind.name,
+            "h",
+            "/",
+            routes.RouteKind.STREAM,
+            [routes.Pool(SERVICE, 1)],
+            20.0,
+            kind.goal_s,
+            kind.gap_s,
+            1,
+            [name for name, _, _ in MODELS],
+            3,
+            True,
+            True,
+        )
+        inbound = gateway_call.Inbound(b"POST", b"/", [], b"", player.time.now())
+        self.call = gateway_call.Call(inbound, info, route, None, 1, SERVICE)
+
+    def start(self) -> None:
+        """Choose the first model, and send."""
+        self.send(self.gateway.models.first(self.call))
+
+    def send(self, model: str) -> None:
+        """Send to the endpoint that the gateway chooses."""
+        chosen = self.gateway.chooser.endpoint(self.call, model)
+        assert chosen is not None
+        Send(self, model, *chosen)
+
+    def end(self, send: "Send") -> None:
+        """Note what the caller got."""
+        first_s = self.call.first_at - self.call.inbound.arrived_at
+        skill = dict((name, share) for name, _, share in MODELS)[send.model]
+        end = "in time"
+        if first_s > self.kind.goal_s:
+            end = "late"
+        elif self.hardness > skill:
+            end = "too small"
+        self.player.outcomes.append(Outcome(self.kind.name, end, self.size, self.cost))
+
+
+class Send:
+    """One send of a job, from its choice to its end."""
+
+    def __init__(
+        self,
+        job: Job,
+        model: str,
+        endpoint: endpoint_state.Endpoint,
+        prompt: endpoint_state.Prompt,
+    ) -> None:
+        self.job, self.model = job, model
+        player, gateway = job.player, job.gateway
+        self._player = player
+        self.engine = player.engines[endpoint.name]
+        # The exchange is the engine's: closing it drops the request there.
+        self.attempt: gateway_attempt.Attempt = gateway_attempt.Attempt(
+            endpoint, model, typing.cast(typing.Any, self), prompt
+        )
+        self.attempt.sent_at = player.time.now()
+        self.attempt.ahead = gateway.directory.unread(endpoint)
+        gateway.directory.begin(endpoint, prompt)
+        job.call.sends += 1
+        job.cost += dict((name, cost) for name, cost, _ in MODELS)[model] * job.tokens
+        self._ends_at = 0.0
+        player.after(WAY_S, lambda: self.engine.take(self))
+
+    def begun(self) -> None:
+        """The first event is there: keep the answer, or ask a larger model."""
+        job, gateway = self.job, self.job.gateway
+        self.attempt.head = self._head()
+        self.attempt.note_read(gateway.directory)
+        gateway.models.note_first(job.call, self.attempt)
+        larger = gateway.models.larger(job.call, self.attempt)
+        if larger:
+            self.attempt.finish(gateway.directory)
+            gateway.budget.take(SERVICE, self._player.time.now())
+            job.send(larger)
+            return
+        job.call.note_write(self._player.time.now())
+        self._ends_at = self._player.time.now() + job.kind.run_s
+        self._player.after(job.kind.run_s, self._look)
+
+    def slow(self, seconds: float) -> None:
+        """Make few events for a while, since the engine reads between them."""
+        self._ends_at += SLOWED * seconds
+
+    def _look(self) -> None:
+        now = self._player.time.now()
+        if now < self._ends_at - 1e-6:
+            self._player.after(self._ends_at - now, self._look)
+            return
+        self.attempt.finish(self.job.gateway.directory)
+        self.job.end(self)
+
+    def close(self) -> None:
+        """Leave the engine."""
+        self.engine.leave(self)
+
+    def _head(self) -> gateway_api.AnswerHead:
+        skill = dict((name, share) for name, _, share in MODELS)[self.model]
+        is_right = self.job.hardness <= skill
+        rng = self.job.rng
+        confidence = rng.uniform(0.0, 55.0)
+        if is_right:
+            confidence = 100.0 if rng.random() < 0.5 else rng.uniform(45.0, 100.0)
+        return gateway_api.AnswerHead(
+            200, [], True, False, False, "", confidence, False
+        )
+
+
+class Gateway:
+    """One gateway's decisions, with its own view of the endpoints."""
+
+    def __init__(self, player: "Player", name: str, hall: str) -> None:
+        self.name, self.hall = name, hall
+        time, site = player.time, player.site
+        self.directory = directory.Directory(time, 2.0)
+        self.directory.replace({e.name: e.row for e in player.engines.values()})
+        self.directory.set_memory({SERVICE: site.memory})
+        book = evidence.EvidenceBook(name)
+        guard = plugin.find(policy_api.Guard, "sequential")()
+        rolls = rollouts.Rollouts(time, 0.15, guard, book)
+        costs = [routes.ModelCost(model, cost) for model, cost, _ in MODELS]
+        services = {SERVICE: routes.Service(SERVICE, costs, site.memory)}
+        self.budget: retry_window.RetryWindow = retry_window.RetryWindow(
+            0.9, 50.0, 10.0
+        )
+        routing = plugin.find(policy_api.Routing, "least-filled")()
+        self.chooser: gateway_choose.Chooser = gateway_choose.Chooser(
+            hall, time, self.directory, rolls, routing, lambda: services
+        )
+        self.chooser._rng = random.Random(name)
+        self.models: gateway_models.ModelPicker = gateway_models.ModelPicker(
+            time,
+            self.directory,
+            rolls,
+            policy_models.Confidence(),
+            self.budget,
+            lambda: services,
+        )
+        self._told = 0
+
+    def tell(self, others: list["Gateway"]) -> None:
+        """Tell the own hall what we have where, and what was read for us."""
+        self._told, prompts = self.directory.prompts_since(self._told)
+        loads = self.directory.own_loads()
+        for other in others:
+            other.directory.take_loads(self.name, loads)
+            other.directory.take_prompts(prompts)
+
+
+class Player:
+    """A play: the site, its virtual time, and what the callers got.
+
+    :param load: times the site's usual load.
+    """
+
+    def __init__(self, site: Site, seed: int, load: float = 1.0) -> None:
+        self.site = site
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.time = clock.ManualClock(1000.0)
+        self.numbers = itertools.count()
+        self.outcomes: list[Outcome] = []
+        self._load = load
+        self._jobs = itertools.count()
+        self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
+        halls = [f"h{n}" for n in range(site.halls)]
+        made = [Engine(self, f"{h}e{n}", h) for h in halls for n in range(site.engines)]
+        self.engines = {engine.name: engine for engine in made}
+        self.gateways = [
+            Gateway(self, f"{h}g{n}", h) for h in halls for n in range(site.gateways)
+        ]
+
+    def after(self, seconds: float, call: typing.Callable[[], None]) -> None:
+        """Have something happen later."""
+        at = self.time.now() + seconds
+        heapq.heappush(self._events, (at, next(self.numbers), call))
+
+    def run(self) -> list[Outcome]:
+        """Play until every request has its end."""
+        self._end_at = self.time.now() + self.site.seconds
+        self._began = self.time.now()
+        self._arrive()
+        self._beat()
+        self._beat_halls()
+        while self._events:
+            at, _, call = heapq.heappop(self._events)
+            self.time.advance(at - self.time.now())
+            call()
+        return self.outcomes
+
+    def _is_over(self) -> bool:
+        return self.time.now() >= self._end_at
+
+    def _arrive(self) -> None:
+        if self._is_over():
+            return
+        kinds = self.site.kinds
+        kind = self.rng.choices(kinds, [kind.share for kind in kinds])[0]
+        gateway = self.rng.choice(self.gateways)
+        gateway.budget.note_first(SERVICE, self.time.now())
+        Job(self, kind, gateway, next(self._jobs)).start()
+        since, until, times = self.site.burst
+        passed = self.time.now() - self._began
+        per_s = self.site.per_s * self._load
+        if since <= passed < until:
+            per_s *= times
+        self.after(self.rng.expovariate(per_s), self._arrive)
+
+    def _beat(self) -> None:
+        for gateway in self.gateways:
+            others = [
+                g for g in self.gateways if g.hall == gateway.hall and g is not gateway
+            ]
+            gateway.tell(others)
+        if not self._is_over():
+            self.after(BEAT_S, self._beat)
+
+    def _beat_halls(self) -> None:
+        for hall in sorted({g.hall for g in self.gateways}):
+            near = [g for g in self.gateways if g.hall == hall]
+            loads = mesh_halls.sum_loads(g.directory.own_loads() for g in near)
+            for other in self.gateways:
+                if other.hall != hall:
+                    other.directory.take_loads(mesh_halls.source_name(hall), loads)
+        if not self._is_over():
+            self.after(HALL_BEAT_S, self._beat_halls)
--- a/gaprock/test/testplacing.py
+++ b/gaprock/test/testplacing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench import placing
+from bench import placing, placing_player
 from gaprock import mechanisms, plugin
 
 SEEDS: typing.Final = range(1, 9)
@@ -17,10 +17,10 @@
 
 
 def play(name: str, load: float) -> dict[str, placing.Summary]:
-    site = placing.SITES[name]
+    site = placing_player.SITES[name]
     outcomes = []
     for seed in SEEDS:
-        outcomes += placing.Player(site, seed, load).run()
+        outcomes += placing_player.Player(site, seed, load).run()
     return placing.by_group(outcomes)
 
 
@@ -30,7 +30,7 @@
     sizes = []
     for is_on in (True, False):
         monkeypatch.setattr(mechanisms.STRAIN, "on", is_on)
-        found = placing.Player(placing.QUICK, 5).run()
+        found = placing_player.Player(placing_player.QUICK, 5).run()
         sizes.append(sorted(outcome.size for outcome in found))
     assert sizes[0] == sizes[1]
 
