--- /dev/null
+++ b/gaprock/test/soak_steps.py
@@ -0,0 +1,272 @@
+"""What a soak does to its processes, store, endpoints, rows, and as the operator."""
+
+import signal
+import time
+import typing
+
+from gaprock.test import soak_fleet, soak_ledger, soak_run
+
+SIGNAL_GAP_S: typing.Final = 0.2
+
+
+# -- Faults of processes --
+
+
+def _restart(soak: soak_run.Soak, number: int, is_planned: bool) -> None:
+    gateway = soak.rng.choice(soak.fleet.gateways)
+    pause_s = soak.rng.uniform(0.0, 0.5)
+
+    def work() -> None:
+        if not gateway.lock.acquire(blocking=False):
+            return
+        try:
+            start = soak.ledger.now()
+            what = signal.Signals(number).name
+            mark = soak_ledger.Disturbance(
+                what, gateway.name, is_planned, start, start + 3600
+            )
+            soak.ledger.add(mark)
+            gateway.end(number)
+            time.sleep(pause_s)
+            gateway.start()
+            soak.ledger.replace(mark, mark._replace(end=soak.ledger.now()))
+        finally:
+            gateway.lock.release()
+
+    soak.later(work)
+
+
+@soak_run.fault
+def kill(soak: soak_run.Soak) -> None:
+    """A gateway is killed and started again."""
+    _restart(soak, signal.SIGKILL, is_planned=False)
+
+
+@soak_run.planned
+def planned_stop(soak: soak_run.Soak) -> None:
+    """A gateway is told to stop, and started again when it is gone."""
+    _restart(soak, signal.SIGTERM, is_planned=True)
+
+
+@soak_run.fault
+def pause(soak: soak_run.Soak) -> None:
+    """A gateway stands still for a while."""
+    gateway = soak.rng.choice(soak.fleet.gateways)
+    soak.during(
+        "pause",
+        gateway.name,
+        lambda: gateway.signal(signal.SIGSTOP),
+        lambda: gateway.signal(signal.SIGCONT),
+    )
+
+
+@soak_run.planned
+def settings_change(soak: soak_run.Soak) -> None:
+    """The settings file changes, and the process is told, now and then twice."""
+    gateway = soak.rng.choice(soak.fleet.gateways)
+    gateway.write_settings(soak_fleet.GRACE_S + soak.rng.choice([0, 1]))
+    gateway.signal(signal.SIGHUP)
+    if soak.rng.random() < 0.3:
+        time.sleep(SIGNAL_GAP_S)
+        gateway.signal(signal.SIGHUP)
+
+
+# -- Faults of the store --
+
+
+@soak_run.fault
+def store_fault(soak: soak_run.Soak) -> None:
+    """The store refuses, is slow, or loses its answers."""
+    name, value = soak.rng.choice(
+        [("refuse", 503), ("refuse", 429), ("delay", 0.6), ("lose", True)]
+    )
+    faults = soak.fleet.store.faults
+    soak.during(
+        f"store {name}",
+        soak_ledger.ALL,
+        lambda: faults.update({name: value}),
+        lambda: faults.pop(name, None),
+    )
+
+
+@soak_run.planned
+def store_forgets(soak: soak_run.Soak) -> None:
+    """The store forgets its history."""
+    soak.fleet.store.compact()
+
+
+@soak_run.fault
+def store_clock(soak: soak_run.Soak) -> None:
+    """The store's clock jumps ahead for good."""
+    jump_ms = soak.rng.randrange(5000)
+    old = soak.fleet.store.now_ms
+    soak.fleet.store.now_ms = lambda: old() + jump_ms
+
+
+@soak_run.fault
+def store_cut(soak: soak_run.Soak) -> None:
+    """One gateway's way to the store is silent, one-way, slow, or reset."""
+    gateway = soak.rng.choice(soak.fleet.gateways)
+    _disturb_relay(soak, gateway.store_relay, gateway.name)
+
+
+def _disturb_relay(soak: soak_run.Soak, relay: typing.Any, target: str) -> None:
+    how = soak.rng.choice(["silent", "to-target", "to-caller", "slow", "reset"])
+    begin: typing.Callable[[], object] = relay.reset
+    if how == "silent":
+        begin = relay.flowing.clear
+    elif how == "slow":
+        delay_s = soak.rng.uniform(0.05, 0.3)
+
+        def begin() -> None:
+            relay.delay_s = delay_s
+
+    elif how != "reset":
+
+        def begin() -> None:
+            relay.held.add(how)
+
+    soak.during(f"relay {how}", target, begin, relay.heal)
+
+
+@soak_run.fault_beside
+def store_swallows(soak: soak_run.Soak) -> None:
+    """What comes to the store is never answered, from just after a change on."""
+    faults = soak.fleet.store.faults
+    soak.fleet.publish()
+    soak.during(
+        "store swallow",
+        soak_ledger.ALL,
+        lambda: faults.update(swallow=True),
+        lambda: faults.pop("swallow", None),
+        soak.rng_beside,
+    )
+
+
+@soak_run.fault_beside
+def connections_go_silent(soak: soak_run.Soak) -> None:
+    """Open connections to the store or an endpoint are silent for good."""
+    relays = [gateway.store_relay for gateway in soak.fleet.gateways]
+    relays += [endpoint.relay for endpoint in list(soak.fleet.endpoints.values())]
+    for relay in soak.rng_beside.sample(relays, soak.rng_beside.randint(1, 3)):
+        soak.during(
+            "relay mute", soak_ledger.ALL, relay.mute, lambda: None, soak.rng_beside
+        )
+
+
+# -- Faults and planned work of endpoints --
+
+
+@soak_run.fault
+def endpoint_cut(soak: soak_run.Soak) -> None:
+    """An endpoint's connections are silent, one-way, slow, or reset."""
+    endpoint = soak.rng.choice(list(soak.fleet.endpoints.values()))
+    _disturb_relay(soak, endpoint.relay, soak_ledger.ALL)
+
+
+@soak_run.fault
+def endpoint_fails(soak: soak_run.Soak) -> None:
+    """An endpoint fails or refuses part of its requests, or is slow."""
+    endpoint = soak.rng.choice(list(soak.fleet.endpoints.values()))
+    name, value = soak.rng.choice(
+        [("failing", 0.5), ("failing", 1.0), ("refusing", 0.6), ("slow_s", 0.4)]
+    )
+    soak.during(
+        f"endpoint {name}",
+        soak_ledger.ALL,
+        lambda: setattr(endpoint, name, value),
+        lambda: setattr(endpoint, name, 0.0),
+    )
+
+
+@soak_run.fault
+def endpoint_crash(soak: soak_run.Soak) -> None:
+    """An endpoint is gone at once; its row goes later; another one comes."""
+    endpoint = soak.rng.choice(list(soak.fleet.endpoints.values()))
+    if soak.fleet.endpoints.pop(endpoint.name, None) is None:
+        return
+    soak.during(
+        "endpoint crash",
+        soak_ledger.ALL,
+        endpoint.stop,
+        lambda: soak.fleet.store.remove("servers", endpoint.name),
+    )
+    soak.fleet.add_endpoint(endpoint.service)
+
+
+@soak_run.planned
+def endpoint_leaves(soak: soak_run.Soak) -> None:
+    """An endpoint is replaced: the new one first, then the old one drains."""
+    endpoint = soak.rng.choice(list(soak.fleet.endpoints.values()))
+    if soak.fleet.endpoints.pop(endpoint.name, None) is None:
+        return
+    soak.fleet.add_endpoint(endpoint.service)
+
+    def work() -> None:
+        endpoint.row_s = "draining"
+        soak.fleet.write_row(endpoint)
+        soak.ledger.leaving[endpoint.name] = soak.ledger.now()
+        # It serves on longer than it says, as some do.
+        time.sleep(soak_fleet.DRAIN_S + 2 * soak_ledger.SLACK_S)
+        soak.fleet.store.remove("servers", endpoint.name)
+        endpoint.stop()
+
+    soak.later(work)
+
+
+@soak_run.row_fault
+def endpoint_starts_again(soak: soak_run.Soak) -> None:
+    """An endpoint crashes and is back at once under its id; its row never goes."""
+    endpoint = soak.rng_rows.choice(list(soak.fleet.endpoints.values()))
+    cut = soak.rng_rows.choice([endpoint.relay.reset, endpoint.relay.mute])
+
+    def begin() -> None:
+        cut()
+        endpoint.born += 1
+        soak.fleet.beat_row(endpoint)
+
+    soak.during("endpoint again", soak_ledger.ALL, begin, lambda: None, soak.rng_rows)
+
+
+@soak_run.row_fault
+def row_written_over(soak: soak_run.Soak) -> None:
+    """Another writer writes over an endpoint's row, until its next heartbeat."""
+    endpoint = soak.rng_rows.choice(list(soak.fleet.endpoints.values()))
+    soak.during(
+        "row written over",
+        soak_ledger.ALL,
+        lambda: soak.fleet.write_odd_row(endpoint.name, soak.rng_rows),
+        lambda: soak.fleet.beat_row(endpoint),
+        soak.rng_rows,
+    )
+
+
+@soak_run.odd_row
+def row_of_another_writer(soak: soak_run.Soak) -> None:
+    """Another writer leaves a row that names nothing, for good."""
+    soak.fleet.write_odd_row(f"odd{soak.rng_rows.randrange(9)}", soak.rng_rows)
+
+
+# -- The operator --
+
+
+@soak_run.planned
+def config_change(soak: soak_run.Soak) -> None:
+    """Newer configurations come, now and then in quick succession."""
+    for _ in range(soak.rng.choice([1, 1, 4])):
+        soak.fleet.publish()
+
+
+@soak_run.planned
+def key_taken_away(soak: soak_run.Soak) -> None:
+    """A key is taken away for good."""
+    if len(soak.fleet.keys) > 1:
+        key = soak.fleet.keys.pop()
+        soak.fleet.publish()
+        soak.ledger.revoked[key] = soak.ledger.now()
+
+
+@soak_run.planned_beside
+def key_added(soak: soak_run.Soak) -> None:
+    """A new key comes."""
+    soak.fleet.add_key()
