Have the refused agent of a test stay behind for good

Cause: the test raised the entry's own revision, which the agent then took by the next delta; since an entry waits a moment for its only agent, the call was served, as it should be. The agent of the test now lacks it for good; what is asked of the refusal (code, not run, nothing ran) is unchanged.

--- a/gaprock/test/testrefusals.py
+++ b/gaprock/test/testrefusals.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import types
 import typing
 
 import hypothesis
@@ -38,7 +39,9 @@
 
 
 def fall_behind(s: site.Site) -> None:
-    s.entries[0].config.revision += 100
+    # For good: one that catches up within the entry's wait serves the call.
+    stuck = types.SimpleNamespace(ready=True, revision=-1)
+    setattr(s.agents["a"].gate, "_config", stuck)
 
 
 def refuse_admission(s: site.Site) -> None:
