Log what failed sends have in common, and how far they were

Cause looked for: endpoints that end one after the other under the same request.

Hypotheses, none ruled out yet: (1) nothing is kept of a request when it is over, so each try begins with all of its route's sends; (2) what one gateway saw no other one knows; (3) a send that waits in an endpoint's queue runs there whatever became known since; (4) requests that were open beside it are sent on from one ended endpoint to the next and look the same after three.

Added: a mark of host, path, caller and body, and the seconds since the answer began, in each send-failed line. A mark is hashed when a send failed, never before.

Before and after: 57 tests of the gateway and of marks pass; no decision is changed.

--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from gaprock import directory, endpoint_state, gateway_api, http_exchange
+from gaprock import clock, directory, endpoint_state, gateway_api, http_exchange
 
 DEADLINE: typing.Final = "deadline"
 STARTED_AGAIN: typing.Final = "endpoint started again"
@@ -34,6 +34,7 @@
         "exchange",
         "head",
         "sent_at",
+        "begun_at",
         "ahead",
         "prompt",
         "is_judged",
@@ -60,8 +61,14 @@
         self._is_waiting = True
         self.head: gateway_api.AnswerHead
         self.sent_at = 0.0
+        # When the head came; ``NEVER`` before.
+        self.begun_at = clock.NEVER
         self._done = False
 
+    def begun_for(self, now: float) -> float:
+        """Give the seconds since its answer began; -1 before that."""
+        return -1.0 if self.begun_at == clock.NEVER else now - self.begun_at
+
     def note_read(self, directory_: directory.Directory) -> None:
         """Note that the endpoint has read the prompt; again does nothing."""
         if self._is_waiting:
--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -3,7 +3,7 @@
 import typing
 import zlib
 
-from gaprock import errorcodes, gateway_api, http_exchange, routes
+from gaprock import errorcodes, gateway_api, http_exchange, request_mark, routes
 
 Headers = gateway_api.Headers
 
@@ -92,6 +92,7 @@
         "wrote_at",
         "longest_gap_s",
         "events",
+        "_mark",
     )
 
     def __init__(
@@ -137,6 +138,17 @@
         self.longest_gap_s = 0.0
         # Events that the caller got.
         self.events = 0
+        self._mark: int | None = None
+
+    @property
+    def mark(self) -> int:
+        """The request's mark; hashes the body when it is first asked for."""
+        if self._mark is None:
+            caller = self.workspace.name if self.workspace else self.info.key
+            self._mark = request_mark.mark_of(
+                caller, self.info.host, self.inbound.path, self.inbound.body
+            )
+        return self._mark
 
     def note_write(self, now: float) -> None:
         """Note that the caller is given bytes."""
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -146,6 +146,7 @@
                 self.note_break(call, attempt)
                 raise gateway_attempt.Failed(str(exc)) from exc
         self._directory.heard(endpoint)
+        attempt.begun_at = self._clock.now()
         attempt.head = self._dialect.read_answer(raw.status, raw.headers)
         self._check_head(call, attempt)
         attempt.note_read(self._directory)
@@ -312,4 +313,7 @@
             send=call.sends,
             outcome=outcome,
             detail=detail,
+            # What failed sends of one request have in common, and how far this one was.
+            mark=f"{call.mark:016x}",
+            begun_s=attempt.begun_for(self._clock.now()),
         )
