--- a/gaprock/test/fakes/backend.py
+++ b/gaprock/test/fakes/backend.py
@@ -32,13 +32,13 @@
 class Backend:
     """The endpoint; scripts are used up one by one, then ``usual``."""
 
-    def __init__(self, name: str, events: int = 5) -> None:
+    def __init__(self, name: str, events: int = 5, port: int = 0) -> None:
         self.name = name
         self.events = events
         self.seen: list[Seen] = []
         self.scripts: collections.deque[Script] = collections.deque()
         self.usual: Script = answer
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self._listener = socket.create_server(("127.0.0.1", port), backlog=64)
         self.port = self._listener.getsockname()[1]
         self._open: set[socket.socket] = set()
         threading.Thread(target=self._accept, daemon=True).start()
@@ -54,6 +54,12 @@
             self._listener.shutdown(socket.SHUT_RDWR)
             self._listener.close()
         for conn in list(self._open):
+            try:
+                # A thread that reads it would keep it open.
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # It is closed already.
+                pass
             conn.close()
 
     def _accept(self) -> None:
