Hold back requests that end what runs them

Cause: nothing was kept of a request when its call was over, and nothing was told of it. The class: what a failure tells of a request was taken as telling of its endpoint alone.

Now each end of an endpoint's life speaks against the requests that were open there, by mark: 2 against one that had begun within 0.3 s, 1 against one that had not begun, none against one that ran for a second. At 6 a request is held on every gateway: it is refused at once (503, code 1030, with the time until it would be tried again), its open sends are taken back, and a call that has run gets 502. Ends are told in beats by the endpoint's life, so that sets join; what is held is told to every peer within 1.8 s again, so that one that starts or was cut off hears it. A whole answer clears. Tries of a suspected request at one gateway wait for each other.

Ruled out: counting ends alone.

--- a/gaprock/errorcodes.py
+++ b/gaprock/errorcodes.py
@@ -159,6 +159,9 @@
 ENTRY_UNREACHABLE: typing.Final = ErrorCode(
     1029, "entry-unreachable", 503, "The entry accepted no connection"
 )
+HELD: typing.Final = ErrorCode(
+    1030, "held", 503, "Endpoints ended as they began to run this request"
+)
 
 OUTCOME_UNKNOWN: typing.Final = ErrorCode(
     2001, "outcome-unknown", 502, "An endpoint may have run the request"
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -10,8 +10,10 @@
 
 DEADLINE: typing.Final = "deadline"
 STARTED_AGAIN: typing.Final = "endpoint started again"
+UNREACHABLE: typing.Final = "endpoint unreachable"
+HELD: typing.Final = "request is held back"
 # Reasons for which nothing more comes, whether the call may be sent again or not.
-FINAL: typing.Final = (DEADLINE, STARTED_AGAIN)
+FINAL: typing.Final = (DEADLINE, STARTED_AGAIN, HELD)
 # Statuses from here on are no success, and from there on the endpoint's own failures.
 SUCCESS_END: typing.Final = 300
 SERVER_ERROR: typing.Final = 500
--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -150,6 +150,13 @@
             )
         return self._mark
 
+    def is_alike(self, other: "Call") -> bool:
+        """Whether two calls are tries of one request; hashes likely ones alone."""
+        if self.inbound.path != other.inbound.path:
+            return False
+        is_same_size = len(self.inbound.body) == len(other.inbound.body)
+        return is_same_size and self.mark == other.mark
+
     def note_write(self, now: float) -> None:
         """Note that the caller is given bytes."""
         if self.first_at:
--- a/gaprock/gateway_judge.py
+++ b/gaprock/gateway_judge.py
@@ -76,11 +76,12 @@
         if self._judge(call, attempt, call.route.name, judged):
             attempt.is_judged = True
 
+    def looks_at_breaks(self, call: gateway_call.Call) -> bool:
+        """Whether an answer that breaks off says something of its version."""
+        return self._rollouts.is_judged(call.service)
+
     def broke(
-        self,
-        call: gateway_call.Call,
-        attempt: gateway_attempt.Attempt,
-        lives: typing.Callable[[], bool],
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, lives: bool
     ) -> None:
         """Take that an answer broke off.
 
@@ -88,7 +89,7 @@
             fault of its version, and has many answers break off at once.
         """
         self._directory.answered(attempt.endpoint, failed=True)
-        if not self._rollouts.is_judged(call.service) or not lives():
+        if not lives or not self.looks_at_breaks(call):
             return
         attempt.is_judged = True
         judged = rollout_pace.Judged(True, None)
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -28,6 +28,7 @@
         "store_proof_age",
         "store_calls",
         "odd_rows",
+        "requests_held",
     )
 
     def __init__(self) -> None:
@@ -94,6 +95,11 @@
             ["kind", "table"],
             registry=registry,
         )
+        self.requests_held = prometheus_client.Gauge(
+            "gaprock_requests_held",
+            "Requests that are held back, since endpoints ended as they began",
+            registry=registry,
+        )
         self.odd_rows = prometheus_client.Gauge(
             "gaprock_odd_rows",
             "Rows that could not be used since the start, by table",
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -25,6 +25,7 @@
     gateway_metrics,
     gateway_models,
     gateway_own,
+    gateway_quarantine,
     gateway_relay,
     gateway_rows,
     gateway_sender,
@@ -36,6 +37,7 @@
     periodic,
     plugin,
     policy_api,
+    quarantine,
     retry_window,
     rollout_writer,
     rollouts,
@@ -101,8 +103,16 @@
             bounds.session_s,
         )
         address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
+        self.quarantine = quarantine.Quarantine(clock_)
         self.mesh = mesh.Mesh(
-            cfg.vm, cfg.hall, address, clock_, self.directory, self.rollouts, evidence_
+            cfg.vm,
+            cfg.hall,
+            address,
+            clock_,
+            self.directory,
+            self.rollouts,
+            evidence_,
+            self.quarantine,
         )
         self.mesh.on_old_here = self._on_old
         self.store_clock = freshness.StoreClock()
@@ -285,8 +295,9 @@
             self._services,
         )
         judge = gateway_judge.AnswerJudge(self.clock, self.directory, self.rollouts)
-        sender = gateway_sender.Sender(
-            self.clock, self.dialect, self.directory, self.metrics, judge
+        gate = gateway_quarantine.Gate(self.clock, self.directory, self.quarantine)
+        self._sender = gateway_sender.Sender(
+            self.clock, self.dialect, self.directory, self.metrics, judge, gate
         )
         models = gateway_models.ModelPicker(
             self.clock,
@@ -299,18 +310,20 @@
         relay = gateway_relay.Relay(
             self.clock,
             self.directory,
-            sender,
+            self._sender,
             judge,
             models,
+            gate,
         )
         return gateway_serve.Server(
             self.clock,
             self.dialect,
             self.orders,
             chooser,
-            sender,
+            self._sender,
             relay,
             judge,
+            gate,
             self.budget,
             self.metrics,
             self._max_calls(),
@@ -353,6 +366,8 @@
         if not self.port.is_accepting:
             eventlog.warning("not-accepting", open=self.server.open_calls)
         self.directory.forget_gone()
+        self._sender.settle_breaks()
+        self.quarantine.forget_old()
         self.budget.members = self.mesh.members()
         table = self.orders.table
         if table is not None and table.number != self._limits_of:
@@ -371,6 +386,7 @@
         self.metrics.log_lines_dropped.set(eventlog.dropped_lines())
         for odd in self._odd:
             self.metrics.odd_rows.labels(odd.table).set(odd.count)
+        self.metrics.requests_held.set(self.quarantine.held_count)
         for follower in self.followers:
             gauge = self.metrics.store_connected.labels(follower.table)
             gauge.set(follower.connected)
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -17,6 +17,7 @@
     gateway_call,
     gateway_judge,
     gateway_models,
+    gateway_quarantine,
     gateway_sender,
     gateway_source,
     http_exchange,
@@ -55,12 +56,14 @@
         sender: gateway_sender.Sender,
         judge: gateway_judge.AnswerJudge,
         models: gateway_models.ModelPicker,
+        gate: gateway_quarantine.Gate,
     ) -> None:
         self._clock = clock_
         self.directory = directory_
         self._sender = sender
         self._judge = judge
         self._models = models
+        self._gate = gate
 
     def run(
         self, call: gateway_call.Call, reply: gateway_call.Reply, sends: Sends
@@ -205,6 +208,7 @@
                 self._relay_one(call, reply, sends, source, events, last)
                 if source is first:
                     self._judge.paced(call, source.attempt)
+                self._gate.note_whole(call)
                 return True
             except _Stopped as exc:
                 last, detail = exc.last, exc.detail
@@ -312,9 +316,12 @@
     def _note_broken(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, detail: str
     ) -> None:
-        if detail != gateway_attempt.DEADLINE:
+        if detail not in (gateway_attempt.DEADLINE, gateway_attempt.HELD):
             call.excluded.add(attempt.endpoint.life)
-        if detail == gateway_attempt.DEADLINE:
+        if detail == gateway_attempt.HELD:
+            # We took it back; its endpoint is not to blame.
+            pass
+        elif detail == gateway_attempt.DEADLINE:
             self._judge.waits(call, attempt)
             self.directory.answered(attempt.endpoint, failed=True)
         else:
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -12,6 +12,7 @@
     gateway_call,
     gateway_judge,
     gateway_metrics,
+    gateway_quarantine,
     http_exchange,
     routes,
 )
@@ -44,12 +45,14 @@
         directory_: directory.Directory,
         metrics: gateway_metrics.GatewayMetrics,
         judge: gateway_judge.AnswerJudge,
+        gate: gateway_quarantine.Gate,
     ) -> None:
         self._clock = clock_
         self._dialect = dialect
         self._directory = directory_
         self._metrics = metrics
         self._judge = judge
+        self._gate = gate
 
     def send(
         self,
@@ -178,7 +181,9 @@
                 self._judge.waits(call, attempt)
                 reason = self._give_up_reason(call, attempt, heard_at, may_give_up)
                 if reason:
-                    self._directory.answered(attempt.endpoint, failed=True)
+                    if reason != gateway_attempt.HELD:
+                        self._directory.answered(attempt.endpoint, failed=True)
+                        self._note_end(call, attempt, reason)
                     raise gateway_attempt.Failed(f"body: {reason}") from exc
                 continue
             if data is None:
@@ -197,8 +202,10 @@
         if not reason:
             return
         call.has_run = True
-        call.excluded.add(attempt.endpoint.life)
-        self._directory.answered(attempt.endpoint, failed=True)
+        if reason != gateway_attempt.HELD:
+            call.excluded.add(attempt.endpoint.life)
+            self._directory.answered(attempt.endpoint, failed=True)
+            self._note_end(call, attempt, reason)
         raise gateway_attempt.Failed(reason)
 
     def _give_up_reason(
@@ -237,8 +244,10 @@
             return gateway_attempt.DEADLINE
         if endpoint.is_over:
             return gateway_attempt.STARTED_AGAIN
+        if self._gate.is_to_be_withdrawn(call, attempt):
+            return gateway_attempt.HELD
         if endpoint.is_dark or self._is_dark_now(attempt):
-            return "endpoint unreachable"
+            return gateway_attempt.UNREACHABLE
         is_full = endpoint.load > FREE_FILL * endpoint.row.slots
         if now - heard_at >= patience_s and not is_full:
             return f"nothing for {now - heard_at:.1f} s"
@@ -248,7 +257,29 @@
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
         """Take that an answer broke off."""
-        self._judge.broke(call, attempt, lambda: self._lives(attempt.endpoint))
+        endpoint = attempt.endpoint
+        weight = self._gate.weight(call, attempt)
+        lives = bool(weight) or self._judge.looks_at_breaks(call)
+        lives = lives and self._lives(endpoint)
+        self._judge.broke(call, attempt, lives)
+        if lives:
+            self._gate.lives(endpoint)
+        elif weight:
+            self._gate.broke(call, endpoint, weight)
+
+    def _note_end(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, reason: str
+    ) -> None:
+        """Take that a send is given up; its endpoint may have ended."""
+        if reason not in (gateway_attempt.UNREACHABLE, gateway_attempt.STARTED_AGAIN):
+            return
+        weight = self._gate.weight(call, attempt)
+        if weight:
+            self._gate.broke(call, attempt.endpoint, weight)
+
+    def settle_breaks(self) -> None:
+        """Look at endpoints that broke answers off and were not looked at since."""
+        self._gate.settle(self._connects)
 
     def _is_dark_now(self, attempt: gateway_attempt.Attempt) -> bool:
         """Look at a silent endpoint: a busy one still takes connections."""
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -25,6 +25,7 @@
     gateway_choose,
     gateway_judge,
     gateway_metrics,
+    gateway_quarantine,
     gateway_relay,
     gateway_sender,
     http_exchange,
@@ -71,6 +72,7 @@
         sender: gateway_sender.Sender,
         relay: gateway_relay.Relay,
         judge: gateway_judge.AnswerJudge,
+        gate: gateway_quarantine.Gate,
         budget: retry_window.RetryWindow,
         metrics: gateway_metrics.GatewayMetrics,
         max_calls: int,
@@ -84,6 +86,7 @@
         self._sender = sender
         self._relay = relay
         self._judge = judge
+        self._gate = gate
         self._budget = budget
         self._metrics = metrics
         self._max_calls = max_calls
@@ -120,6 +123,7 @@
         result, call = "answered", None
         try:
             call = self._check(inbound)
+            self._gate.enter(call)
             self._run(call, reply)
         except http_exchange.CallerGone:
             result = "caller-gone"
@@ -128,6 +132,7 @@
             self._give_up(reply, exc)
         finally:
             if call is not None:
+                self._gate.leave(call)
                 self._chooser.note_end(call)
                 self._returns.note_end(self._clock.now())
             with self._idle:
@@ -223,6 +228,8 @@
                     call.excluded.add(attempt.endpoint.life)
                     self.take_repeat(call, f"status {attempt.head.status}")
                     continue
+                if not bad:
+                    self._gate.note_whole(call)
             head, body = kept
             call.status = head.status
             call.note_write(self._clock.now())
@@ -242,6 +249,7 @@
         :raises gateway_call.GivenUp: when no endpoint would.
         """
         while True:
+            self._refuse_held(call)
             endpoint, prompt = self._find_endpoint(call, reply, model)
             sends = call.sends
             try:
@@ -265,6 +273,19 @@
             self._metrics.sends.labels(call.service, "answered").inc()
             return attempt
 
+    def _refuse_held(self, call: gateway_call.Call) -> None:
+        """Give a poison request up at once, wherever it has got to.
+
+        A status of the caller's own fault would blame bystanders, should one ever be
+        held; it may come back when it would be sent again.
+        """
+        held_s = self._gate.held_s(call)
+        if not held_s:
+            return
+        if call.has_run:
+            raise self.unknown(call, gateway_attempt.HELD)
+        raise gateway_call.GivenUp(errorcodes.HELD, f"mark {call.mark:016x}", held_s)
+
     def may_repeat(self, call: gateway_call.Call) -> bool:
         """Whether a call that may have run may be sent again."""
         return call.route.repeatable and self._may_send_again(call)
@@ -285,7 +306,7 @@
 
     def _may_send_again(self, call: gateway_call.Call) -> bool:
         now = self._clock.now()
-        if call.sends_left <= 0 or now >= call.deadline:
+        if call.sends_left <= 0 or now >= call.deadline or self._gate.held_s(call):
             return False
         return self._budget.left(call.service, now) >= 1.0
 
@@ -296,9 +317,10 @@
         give_up_at = self._clock.now() + WAIT_SHARE * call.route.goal_s
         give_up_at = min(give_up_at, call.deadline)
         while True:
-            chosen = self._chooser.endpoint(call, model)
-            if chosen is not None:
-                return chosen
+            if not self._gate.must_wait(call):
+                chosen = self._chooser.endpoint(call, model)
+                if chosen is not None:
+                    return chosen
             now = self._clock.now()
             if now >= give_up_at:
                 raise self._refused(call, "no usable endpoint")
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -32,6 +32,7 @@
     mesh_messages,
     mesh_peers,
     mesh_plan,
+    quarantine,
     rollouts,
 )
 
@@ -67,8 +68,11 @@
         directory_: directory.Directory,
         rollouts_: rollouts.Rollouts,
         evidence_: evidence.EvidenceBook,
+        quarantine_: quarantine.Quarantine,
     ) -> None:
-        super().__init__(name, hall, address, clock_, directory_, rollouts_, evidence_)
+        super().__init__(
+            name, hall, address, clock_, directory_, rollouts_, evidence_, quarantine_
+        )
         self._stopped = False
         self._thread: threading.Thread | None = None
         # What everybody must know at once, as it was at the last look.
@@ -235,16 +239,20 @@
             is_far = self._is_far(peer)
             tick, counters = self._evidence.since(peer.tick)
             prompt_count, prompts = self._directory.prompts_since(peer.prompts)
+            is_all_held = now >= peer.held_told_at + quarantine.TELL_HELD_S
             beat = msgspec.structs.replace(
                 far_beat if is_far else near_beat,
                 # Where each gateway carries, all tell all; else prompts stay in the
                 # hall: few requests leave it, and they were a quarter of the bytes.
                 prompts=prompts if is_direct or not is_far else [],
                 evidence=self._evidence_for(peer, counters),
+                suspects=self._suspects_for(peer, is_all_held),
             )
             if self._send(peer, beat):
                 peer.tick, peer.beat_at = tick, now
                 peer.prompts = prompt_count
+                if is_all_held:
+                    peer.held_told_at = now
                 reached.append(peer)
         return reached
 
@@ -283,6 +291,7 @@
             # A new process knows nothing of what the old one was told.
             peer.tick, peer.told = 0, mesh_peers.News((), ())
             peer.prompts = 0
+            peer.held_told_at = -clock.NEVER
             eventlog.info("peer-heard", peer=beat.sender, address=beat.address)
         now = self._clock.now()
         peer.name, peer.hall = beat.sender, beat.hall
@@ -291,6 +300,7 @@
             self._directory.take_loads(beat.sender, beat.loads)
             self._directory.take_dark(beat.sender, beat.dark)
         self._directory.take_prompts(beat.prompts)
+        self._quarantine.take(beat.suspects, self._is_far(peer))
         for hall in beat.halls:
             self.halls.take(hall, now, is_passed_on=not self._is_far(peer))
         for news in beat.rollouts:
--- a/gaprock/mesh_beats.py
+++ b/gaprock/mesh_beats.py
@@ -12,6 +12,7 @@
     mesh_messages,
     mesh_peers,
     messages,
+    quarantine,
     rollouts,
 )
 
@@ -52,12 +53,14 @@
         directory_: directory.Directory,
         rollouts_: rollouts.Rollouts,
         evidence_: evidence.EvidenceBook,
+        quarantine_: quarantine.Quarantine,
     ) -> None:
         halls = mesh_halls.HallBook(hall, directory_, rollouts_)
         super().__init__(name, hall, address, clock_, halls)
         self._directory = directory_
         self._rollouts = rollouts_
         self._evidence = evidence_
+        self._quarantine = quarantine_
         # Given once the rows are followed.
         self.source: RowSource | None = None
         self._incarnation = ids.new_token()
@@ -67,7 +70,8 @@
         rolls = self._rollouts.all()
         halts = [(r.order.service, r.revision, r.halted) for r in rolls]
         dark = self._directory.dark(), self._directory.doubted()
-        return halts, self._has_store(), self.leaving, dark
+        held = list(self._quarantine.ticks.values())
+        return halts, self._has_store(), self.leaving, dark, held
 
     def _near_news(self) -> mesh_peers.News:
         """Give what is worth a beat to the own hall before the idle one is due."""
@@ -77,9 +81,11 @@
         versions = [table.changed for table in self._tables()]
         halts = mesh_messages.halts(rolls)
         proofs = self._proofs()
+        state = (self._has_store(), self.leaving, self._directory.dark())
+        held, suspected = self._suspect_ticks(is_far=False)
         return mesh_peers.News(
-            (halts, versions, self._has_store(), self.leaving, self._directory.dark()),
-            (self._directory.own_loads(), moving, tick, proofs),
+            (halts, versions, state, held),
+            (self._directory.own_loads(), moving, tick, proofs, suspected),
         )
 
     def _far_news(self, now: float) -> mesh_peers.News:
@@ -95,8 +101,10 @@
         moving = [(roll.on_old, roll.kept) for roll in hall.rollouts]
         tick, _ = self._evidence.since(1 << 60)
         proofs = self._proofs()
+        held, suspected = self._suspect_ticks(is_far=True)
         return mesh_peers.News(
-            (hall.urgent, orders, self.leaving), (hall.loads, moving, tick, proofs)
+            (hall.urgent, orders, self.leaving, held),
+            (hall.loads, moving, tick, proofs, suspected),
         )
 
     def _hall_news(self, now: float) -> mesh_messages.HallNews:
@@ -187,6 +195,29 @@
             [self._hall_news(now)],
         )
 
+    def _suspects_for(
+        self, peer: mesh_peers.Peer, is_all_held: bool
+    ) -> list[quarantine.SuspectNews]:
+        """Give the suspected requests that a peer does not hear of from others.
+
+        :param is_all_held: whether to tell all that is held, as everybody does now and
+            then for one that starts, or to which the way was cut.
+        """
+        return self._quarantine.news(self._origins(self._is_far(peer)), is_all_held)
+
+    def _suspect_ticks(self, is_far: bool) -> tuple[list[int], list[int]]:
+        """Count what a peer hears from us first: what is held, what is suspected."""
+        origins, book = self._origins(is_far), self._quarantine
+        held = [book.ticks[origin] for origin in origins]
+        return held, [book.changes[origin] for origin in origins]
+
+    def _origins(self, is_far: bool) -> tuple[quarantine.Origin, ...]:
+        """Say where the changes come from that a peer is to hear from us."""
+        if not self._carried:
+            return (quarantine.Origin.OWN,)
+        other = quarantine.Origin.NEAR if is_far else quarantine.Origin.FAR
+        return (quarantine.Origin.OWN, other)
+
     def _evidence_for(
         self, peer: mesh_peers.Peer, counters: list[messages.Evidence]
     ) -> list[messages.Evidence]:
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gaprock import endpoint_state, messages, prefix_cache
+from gaprock import endpoint_state, messages, prefix_cache, quarantine
 
 # Row tables that a beat gives versions of, in this order.
 TABLES: typing.Final = ("orders", "endpoints", "outcomes")
@@ -93,6 +93,7 @@
     :param dark: endpoints that take no connection from it.
     :param evidence: counters that changed since the last beat to this peer.
     :param halls: summaries: the sender's hall's to another one, others' in its own.
+    :param suspects: requests that something speaks against, or no more.
     """
 
     sender: str
@@ -108,6 +109,7 @@
     evidence: list[messages.Evidence]
     leaving: bool
     halls: list[HallNews] = []
+    suspects: list[quarantine.SuspectNews] = []
 
 
 def halts(news: list[RolloutNews]) -> list[tuple[str, int, bool]]:
--- a/gaprock/mesh_peers.py
+++ b/gaprock/mesh_peers.py
@@ -44,6 +44,7 @@
         "probed_at",
         "used_at",
         "spoke_at",
+        "held_told_at",
     )
 
     def __init__(
@@ -71,6 +72,8 @@
         self.used_at = -clock.NEVER
         # When its last beat came here; others may have told of it later.
         self.spoke_at = -clock.NEVER
+        # When it was last told all requests that are held.
+        self.held_told_at = -clock.NEVER
 
 
 def beat_pause(is_far: bool, far_peers: int) -> float:
--- a/gaprock/test/fleetcase.py
+++ b/gaprock/test/fleetcase.py
@@ -13,6 +13,7 @@
     gateway_api,
     mesh,
     mesh_members,
+    quarantine,
     rollout_state,
 )
 from gaprock.test import rolloutcase
@@ -65,6 +66,7 @@
         self.book = rolloutcase.make_rollouts(time)
         self.evidence = evidence.EvidenceBook(f"{self.name}/x")
         self.directory = directory.Directory(time, 2.0)
+        self.quarantine = quarantine.Quarantine(time)
         self.mesh = mesh.Mesh(
             self.name,
             hall,
@@ -73,6 +75,7 @@
             self.directory,
             self.book,
             self.evidence,
+            self.quarantine,
         )
         self.table = Table()
         self.mesh.source = self.table  # type: ignore[assignment]
--- a/gaprock/test/rolloutcase.py
+++ b/gaprock/test/rolloutcase.py
@@ -10,6 +10,7 @@
     gateway_api,
     mesh,
     policy_guard,
+    quarantine,
     rollout_writer,
     rollouts,
 )
@@ -64,7 +65,14 @@
         self.book = make_rollouts(time)
         self.directory = directory.Directory(time, 2.0)
         self.mesh = mesh.Mesh(
-            "me", "h1", "", time, self.directory, self.book, evidence.EvidenceBook("me")
+            "me",
+            "h1",
+            "",
+            time,
+            self.directory,
+            self.book,
+            evidence.EvidenceBook("me"),
+            quarantine.Quarantine(time),
         )
         self.on_old = 0
         self.mesh.on_old_here = lambda service: self.on_old
--- /dev/null
+++ b/gaprock/test/testquarantine.py
@@ -0,0 +1,383 @@
+"""Who is suspected of ending endpoints, who is held, and that bystanders are not."""
+
+import heapq
+import random
+import typing
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from gaprock import clock, gateway_quarantine, mesh_messages, quarantine
+from gaprock.test import fleetcase
+
+MARK: typing.Final = 7
+BEGUN: typing.Final = quarantine.BEGUN_WEIGHT
+OPEN: typing.Final = quarantine.OPEN_WEIGHT
+OWN: typing.Final = (quarantine.Origin.OWN,)
+
+
+@pytest.fixture
+def time() -> clock.ManualClock:
+    return clock.ManualClock(100.0)
+
+
+@pytest.fixture
+def book(time: clock.ManualClock) -> quarantine.Quarantine:
+    return quarantine.Quarantine(time)
+
+
+def end_three(book: quarantine.Quarantine, mark: int = MARK) -> None:
+    """Have a request end three endpoints as it begins."""
+    for life in "abc":
+        book.note(mark, life, BEGUN)
+
+
+@pytest.mark.parametrize(
+    "weights, is_held",
+    [
+        ([BEGUN, BEGUN], False),
+        ([BEGUN, BEGUN, OPEN], False),
+        ([BEGUN, BEGUN, BEGUN], True),
+        ([BEGUN, BEGUN, OPEN, OPEN], True),
+        ([OPEN] * 5, False),
+        ([OPEN] * 6, True),
+    ],
+)
+def test_a_request_is_held_after_enough_ends(
+    book: quarantine.Quarantine, weights: list[int], is_held: bool
+) -> None:
+    for number, weight in enumerate(weights):
+        assert not book.holds(MARK)
+        book.note(MARK, f"life-{number}", weight)
+    assert bool(book.holds(MARK)) is is_held
+    assert not book.holds(MARK + 1)
+
+
+def test_one_end_counts_once_whoever_tells_of_it(book: quarantine.Quarantine) -> None:
+    for _ in range(9):
+        book.note(MARK, "a", BEGUN)
+        book.take([quarantine.SuspectNews(MARK, {"a": BEGUN})], is_far=False)
+    assert book.suspects(MARK) and not book.holds(MARK)
+    # What says more of the same end goes before.
+    book.note(MARK, "b", OPEN)
+    book.note(MARK, "b", BEGUN)
+    book.note(MARK, "c", BEGUN)
+    assert book.holds(MARK)
+
+
+def test_a_whole_answer_clears_and_what_is_told_late_does_not_undo_it(
+    book: quarantine.Quarantine, time: clock.ManualClock
+) -> None:
+    end_three(book)
+    told = book.news(OWN, is_all_held=True)
+    book.clear(MARK)
+    assert not book.holds(MARK) and not book.suspects(MARK)
+    book.take(told, is_far=False)
+    assert not book.holds(MARK)
+    # Another gateway hears that it was cleared.
+    other = quarantine.Quarantine(time)
+    other.take(told, is_far=False)
+    assert other.holds(MARK)
+    other.take(book.news(OWN, is_all_held=False), is_far=False)
+    assert not other.holds(MARK)
+    time.advance(quarantine.CLEARED_S)
+    end_three(book)
+    assert book.holds(MARK)
+
+
+def test_what_was_held_for_its_time_is_tried_once_more(
+    book: quarantine.Quarantine, time: clock.ManualClock
+) -> None:
+    end_three(book)
+    time.advance(quarantine.HELD_S - 1.0)
+    book.forget_old()
+    assert 0.0 < book.holds(MARK) <= 1.0
+    # Another gateway that hears of it now holds it no longer than we do.
+    other = quarantine.Quarantine(time)
+    other.take(book.news(OWN, is_all_held=True), is_far=True)
+    time.advance(1.1)
+    for one in (book, other):
+        one.forget_old()
+        assert not one.holds(MARK)
+        one.note(MARK, "later", BEGUN)
+        assert one.holds(MARK) == pytest.approx(quarantine.HELD_S)
+
+
+def test_suspicion_is_forgotten_and_bounded(
+    book: quarantine.Quarantine, time: clock.ManualClock
+) -> None:
+    assert book.is_empty and book.news(OWN, is_all_held=True) == []
+    end_three(book)
+    for mark in range(1000, 1000 + quarantine.MAX_MARKS + 50):
+        book.note(mark, "a", OPEN)
+    # What is held outlives newer ones that are not.
+    assert book.holds(MARK) and not book.suspects(1000)
+    assert len(book._marks) <= quarantine.MAX_MARKS
+    assert len(book.news(OWN, is_all_held=True)) == quarantine.MAX_TOLD
+    time.advance(quarantine.SUSPECT_S + 1.0)
+    book.forget_old()
+    assert book.held_count == len(book._marks) == 1
+    time.advance(quarantine.HELD_S)
+    book.forget_old()
+    time.advance(quarantine.SUSPECT_S + 1.0)
+    book.forget_old()
+    assert book.is_empty
+
+
+ENDS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 2),
+        strategies.sampled_from("abcdef"),
+        strategies.sampled_from([OPEN, BEGUN]),
+    ),
+    max_size=10,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(ENDS, strategies.randoms(use_true_random=False))
+def test_gateways_that_tell_each_other_agree_in_whichever_order(
+    ends: list[tuple[int, str, int]], rng: random.Random
+) -> None:
+    time = clock.ManualClock(100.0)
+    books = [quarantine.Quarantine(time) for _ in range(3)]
+    most: dict[str, int] = {}
+    for who, life, weight in ends:
+        books[who].note(MARK, life, weight)
+        most[life] = max(weight, most.get(life, 0))
+        if rng.random() < 0.5:
+            told = books[rng.randrange(3)].news(tuple(quarantine.Origin), False)
+            books[rng.randrange(3)].take(told, is_far=rng.random() < 0.5)
+    for _ in range(2):
+        for one in books:
+            for other in books:
+                other.take(one.news(tuple(quarantine.Origin), True), is_far=False)
+    is_held = sum(most.values()) >= quarantine.HELD_WEIGHT
+    assert [bool(one.holds(MARK)) for one in books] == [is_held] * 3
+
+
+# -- Bystanders --
+
+
+class Play:
+    """A service under a burst whose endpoints end by turns, on a clock of events.
+
+    Requests come at any endpoint, wait, run, and are sent on when their endpoint ends,
+    three times at most.
+
+    :param poison: whether one request ends endpoints, which also end by themselves.
+    """
+
+    ENDPOINTS: typing.Final = 9
+    PER_S: typing.Final = 60.0
+    BACK_S: typing.Final = 4.0
+    SECONDS: typing.Final = 60.0
+
+    def __init__(
+        self, seed: int, poison: bool, end_every_s: float, at_once: int = 1
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.time = clock.ManualClock(0.0)
+        self.book = quarantine.Quarantine(self.time)
+        self.poison = poison
+        # Pause between ends that have another cause, and how many come at once.
+        self.end_every_s = end_every_s
+        self.at_once = at_once
+        # By endpoint: its life, and (begins at, ends at, tries) by mark.
+        self.lives = [0] * self.ENDPOINTS
+        self.back_at = [0.0] * self.ENDPOINTS
+        self.open: list[dict[int, tuple[float, float, int]]] = [{} for _ in self.lives]
+        self.ended = self.ended_by_poison = 0
+        self.marks = 100
+        self.events: list[tuple[float, int, str]] = []
+
+    def run(self) -> "Play":
+        """Play it."""
+        self._later(0.1, "arrival")
+        self._later(3.0, "end")
+        if self.poison:
+            self._later(7.0, "poison")
+        while self.events:
+            at, _, what = heapq.heappop(self.events)
+            if at > self.SECONDS:
+                break
+            self.time.advance(at - self.time.now())
+            getattr(self, f"_on_{what}")()
+        return self
+
+    @property
+    def held_bystanders(self) -> int:
+        """Innocent requests that are held."""
+        return sum(bool(self.book.holds(m)) for m in range(100, self.marks + 1))
+
+    def _later(self, after_s: float, what: str) -> None:
+        heapq.heappush(self.events, (self.time.now() + after_s, self.marks, what))
+
+    def _on_arrival(self) -> None:
+        self.marks += 1
+        self._send(self.marks, 1)
+        self._later(self.rng.expovariate(self.PER_S), "arrival")
+
+    def _on_end(self) -> None:
+        for _ in range(self.at_once):
+            self._end(self._pick())
+        self._later(self.rng.expovariate(1 / self.end_every_s), "end")
+
+    def _on_poison(self) -> None:
+        """The poison request comes, and runs at up to three endpoints."""
+        for _ in range(3):
+            if self.book.holds(MARK):
+                break
+            self.time.advance(self.rng.uniform(0.1, 0.5))
+            where = self._pick()
+            now = self.time.now()
+            self.open[where][MARK] = (now - 0.08, now + 1.0, 3)
+            self._end(where)
+            self.ended_by_poison += 1
+        self._later(self.rng.uniform(0.2, 1.0), "poison")
+
+    def _pick(self) -> int:
+        now = self.time.now()
+        usable = [n for n, at in enumerate(self.back_at) if at <= now]
+        return self.rng.choice(usable or [0])
+
+    def _send(self, mark: int, tries: int) -> None:
+        begins_at = self.time.now() + self.rng.expovariate(1 / 0.2)
+        ends_at = begins_at + self.rng.uniform(0.1, 3.0)
+        self.open[self._pick()][mark] = (begins_at, ends_at, tries)
+
+    def _end(self, where: int) -> None:
+        now = self.time.now()
+        life = f"{where}@{self.lives[where]}"
+        self.lives[where] += 1
+        self.ended += 1
+        self.back_at[where] = now + self.BACK_S
+        cut, self.open[where] = self.open[where], {}
+        for mark, (begins_at, ends_at, tries) in cut.items():
+            if ends_at <= now:
+                continue
+            begun_s = now - begins_at if begins_at <= now else -1.0
+            weight = gateway_quarantine.weight_of(begun_s, is_stream=True)
+            if weight:
+                self.book.note(mark, life, weight)
+            if tries < 3 and mark != MARK:
+                self._send(mark, tries + 1)
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("end_every_s, at_once", [(0.6, 1), (2.0, 1), (2.0, 3)])
+def test_no_bystander_is_held_where_endpoints_end_by_themselves(
+    seed: int, end_every_s: float, at_once: int
+) -> None:
+    play = Play(seed, False, end_every_s, at_once).run()
+    assert play.ended > 15
+    assert play.held_bystanders == 0
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("end_every_s, most", [(1000.0, 3), (3.0, 5)])
+def test_a_poison_request_ends_few_endpoints_and_no_bystander_is_held(
+    seed: int, end_every_s: float, most: int
+) -> None:
+    play = Play(seed, True, end_every_s).run()
+    assert 3 <= play.ended_by_poison <= most
+    assert play.book.holds(MARK)
+    assert play.held_bystanders == 0
+
+
+# -- Among gateways --
+
+
+def know_all(fleet: fleetcase.Fleet) -> bool:
+    """Whether every living gateway holds the request."""
+    return all(member.quarantine.holds(MARK) for member in fleet.living())
+
+
+@pytest.mark.parametrize("halls, each", [(1, 3), (3, 1), (3, 3), (5, 14)])
+def test_ends_that_three_gateways_saw_hold_a_request_everywhere(
+    halls: int, each: int
+) -> None:
+    fleet = fleetcase.Fleet(halls, each)
+    fleet.run(4.0)
+    seen_by = [
+        fleet.members[0],
+        fleet.members[-1],
+        fleet.members[len(fleet.members) // 2],
+    ]
+    for member, life in zip(seen_by, "abc", strict=True):
+        member.quarantine.note(MARK, life, BEGUN)
+    assert fleet.run(3.0, lambda: know_all(fleet)) < 1.5
+
+
+@pytest.mark.parametrize("halls, each", [(3, 1), (3, 4), (5, 14)])
+def test_a_held_request_is_held_everywhere_though_a_third_stands_still(
+    halls: int, each: int
+) -> None:
+    fleet = fleetcase.Fleet(halls, each)
+    fleet.run(4.0)
+    # Carriers are among them.
+    frozen = fleet.members[::3][1:] if each == 1 else fleet.members[::3]
+    for member in frozen:
+        member.is_frozen = True
+    fleet.run(0.3)
+    seeing = fleet.living()[0]
+    end_three(seeing.quarantine)
+    assert fleet.run(3.0, lambda: know_all(fleet)) < 2.5
+    for member in frozen:
+        fleet.wake(member)
+    assert fleet.run(3.0, lambda: know_all(fleet)) < 2.5
+
+
+def test_a_gateway_that_starts_hears_what_is_held() -> None:
+    fleet = fleetcase.Fleet(3, 3)
+    late = fleet.members[4]
+    late.is_dead = True
+    fleet.run(4.0)
+    end_three(fleet.members[0].quarantine)
+    fleet.run(30.0)
+    late.is_dead = False
+    late.look_at = fleet.time.now()
+    assert not late.quarantine.holds(MARK)
+    assert fleet.run(3.0, lambda: know_all(fleet)) < 2.5
+
+
+def test_a_gateway_that_was_cut_off_hears_what_is_held_when_it_is_back() -> None:
+    """One way: it tells others, and hears nothing."""
+    fleet = fleetcase.Fleet(3, 3)
+    fleet.run(4.0)
+    cut = fleet.members[4]
+    cut.is_frozen = True
+    end_three(fleet.members[0].quarantine)
+    for _ in range(60):
+        cut.is_frozen = False
+        cut.step(fleet.time.now())
+        cut.is_frozen = True
+        cut.kept.clear()
+        fleet.run(0.2)
+    assert not cut.quarantine.holds(MARK)
+    cut.is_frozen = False
+    assert fleet.run(3.0, lambda: know_all(fleet)) < 2.5
+
+
+def test_what_beats_carry_is_bounded_and_nothing_on_a_calm_day() -> None:
+    """A beat's bytes: calm as before; 64 held marks and their ends, below 4 KB."""
+    time = clock.ManualClock(100.0)
+    calm = beat_with(quarantine.Quarantine(time).news(OWN, True))
+    full = quarantine.Quarantine(time)
+    for mark in range(500):
+        end_three(full, 2**63 + mark)
+    worst = beat_with(full.news(OWN, True))
+    time.advance(quarantine.TOLD_S)
+    later = beat_with(full.news(OWN, True))
+    assert len(calm) < 70
+    assert len(worst) < 4096
+    assert len(later) < 1500
+    assert isinstance(mesh_messages.decode(worst), mesh_messages.Beat)
+
+
+def beat_with(told: list[quarantine.SuspectNews]) -> bytes:
+    beat = mesh_messages.Beat(
+        "n", "h", "a", "i", [], True, {}, [], [], [], [], False, [], told
+    )
+    return mesh_messages.encode(beat)
--- a/gaprock/test/testtakeover.py
+++ b/gaprock/test/testtakeover.py
@@ -21,6 +21,7 @@
     gateway_rows,
     mesh,
     policy_guard,
+    quarantine,
     rollout_state,
     rollout_writer,
     rollouts,
@@ -82,7 +83,16 @@
             self.time, 0.15, policy_guard.Sequential(), book
         )
         endpoints = directory.Directory(self.time, 2.0)
-        self.mesh = mesh.Mesh(name, "h", "", self.time, endpoints, self.rollouts, book)
+        self.mesh = mesh.Mesh(
+            name,
+            "h",
+            "",
+            self.time,
+            endpoints,
+            self.rollouts,
+            book,
+            quarantine.Quarantine(self.time),
+        )
         self.on_old = 0
         self.mesh.on_old_here = lambda service: self.on_old
         dialect = wire.PlatformDialect()
