Test what is held back, whom an end blames, and what is taken back

Each case is one that could go wrong beside it: a send in a queue, a stream that runs, answers that break off at living endpoints, endpoints that leave, tries side by side, calls that may not be repeated, requests that fail everywhere. Before: no test of these.

--- a/gaprock/test/testpoison.py
+++ b/gaprock/test/testpoison.py
@@ -21,9 +21,15 @@
 within the last quarter of a second at more than one.
 """
 
+import socket
+import threading
+
 import pytest
 
-from gaprock.test import poisoncase
+from gaprock import clock, gateway_quarantine, quarantine, request_mark
+from gaprock.test import gatewaysite, poisoncase
+from gaprock.test import site as site_module
+from gaprock.test.fakes import backend
 
 
 @pytest.mark.parametrize("kind", ["gen", "safe"])
@@ -41,3 +47,128 @@
             assert fleet.call(number, b"another").status == 200
         assert len(fleet.service.ended) == 3
         assert len(fleet.service.arrivals) == 3
+
+
+def mark_of(target: str, body: bytes) -> int:
+    return request_mark.mark_of("ws", gatewaysite.HOST, target, body)
+
+
+def hold(site: gatewaysite.GatewaySite, mark: int) -> None:
+    """Have a gateway hear that a request ended three endpoints."""
+    lives = {life: quarantine.BEGUN_WEIGHT for life in "abc"}
+    site.gateway.quarantine.take([quarantine.SuspectNews(mark, lives)], is_far=False)
+
+
+@pytest.mark.parametrize("target", ["/gen/x", "/safe/x", "/unsafe/x"])
+def test_a_send_that_waits_is_taken_back_when_its_request_is_held(target: str) -> None:
+    with gatewaysite.GatewaySite() as site:
+        fake = site.add("one", "llm" if target == "/gen/x" else "app")
+        fake.usual = backend.hang
+        later = site.call_later(target, X_Deadline_Ms="20000")
+        gatewaysite.wait_until(lambda: bool(fake.seen), "it waits there")
+        hold(site, mark_of(target, b""))
+        answer = later.get()
+        assert fake.seen[0].closed.wait(site_module.WAIT_S)
+        # It may have run, so nothing is promised, and it is sent nowhere else.
+        assert answer.status == 502 and "retry-after" not in answer.headers
+        assert len(fake.seen) == 1
+        # Nobody blames the endpoint.
+        (endpoint,) = site.gateway.directory.usable(
+            "llm" if target == "/gen/x" else "app", set()
+        )
+        assert endpoint.answers == 0
+
+
+def test_a_stream_that_runs_goes_on_and_clears_its_request() -> None:
+    go_on = threading.Event()
+
+    def slow(fake: backend.Backend, seen: backend.Seen, conn: socket.socket) -> None:
+        backend.stream_to(2, whole=False)(fake, seen, conn)
+        go_on.wait(site_module.WAIT_S)
+        for number in (3, 4):
+            conn.sendall(backend.chunk(backend.event(number)))
+        conn.sendall(b"0\r\n\r\n")
+
+    with gatewaysite.GatewaySite() as site:
+        fake = site.add("one", "llm")
+        fake.usual = slow
+        later = gatewaysite.Later(lambda: site.generate(X_Deadline_Ms="20000"))
+        gatewaysite.wait_until(lambda: bool(fake.seen), "it runs")
+        # It has run for longer than any poison request does.
+        threading.Event().wait(2 * gateway_quarantine.JUST_BEGUN_S)
+        mark = mark_of("/gen/x", b"p")
+        hold(site, mark)
+        assert site.generate().status == 503
+        go_on.set()
+        answer = later.get()
+        assert answer.whole and answer.body.count(b"id: ") == 4
+        gatewaysite.wait_until(lambda: not site.gateway.quarantine.holds(mark))
+        assert site.generate().whole
+
+
+def test_answers_that_break_off_at_living_endpoints_speak_against_nobody() -> None:
+    with gatewaysite.GatewaySite() as site:
+        fakes = [site.add(f"e{number}", "app") for number in range(3)]
+        for fake in fakes:
+            fake.usual = backend.reset
+        for _ in range(3):
+            assert site.call("/safe/x", b"innocent").status == 502
+        site.gateway._sender.settle_breaks()
+        assert site.gateway.quarantine.is_empty
+
+
+def test_endpoints_that_leave_and_end_speak_against_nobody() -> None:
+    with gatewaysite.GatewaySite() as site:
+        fake = site.add("one", "app")
+        fake.usual = backend.hang
+        later = site.call_later("/unsafe/x")
+        gatewaysite.wait_until(lambda: bool(fake.seen), "it runs")
+        site.write_row("one", "app", State="draining")
+        (endpoint,) = site.gateway.directory.usable("app", set())
+        gatewaysite.wait_until(lambda: endpoint.leave_at != clock.NEVER, "it leaves")
+        fake.stop()
+        assert later.get().status == 502
+        site.gateway._sender.settle_breaks()
+        assert site.gateway.quarantine.is_empty
+
+
+def test_a_try_of_a_suspected_request_waits_for_the_one_before_it() -> None:
+    with gatewaysite.GatewaySite() as site:
+        fake = site.add("one", "app")
+        site.gateway.quarantine.note(
+            mark_of("/safe/x", b""), "a", quarantine.BEGUN_WEIGHT
+        )
+        fake.usual = backend.hang
+        first = site.call_later("/safe/x", X_Deadline_Ms="20000")
+        gatewaysite.wait_until(lambda: bool(fake.seen), "the first one runs")
+        fake.usual = backend.answer
+        second = site.call("/safe/x")
+        # It was not sent, and says so.
+        assert second.status == 503 and float(second.headers["retry-after"]) >= 0
+        assert len(fake.seen) == 1
+        assert site.call("/safe/y").status == 200
+        fake.stop()
+        first.get()
+
+
+def test_a_call_that_may_not_be_repeated_ends_one_endpoint_a_try() -> None:
+    with poisoncase.Fleet(1, "unsafe") as fleet:
+        for _ in range(3):
+            answer = fleet.call(0, poisoncase.POISON)
+            assert answer.status == 502 and "retry-after" not in answer.headers
+        answer = fleet.call(0, poisoncase.POISON)
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+        assert len(fleet.service.ended) == len(fleet.service.arrivals) == 3
+        metrics = fleet.site.gateway._answer_metrics()[1].decode()
+        assert "gaprock_requests_held 1.0" in metrics
+
+
+def test_a_request_whose_answers_are_errors_is_not_held() -> None:
+    """One that fails everywhere ends no endpoint, and costs no other request."""
+    with gatewaysite.GatewaySite() as site:
+        fakes = [site.add(f"e{number}", "app") for number in range(3)]
+        for fake in fakes:
+            fake.usual = backend.fail()
+        for _ in range(3):
+            assert site.call("/safe/x", b"fails").status == 500
+        assert site.gateway.quarantine.is_empty
