Count the time of a suspension in every age and deadline

Cause: the gateway's clock was the usual steady one, which stands still while a machine is suspended, and so do all waits of the system. After a suspension what was known looked as fresh as before it: an old configuration was in force past its bound, peers counted as heard, an open call went on past its caller's time, and a send told more time than was left.

Now CLOCK_BOOTTIME (a line at the start where the system has none) for every age and deadline, also of the log; waits for a deadline in slices of 0.5 s (clock.wait_for, sleep_until), in the own mode too; a line clock-gap and a counter where the two clocks part or a process stood still. A test names every other reading of a steady clock.

Ruled out: that the own mode's ages are wrong; they are by the time of day.

--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -191,9 +191,10 @@
 
         :returns: whether everything ended before the deadline.
         """
-        left = clock.remaining(deadline, self._clock)
         with self._idle:
-            return self._idle.wait_for(lambda: not self._active, left)
+            return clock.wait_for(
+                self._idle, lambda: not self._active, deadline, self._clock
+            )
 
     def _check(self, start: messages.Start) -> Slot:
         """Check a request against everything known here.
--- a/gaprock/agent_run.py
+++ b/gaprock/agent_run.py
@@ -103,8 +103,8 @@
         :raises errors.GaprockError: ``DEADLINE_RUNNING``.
         """
         with self._cond:
-            left = clock.remaining(self.start.deadline, self._clock)
-            if not self._cond.wait_for(self._may_give, left):
+            deadline = self.start.deadline
+            if not clock.wait_for(self._cond, self._may_give, deadline, self._clock):
                 raise errors.GaprockError(errorcodes.DEADLINE_RUNNING)
             if self.cancelled:
                 raise Cancelled
--- a/gaprock/bills.py
+++ b/gaprock/bills.py
@@ -122,9 +122,8 @@
 
     def wait_empty(self, deadline: float) -> None:
         """Wait until no bill is held here, or until the deadline."""
-        left = clock.remaining(deadline, self._clock)
         with self._dropped:
-            self._dropped.wait_for(lambda: not self._held, left)
+            clock.wait_for(self._dropped, lambda: not self._held, deadline, self._clock)
 
     def write_due(self) -> int:
         """Write one batch of due bills.
--- a/gaprock/entry_attempt.py
+++ b/gaprock/entry_attempt.py
@@ -144,8 +144,7 @@
         def is_news() -> bool:
             return bool(self._parts or self._end_complete() or self._failure)
 
-        left = clock.remaining(deadline, clock_)
-        if not self._cond.wait_for(is_news, left):
+        if not clock.wait_for(self._cond, is_news, deadline, clock_):
             raise self._deadline_passed()
 
     def _deadline_passed(self) -> errors.GaprockError:
--- a/gaprock/entry_main.py
+++ b/gaprock/entry_main.py
@@ -7,7 +7,6 @@
 """
 
 import sys
-import threading
 import typing
 
 from gaprock import (
@@ -181,7 +180,7 @@
         """Carry out a planned stop; no request in flight is cut."""
         self.health.leaving = True
         eventlog.info("leaving", open=self.server.open_requests)
-        threading.Event().wait(self.cfg.linger_s)
+        clock.sleep_until(self.clock.now() + self.cfg.linger_s, self.clock)
         self.server.leaving = True
         drained = self.server.drain(self.clock.now() + self.cfg.drain_s)
         eventlog.info("drained", whole=drained)
--- a/gaprock/entry_serve.py
+++ b/gaprock/entry_serve.py
@@ -112,9 +112,10 @@
 
         :returns: whether all ended before the deadline.
         """
-        left = clock.remaining(deadline, self._clock)
         with self._idle:
-            return self._idle.wait_for(lambda: not self._open, left)
+            return clock.wait_for(
+                self._idle, lambda: not self._open, deadline, self._clock
+            )
 
     @property
     def open_requests(self) -> int:
--- a/gaprock/eventlog.py
+++ b/gaprock/eventlog.py
@@ -15,6 +15,8 @@
 
 from absl import flags, logging
 
+from gaprock import clock
+
 # A value of only these characters stands bare; anything else is quoted.
 BARE_VALUE: typing.Final = re.compile(r"[A-Za-z0-9_.:/@,+-]+\Z")
 MAX_VALUE_CHARS: typing.Final = 400
@@ -28,6 +30,7 @@
 BURST_LINES: typing.Final = 3000.0
 
 _process_name = "gaprock"
+_steady = clock.SteadyClock()
 
 
 class BoundedStream(io.TextIOBase):
@@ -41,14 +44,14 @@
         super().__init__()
         self._fileno = fileno
         self._room = BURST_LINES
-        self._filled_at = time.monotonic()
+        self._filled_at = _steady.now()
         self._untold = 0
         self.dropped = 0
         os.set_blocking(fileno, False)
 
     def write(self, text: str) -> int:
         """Write a line or drop it."""
-        now = time.monotonic()
+        now = _steady.now()
         grown = self._room + (now - self._filled_at) * LINES_PER_S
         self._room = min(BURST_LINES, grown)
         self._filled_at = now
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -29,6 +29,7 @@
         "store_calls",
         "odd_rows",
         "requests_held",
+        "clock_gaps",
     )
 
     def __init__(self) -> None:
@@ -95,6 +96,12 @@
             ["kind", "table"],
             registry=registry,
         )
+        self.clock_gaps = prometheus_client.Counter(
+            "gaprock_clock_gap_seconds",
+            "Time in which this process did nothing, by kind",
+            ["kind"],
+            registry=registry,
+        )
         self.requests_held = prometheus_client.Gauge(
             "gaprock_requests_held",
             "Requests that are held back, since endpoints ended as they began",
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -60,6 +60,9 @@
 # Periods of the background tasks, seconds.
 ROLLOUT_STEP_S: typing.Final = 0.2
 HOUSEKEEPING_S: typing.Final = 1.0
+CLOCKS_S: typing.Final = 0.5
+# Two looks at the clocks are no further apart on a busy machine, seconds.
+CLOCKS_MOST_S: typing.Final = 1.0
 # Each reading of changes is a priced call, so changes are gathered: orders for a
 # moment, endpoints for a share of the time that a leaving one may still be sent to.
 GATHER_ORDERS_S: typing.Final = 0.1
@@ -166,7 +169,9 @@
         self._tasks = [
             periodic.Periodic("rollouts", ROLLOUT_STEP_S, self._step_rollouts),
             periodic.Periodic("housekeeping", HOUSEKEEPING_S, self._keep_house),
+            periodic.Periodic("clocks", CLOCKS_S, self._look_at_clocks),
         ]
+        self._gaps = clock.GapWatch(clock_, CLOCKS_MOST_S)
         self._limits_of = -1
 
     # -- Start and stop --
@@ -192,7 +197,7 @@
         self.server.end_at = now + END_AT * grace_s
         eventlog.info("leaving", open=self.server.open_calls, grace_s=grace_s)
         # Callers come until the balancer has noticed, and longer on kept connections.
-        threading.Event().wait(min(LINGER_S, 0.5 * grace_s))
+        clock.sleep_until(now + min(LINGER_S, 0.5 * grace_s), self.clock)
         drained = self.server.wait_idle(self.server.end_at)
         # From here on every request is told to come back, so that none is under way
         # when the process ends; callers on kept connections hear that it closes.
@@ -362,6 +367,16 @@
         if not self.leaving:
             self.writer.step()
 
+    def _look_at_clocks(self) -> None:
+        """Tell how long this process did nothing.
+
+        Nothing else has to be done: every age and deadline is by a clock that went on,
+        so what is too old counts as such at the first look after it.
+        """
+        for gap in self._gaps.look():
+            self.metrics.clock_gaps.labels(gap.kind).inc(gap.length_s)
+            eventlog.warning("clock-gap", kind=gap.kind, length_s=gap.length_s)
+
     def _keep_house(self) -> None:
         if not self.port.is_accepting:
             eventlog.warning("not-accepting", open=self.server.open_calls)
--- a/gaprock/gateway_program.py
+++ b/gaprock/gateway_program.py
@@ -58,10 +58,12 @@
     store = plugin.find(gateway_api.SharedStore, cfg.shared_store)
     gateway = gateway_node.Gateway(
         cfg,
-        clock.MonotonicClock(),
+        clock.SteadyClock(),
         store(cfg.store_address),  # type: ignore[call-arg]
         plugin.find(gateway_api.Dialect, cfg.dialect)(),
     )
+    if not clock.COUNTS_SUSPENSION:
+        eventlog.warning("clock-stands-while-suspended")
     gateway.start()
     # What the start made lives as long as the process; the collector need not look.
     gc.freeze()
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -111,9 +111,10 @@
 
         :returns: whether all ended before the deadline.
         """
-        left = max(0.0, deadline - self._clock.now())
         with self._idle:
-            return self._idle.wait_for(lambda: not self._open, left)
+            return clock.wait_for(
+                self._idle, lambda: not self._open, deadline, self._clock
+            )
 
     def serve(self, inbound: gateway_call.Inbound, reply: gateway_call.Reply) -> None:
         """Serve one request; its caller has a final answer afterwards, or left."""
--- a/gaprock/table_batch.py
+++ b/gaprock/table_batch.py
@@ -160,7 +160,7 @@
             else:
                 write.fut.set_exception(exc)
         if rest:
-            threading.Event().wait(clock.remaining(resume_at, self._clock))
+            clock.sleep_until(resume_at, self._clock)
         return rest
 
 
--- a/gaprock/test/gatewaysite.py
+++ b/gaprock/test/gatewaysite.py
@@ -112,7 +112,7 @@
         store = plugin.find(gateway_api.SharedStore, "platform")
         self.gateway = gateway_node.Gateway(
             cfg,
-            clock.MonotonicClock(),
+            clock.SteadyClock(),
             store(cfg.store_address),  # type: ignore[call-arg]
             plugin.find(gateway_api.Dialect, "platform")(),
         )
--- a/gaprock/test/rowcase.py
+++ b/gaprock/test/rowcase.py
@@ -67,7 +67,7 @@
     ) -> None:
         self.store = store or metastore.MetaStoreFake()
         self.kept = sink or Kept()
-        steady = clock.MonotonicClock()
+        steady = clock.SteadyClock()
         self.fresh = kind(steady, freshness.StoreClock(), lambda: BOUND_S)
         self.follower = followers.Follower(
             TABLE,
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -98,7 +98,7 @@
     fake.start()
     kept, rests = rowcase.Kept(), [True]
     client = store.PlatformStore(f"127.0.0.1:{fake.port}")
-    steady = clock.MonotonicClock()
+    steady = clock.SteadyClock()
     one = followers.Follower(
         "t", client, steady, kept, rowcase.fresh(steady), 0.0, lambda: rests[0]
     )
@@ -152,7 +152,7 @@
     fake.start()
     kept = rowcase.Kept()
     client = store.PlatformStore(f"127.0.0.1:{fake.port}")
-    steady = clock.MonotonicClock()
+    steady = clock.SteadyClock()
     one = followers.Follower("t", client, steady, kept, rowcase.fresh(steady))
     for number in range(metastore.PAGE_ROWS + 2):
         fake.put("t", f"k{number}", number)
