--- a/gaprock/test/soak_callers.py
+++ b/gaprock/test/soak_callers.py
@@ -16,6 +16,8 @@
 PAUSE_S: typing.Final = 0.05
 # Share of requests that carry a key which was taken away.
 REVOKED_SHARE: typing.Final = 0.1
+# Pause between two tries of the poison request, shortest and longest, seconds.
+POISON_PAUSE_S: typing.Final = (0.1, 0.5)
 EVENT_ID: typing.Final = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -62,6 +64,35 @@
         return self._conn is not None
 
 
+class PoisonCaller:
+    """Sends one request again and again, to any gateway, until it is stopped."""
+
+    def __init__(self, fleet: soak_fleet.Fleet, seed: int) -> None:
+        self._fleet = fleet
+        self._rng = random.Random(f"poison {seed}")
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End after the request under way."""
+        self._stopped.set()
+        self._thread.join(2 * SOCKET_S)
+
+    def _run(self) -> None:
+        kind = self._rng.choice(["gen", "safe", "unsafe"])
+        while not self._stopped.wait(self._rng.uniform(*POISON_PAUSE_S)):
+            gateway = self._rng.choice(self._fleet.gateways)
+            if not gateway.is_ready():
+                continue
+            conn = connect(gateway)
+            poison = soak_fleet.POISON
+            # The first key is never taken away while others are left.
+            key = self._fleet.keys[0]
+            call(self._fleet, gateway, conn, kind, self._rng, key, poison)
+            conn.close()
+
+
 def connect(gateway: soak_fleet.GatewayProcess) -> http.client.HTTPConnection:
     """Prepare a connection to a gateway."""
     return http.client.HTTPConnection(gateway.ip, gateway.port, timeout=SOCKET_S)
@@ -74,10 +105,12 @@
     kind: str,
     rng: random.Random,
     key: str = "",
+    body: bytes = b"",
 ) -> soak_ledger.Try:
     """Make a request and write it down; a connection that failed is closed.
 
     :param key: empty for one that chance picks.
+    :param body: empty for the request's own.
     """
     assert conn is not None
     request = f"{rng.getrandbits(64):016x}"
@@ -88,9 +121,8 @@
     fleet.ledger.note_sent(request, kind)
     status, whole, right, events = 0, False, False, b""
     try:
-        conn.request(
-            "POST", f"/{kind}/x", soak_fleet.body_of(request), _headers(request, key)
-        )
+        body = body or soak_fleet.body_of(request)
+        conn.request("POST", f"/{kind}/x", body, _headers(request, key))
         answer = conn.getresponse()
         status = answer.status
         try:
--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -37,6 +37,10 @@
 LONG_EVENT_S: typing.Final = 0.3
 LONG_EVERY: typing.Final = 6
 SLOTS: typing.Final = 16
+# A request with this body ends the endpoint that runs it, which is back under another
+# id after so long, seconds.
+POISON: typing.Final = b"poison"
+BACK_S: typing.Final = 1.0
 
 
 def events_of(request: str) -> int:
@@ -75,6 +79,8 @@
         self.fake.usual = self._answer
         self.relay = cutproxy.CutProxy(self.fake.port)
         self.row_s = "ready"
+        # Called when a request ends it.
+        self.on_poison: typing.Callable[[], object] = self.stop
         self.born = int(time.time() * 1000)
 
     def row(self) -> dict[str, object]:
@@ -101,6 +107,10 @@
             backend.refuse(421)(fake, seen, conn)
             return
         request = seen.headers.get("x-request-id", "")
+        if seen.body == POISON:
+            self._ledger.poisoned.append((self._ledger.now(), request))
+            self.on_poison()
+            return
         kind = seen.target.split("/")[1]
         mark = hashlib.sha256(f"{request}{self.name}".encode()).digest()
         if mark[0] < 256 * self.refusing:
@@ -298,10 +308,29 @@
         """Start an endpoint and write its row."""
         self._made += 1
         endpoint = Endpoint(f"e{self._made}", service, self.ledger)
+        endpoint.on_poison = lambda: self._end(endpoint)
         self.endpoints[endpoint.name] = endpoint
         self.write_row(endpoint)
         return endpoint
 
+    def _end(self, endpoint: Endpoint) -> None:
+        """Have a request end an endpoint; another one comes a moment later."""
+        if self.endpoints.pop(endpoint.name, None) is None:
+            return
+        start = self.ledger.now()
+        all_ = soak_ledger.ALL
+        mark = soak_ledger.Disturbance("poison", all_, False, start, start + BACK_S)
+        self.ledger.add(mark)
+        endpoint.stop()
+
+        def back() -> None:
+            self.add_endpoint(endpoint.service)
+            self.store.remove("servers", endpoint.name)
+
+        timer = threading.Timer(BACK_S, back)
+        timer.daemon = True
+        timer.start()
+
     def write_row(self, endpoint: Endpoint) -> None:
         """Write an endpoint's row, as the endpoint does."""
         self.store.put("servers", endpoint.name, endpoint.row())
--- a/gaprock/test/soak_ledger.py
+++ b/gaprock/test/soak_ledger.py
@@ -17,6 +17,11 @@
 SLACK_S: typing.Final = 2.0
 # An answer that breaks off later may have run into its caller's time, seconds.
 CUT_WITHIN_S: typing.Final = 3.8
+# A request that ended so many endpoints gets to no more than so many, from so long
+# after on, seconds.
+POISON_ENDS: typing.Final = 3
+POISON_LATE: typing.Final = 3
+CONTACT_S: typing.Final = 3.0
 # Statuses which say that a request has not run and never will.
 NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
 # Who a disturbance touches when it touches everybody.
@@ -85,6 +90,8 @@
         self.added: dict[str, float] = {}
         self.leaving: dict[str, float] = {}
         self.sent: dict[str, str] = {}
+        # When the poison request came to an endpoint, and the id that it came under.
+        self.poisoned: list[tuple[float, str]] = []
 
     def now(self) -> float:
         """The soak's clock."""
@@ -122,13 +129,18 @@
             self.disturbances.remove(old)
             self.disturbances.append(new)
 
-    def is_calm(self, gateway: str, start: float, end: float) -> bool:
-        """Whether nothing unplanned touched a gateway in a span, or shortly before."""
+    def is_calm(
+        self, gateway: str, start: float, end: float, besides: str = ""
+    ) -> bool:
+        """Whether nothing unplanned touched a gateway in a span, or shortly before.
+
+        :param besides: what counts as nothing.
+        """
         name = gateway.partition("#")[0]
         return not any(
             d.start <= end and d.end + CALM_AFTER_S >= start
             for d in self.disturbances
-            if not d.planned and d.target in (ALL, name)
+            if not d.planned and d.target in (ALL, name) and d.what != besides
         )
 
 
@@ -157,6 +169,7 @@
             self._leaving_endpoints,
             self._revoked_keys,
             self._added_keys,
+            self._poison,
         )
         return [line for check in checks for line in check()]
 
@@ -243,6 +256,24 @@
             ):
                 yield f"added key refused: {made}"
 
+    def _poison(self) -> typing.Iterator[str]:
+        """A request that ended three endpoints reaches few more."""
+        came = self._ledger.poisoned
+        if len(came) < POISON_ENDS:
+            return
+        known_at = came[POISON_ENDS - 1][0] + CONTACT_S + SLACK_S
+        late = [(at, request) for at, request in came if at > known_at]
+        late = [
+            (at, request)
+            for at, request in late
+            if request in self._tries
+            and self._ledger.is_calm(
+                self._tries[request].gateway, at - CONTACT_S, at, "poison"
+            )
+        ]
+        if len(late) > POISON_LATE:
+            yield f"poison: {len(late)} sends later than 3 s, of {len(came)}: {late}"
+
     def _is_in_force(self, made: Try, changed_at: float) -> bool:
         """Whether a request has to be handled as a change says.
 
--- a/gaprock/test/soak_run.py
+++ b/gaprock/test/soak_run.py
@@ -25,6 +25,9 @@
 # the steps of a seed that is kept stay what they were.
 BESIDE_SHARE: typing.Final = 0.3
 
+# Share of the seeds in which a request ends the endpoints that run it.
+POISON_SHARE: typing.Final = 0.4
+
 Step = typing.Callable[["Soak"], None]
 FAULTS: typing.Final[list[Step]] = []
 PLANNED: typing.Final[list[Step]] = []
@@ -96,8 +99,11 @@
             seeds = [self._seed * 1000 + n for n in range(count)]
             callers = [soak_callers.Caller(self.fleet, seed) for seed in seeds]
             time.sleep(CALM_S)
+            poison = self._start_poison()
             self._disturb()
             broken = self._recover()
+            if poison is not None:
+                poison.stop()
             for caller in callers:
                 caller.stop()
             if not all([caller.join() for caller in callers]):
@@ -105,6 +111,12 @@
         judge = soak_ledger.Judge(self.ledger, soak_fleet.DRAIN_S, soak_fleet.CONFIG_S)
         return broken + judge.broken()
 
+    def _start_poison(self) -> soak_callers.PoisonCaller | None:
+        rng = random.Random(f"with poison {self._seed}")
+        if self._seed % PLANNED_EVERY == 0 or rng.random() >= POISON_SHARE:
+            return None
+        return soak_callers.PoisonCaller(self.fleet, self._seed)
+
     def later(self, work: typing.Callable[[], None]) -> None:
         """Do something on a thread of its own, so that faults overlap."""
         thread = threading.Thread(target=work, daemon=True)
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -77,6 +77,18 @@
     assert "added key" not in judged(made("a", "safe", 401, key="new"), KILL)
 
 
+def test_the_judgement_finds_a_poison_request_that_runs_on() -> None:
+    ledger = soak_ledger.Ledger()
+    for number in range(9):
+        at = 10.0 + 2 * number
+        ledger.poisoned.append((at, f"p{number}"))
+        ledger.add(made(f"p{number}", "safe", 502, sent_at=at, ended_at=at))
+    judge = soak_ledger.Judge(ledger, 2.0, 2.0)
+    assert [line[:15] for line in judge._poison()] == ["poison: 4 sends"]
+    ledger.poisoned.pop()
+    assert list(judge._poison()) == []
+
+
 def test_the_judgement_knows_what_is_calm() -> None:
     cut = made("a", "gen", 200, whole=False)
     assert "cut" in judged(cut, run("a", "gen"))
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -493,6 +493,103 @@
         "self._last_at + self._pace_s()",
         "self._last_at",
     ),
+    _proof(
+        "a request that ends endpoints is held on every gateway",
+        "testpoison.py::test_a_poison_request_ends_three_endpoints_whichever_gateways"
+        "_it_comes_through",
+        "mesh.py",
+        "        self._quarantine.take(beat.suspects, self._is_far(peer))\n",
+    ),
+    _proof(
+        "carriers pass on what is held",
+        "testquarantine.py::test_ends_that_three_gateways_saw_hold_a_request"
+        "_everywhere",
+        "mesh_beats.py",
+        "        if not self._carried:\n"
+        "            return (quarantine.Origin.OWN,)\n",
+        "        if True:\n            return (quarantine.Origin.OWN,)\n",
+    ),
+    _proof(
+        "what is held is told again to one that missed it",
+        "testquarantine.py::test_a_gateway_that_was_cut_off_hears_what_is_held_when"
+        "_it_is_back",
+        "mesh.py",
+        "is_all_held = now >= peer.held_told_at + quarantine.TELL_HELD_S",
+        "is_all_held = False",
+    ),
+    _proof(
+        "ends that a request does not explain speak for it",
+        "testquarantine.py::test_no_bystander_is_held_where_endpoints_end_by"
+        "_themselves",
+        "quarantine.py",
+        "return HELD_WEIGHT + BEGUN_WEIGHT * (others // OTHER_ENDS)",
+        "return HELD_WEIGHT",
+    ),
+    _proof(
+        "a send that waits is taken back when its request is held",
+        "testpoison.py::test_a_send_that_waits_is_taken_back_when_its_request_is_held",
+        "gateway_sender.py",
+        "if self._gate.is_to_be_withdrawn(call, attempt):",
+        "if False:",
+    ),
+    _proof(
+        "a whole answer clears a request",
+        "testpoison.py::test_a_stream_that_runs_goes_on_and_clears_its_request",
+        "gateway_relay.py",
+        "                self._gate.note_whole(call)\n",
+    ),
+    _proof(
+        "tries of a suspected request do not run side by side",
+        "testpoison.py::test_a_try_of_a_suspected_request_waits_for_the_one_before_it",
+        "gateway_serve.py",
+        "if not self._gate.must_wait(call):",
+        "if True:",
+    ),
+    _proof(
+        "an endpoint that takes connections has not ended",
+        "testpoison.py::test_answers_that_break_off_at_living_endpoints_speak_against"
+        "_nobody",
+        "gateway_sender.py",
+        "        if lives:\n            self._gate.lives(endpoint)\n"
+        "        elif weight:\n",
+        "        endpoint.is_dark = True\n        if weight:\n",
+    ),
+    _proof(
+        "an endpoint that leaves and ends speaks against nobody",
+        "testpoison.py::test_endpoints_that_leave_and_end_speak_against_nobody",
+        "gateway_quarantine.py",
+        "if attempt.endpoint.leave_at != clock.NEVER:",
+        "if False:",
+    ),
+    _proof(
+        "the own mode's entries hold a request as well",
+        "testownpoison.py::test_a_poison_request_ends_three_engines_whichever_entries"
+        "_it_comes_through",
+        "entry_dispatch.py",
+        "            self._refuse_held(call, refusal)\n",
+    ),
+    _proof(
+        "agents pass on what entries hold",
+        "testownpoison.py::test_an_entry_that_starts_later_hears_what_is_held",
+        "agent_hub.py",
+        "        self._quarantine.take(msg.suspects, is_far=False)\n",
+    ),
+    _proof(
+        "a suspension counts in every age",
+        "testsuspended.py::test_what_was_allowed_before_a_suspension_is_not_allowed"
+        "_by_it",
+        "clock.py",
+        "return time.clock_gettime(time.CLOCK_BOOTTIME)",
+        "return time.monotonic()",
+    ),
+    _proof(
+        "an attempt is not waited for past its deadline",
+        "testsuspended.py::test_an_attempt_of_the_own_mode_is_not_waited_for_past"
+        "_its_deadline",
+        "clock.py",
+        "cond.wait(min(left, SLICE_S))",
+        "cond.wait(left)",
+    ),
 )
 
 ALL: typing.Final = (*proofs.PROOFS, *PROOFS)
