--- /dev/null
+++ b/bench/marks.py
@@ -0,0 +1,44 @@
+"""What a request's mark and its look-up cost: ``python -m bench.marks``."""
+
+import argparse
+import timeit
+import typing
+
+from gaprock import clock, quarantine, request_mark
+
+SIZES: typing.Final = (0, 1_000, 1_000_000)
+REPEATS: typing.Final = 5
+
+
+def best_us(work: typing.Callable[[], object], number: int) -> float:
+    """Give the shortest mean time of a call, microseconds."""
+    return min(timeit.repeat(work, number=number, repeat=REPEATS)) / number * 1e6
+
+
+def main() -> None:
+    """Print the figures."""
+    parser = argparse.ArgumentParser("marks", description=__doc__)
+    parser.parse_args()
+    for size in SIZES:
+        body = b"x" * size
+        took = best_us(
+            lambda: request_mark.mark_of("ws", "host", "/path/x", body),
+            50 if size > 10_000 else 5_000,
+        )
+        print(f"mark of a body of {size} bytes: {took:.1f} us")
+    empty = quarantine.Quarantine(clock.SteadyClock())
+    print(
+        f"asked while nothing is known: {best_us(lambda: empty.is_empty, 20000):.3f} us"
+    )
+    full = quarantine.Quarantine(clock.SteadyClock())
+    for mark in range(quarantine.MAX_MARKS):
+        full.note(mark, "a", quarantine.OPEN_WEIGHT)
+    number = quarantine.MAX_MARKS
+    print(f"looked up among {number}: {best_us(lambda: full.holds(7), 20000):.3f} us")
+    print(
+        f"suspected among {number}: {best_us(lambda: full.suspects(7), 20000):.3f} us"
+    )
+
+
+if __name__ == "__main__":
+    main()
