--- a/misc/write_days.py
+++ b/misc/write_days.py
@@ -39,6 +39,16 @@
 ]
 # Just after a change, when the polls are asked anew.
 OUTAGES: typing.Final = (5.06, 8.06, 11.06, 14.06, 17.06)
+# Endpoints that end one after the other: when, which share of them, and how.
+CRASHES: typing.Final = (
+    (5.0, 0.3, ""),
+    (7.5, 0.3, ""),
+    (10.0, 0.5, ""),
+    (12.5, 0.5, "all"),
+    (15.0, 0.3, "dark"),
+    (17.5, 0.3, ""),
+    (20.0, 0.5, ""),
+)
 
 
 DAYS: typing.Final[dict[str, list[Trouble]]] = {
@@ -57,6 +67,14 @@
     "grey-slow": [fault("srv_grey", "slow", share=0.4, for_s=8.0, x=8.0)],
     "slow-servers": [fault("srv_slow", share=0.4, for_s=8.0, x=4.0)],
     "cut-servers": [fault("srv_cut", "some", share=0.4, for_s=6.0)],
+    # No request is to blame, and none is to be held for it.
+    "endpoints-crash-by-turns-in-a-burst": [
+        fault("burst", at=4.0, x=2.0, for_s=20.0),
+        *(
+            fault("srv_crash", how, at=at, share=share, for_s=2.0, service="@s0")
+            for at, share, how in CRASHES
+        ),
+    ],
     "reused-address": [fault("replace_with_reuse", share=0.3)],
     "release": [plan("release", share=1.0, gap_s=1.0)],
     "scale-in": [plan("scale_in", share=0.3)],
