Send endpoints that warm up no more than they bear, over all gateways

Cause: an endpoint that is back is the emptiest of all on every gateway in the same moment, and what others send is known one beat later, so the fleet's next sends all go there. Nothing of how an endpoint starts was decoded either.

Ways: a part of the bound for each gateway; a few owners an endpoint by hash, with a paced part each; the better of two, which is no bound. Kept: a part each, and a hash that picks few once the fleet is too large for a part each, without a list of gateways that all would have to agree on. The part goes by the most gateways that were known within ten minutes, from the store's rows, heard beats and the others' word, so that one that is cut off, frozen or has just started stays within it.

Not warm is: what a row says, what was dark for us or for others, and a hall that is taken back, until it must be warm. The last look is made just before a request leaves.

A look before a connection is opened would save some that are not used; not measured.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -20,6 +20,7 @@
     mechanisms,
     prefix_cache,
     reading_pace,
+    warm_up,
 )
 
 # A leaving endpoint is used for this share of the time that it may still be sent to.
@@ -51,10 +52,21 @@
 
 
 class Directory:
-    """All endpoints; safe for all threads."""
+    """All endpoints; safe for all threads.
 
-    def __init__(self, clock_: clock.Clock, drain_s: float) -> None:
+    :param slow_starts: what endpoints that are not warm may get.
+    """
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        drain_s: float,
+        slow_starts: warm_up.SlowStarts | None = None,
+    ) -> None:
         self._clock = clock_
+        self._slow_starts = slow_starts or warm_up.SlowStarts(clock_)
+        # The halls that an operator has emptied.
+        self._emptied: frozenset[str] = frozenset()
         self._drain_s = drain_s
         self._lock = threading.Lock()
         # The present life of each endpoint, by its id and by the life's name.
@@ -118,6 +130,7 @@
         if endpoint is not None and endpoint.row.born != row.born:
             self._end_life(endpoint, row.born)
             endpoint = None
+        is_new = endpoint is None
         if endpoint is None:
             endpoint = self._endpoints[name] = endpoint_state.Endpoint(name, row)
             self._lives[endpoint.life] = endpoint
@@ -131,7 +144,10 @@
                 slots=row.slots,
                 draining=row.draining,
             )
-        endpoint.row = row
+        if is_new or endpoint.row != row:
+            # One that is merely read again tells nothing new of its start.
+            endpoint.row = row
+            self._slow_starts.note_row(endpoint)
         endpoint.row_gone = endpoint.lapsed = False
         if row.draining:
             self._leave(endpoint, "draining")
@@ -177,13 +193,60 @@
         endpoint.leave_at = self._clock.now() + share * self._drain_s
         eventlog.info("endpoint-leaving", endpoint=endpoint.name, reason=reason)
 
+    # -- Halls that are emptied --
+
+    def set_emptied(self, halls: frozenset[str]) -> None:
+        """Take the halls to whose endpoints nothing more may go.
+
+        The endpoints of a hall that is taken back stood idle, and may have started
+        again without a word that has reached us yet.
+        """
+        with self._lock:
+            added, back = halls - self._emptied, self._emptied - halls
+            self._emptied = halls
+            counts = collections.Counter(e.row.hall for e in self._endpoints.values())
+            for endpoint in self._endpoints.values():
+                if endpoint.row.hall in back:
+                    self._slow_starts.note_return(endpoint, "hall taken back")
+        for hall in sorted(added):
+            eventlog.info("hall-emptied", hall=hall, endpoints=counts[hall])
+        for hall in sorted(back):
+            eventlog.info("hall-back", hall=hall, endpoints=counts[hall])
+
+    @property
+    def emptied(self) -> frozenset[str]:
+        """The halls that an operator has emptied."""
+        return self._emptied
+
+    def halls_of(self, service: str) -> set[str]:
+        """Give the halls in which a service has endpoints, emptied ones too."""
+        with self._lock:
+            return {
+                e.row.hall
+                for e in self._endpoints.values()
+                if e.row.service == service and not e.row_gone
+            }
+
+    def claim_send(self, endpoint: endpoint_state.Endpoint) -> str:
+        """Claim a send that goes out now.
+
+        The last look before the request leaves: since it was chosen, another thread may
+        have had our next send to an endpoint that warms up, or its hall was emptied.
+
+        :returns: why it must not go out; empty if it may.
+        """
+        if endpoint.row.hall in self._emptied:
+            return "hall emptied"
+        return "" if self._slow_starts.take(endpoint) else "warming up"
+
     # -- Choice --
 
     def usable(self, service: str, excluded: set[str]) -> list[endpoint_state.Endpoint]:
         """Give the endpoints of a service that may get a request now.
 
         Those that are leaving come in only when there is no other; one whose row
-        lapsed is likely to come back and is used as before for a while.
+        lapsed is likely to come back and is used as before for a while.  One that warms
+        up is left out until our next send to it is due.
         """
         now = self._clock.now()
         with self._lock:
@@ -193,6 +256,8 @@
                 if e.row.service == service
                 and e.life not in excluded
                 and now < e.leave_at
+                and e.row.hall not in self._emptied
+                and self._slow_starts.may_send(e, now)
             ]
         staying = [e for e in live if e.leave_at == clock.NEVER or e.lapsed]
         return staying or live
@@ -323,6 +388,7 @@
             now = self._clock.now()
             endpoint.on_trial = False
             endpoint.is_dark = True
+            self._slow_starts.note_return(endpoint, "took no connection")
             if now < endpoint.paused_until:
                 return
             pause_s = endpoint.pause_s * self._rng.uniform(0.8, 1.2)
@@ -337,6 +403,7 @@
         if endpoint.paused_until:
             endpoint.paused_until = 0.0
             endpoint.pause_s = endpoint_state.FIRST_PAUSE_S
+            self._slow_starts.note_return(endpoint, "answers again")
             eventlog.info("endpoint-resumed", endpoint=endpoint.name)
 
     def running_besides(self, service: str, version: str) -> int:
@@ -413,10 +480,13 @@
                 service = endpoint.row.service
                 likely = found[service] <= max(1, DARK_SHARE * sizes[service])
                 if endpoint.life not in names or not likely:
+                    if endpoint.doubters == {gateway}:
+                        self._slow_starts.note_return(endpoint, "no longer dark")
                     endpoint.doubters.discard(gateway)
                 elif gateway not in endpoint.doubters:
                     if not endpoint.doubters:
                         endpoint.doubted_at = now
+                        self._slow_starts.note_return(endpoint, "found dark")
                         self._log_doubt(endpoint, gateway, now)
                     endpoint.doubters.add(gateway)
 
--- a/gaprock/endpoint_state.py
+++ b/gaprock/endpoint_state.py
@@ -64,6 +64,8 @@
         "on_trial",
         "answers",
         "failure_rate",
+        "warm_at",
+        "next_send_at",
     )
 
     def __init__(self, name: str, row: gateway_api.EndpointRow) -> None:
@@ -102,6 +104,10 @@
         self.on_trial = False
         self.answers = 0
         self.failure_rate = 0.0
+        # From when on it bears its whole load, and before that the earliest moment for
+        # our next send (``warm_up``).
+        self.warm_at = 0.0
+        self.next_send_at = 0.0
 
     @property
     def address(self) -> tuple[str, int]:
--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -140,6 +140,7 @@
 
     :param version: of its software; what rollouts change.
     :param born: its start, Unix milliseconds; 0 if it does not say.
+    :param warming_s: how much longer it is not warm, seconds.
     """
 
     service: str
@@ -150,6 +151,7 @@
     slots: int
     draining: bool
     born: int = 0
+    warming_s: float = 0.0
 
 
 class RolloutOrder(typing.NamedTuple):
@@ -266,6 +268,13 @@
         """
         raise NotImplementedError
 
+    def emptied_hall(self, key: str) -> str | None:
+        """Decode an order to empty a hall; ``None`` for a row that is none.
+
+        The row has the order while it stands, whatever it holds.
+        """
+        raise NotImplementedError
+
     def endpoint(self, key: str, value: bytes) -> EndpointRow:
         """Decode an endpoint's row.
 
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -28,6 +28,7 @@
 
     :param hall: the hall that this gateway stands in.
     :param services: the services of the configuration in force, by name.
+    :param regions: gives the region of each hall, by its name.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         rollouts_: rollouts.Rollouts,
         routing: policy_api.Routing,
         services: typing.Callable[[], dict[str, routes.Service]],
+        regions: typing.Callable[[], dict[str, str]] = dict,
     ) -> None:
         self._hall = hall
         self._clock = clock_
@@ -45,6 +47,7 @@
         self._rollouts = rollouts_
         self._routing = routing
         self._services = services
+        self._regions = regions
         self._rng = random.Random()
         # Mean length of a service's prompts, in tokens of the largest model.
         self._mean_prompt: dict[str, float] = {}
@@ -68,7 +71,12 @@
         now = self._clock.now()
         usable = self._directory.usable(call.service, call.excluded)
         side = self._rollouts.side(call.service, call.session, call.is_in_session)
-        fitting = [e for e in usable if side is None or side.takes(e.row.version)]
+        fitting = [
+            e
+            for e in usable
+            if (side is None or side.takes(e.row.version))
+            and self._may_run_in(call, e.row.hall)
+        ]
         narrowed = self._rollouts.narrow(
             side,
             [e.name for e in fitting],
@@ -111,6 +119,18 @@
         )
         return chosen, prompt
 
+    def is_shut_out(self, call: gateway_call.Call) -> bool:
+        """Whether all endpoints stand where a call may not run, so none is awaited."""
+        halls = self._directory.halls_of(call.service)
+        open_halls = halls - self._directory.emptied
+        return bool(halls) and not any(self._may_run_in(call, h) for h in open_halls)
+
+    def _may_run_in(self, call: gateway_call.Call, hall: str) -> bool:
+        """Whether the regions of a call's route and of its workspace hold a hall."""
+        region = self._regions().get(hall, "")
+        own = call.workspace.regions if call.workspace else frozenset()
+        return all(not homes or region in homes for homes in (call.route.regions, own))
+
     def note_end(self, call: gateway_call.Call) -> None:
         """Note that a call is over: a session's rest begins."""
         if call.is_in_session:
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -43,6 +43,7 @@
     rollouts,
     routes,
     row_exchange,
+    warm_up,
 )
 
 METRICS_PATH: typing.Final = "/metrics"
@@ -97,7 +98,17 @@
         self.store = store = gateway_store.CountedStore(store, self.metrics)
         bounds = cfg.bounds
         evidence_ = evidence.EvidenceBook(f"{cfg.vm}/{ids.new_token()}")
-        self.directory = directory.Directory(clock_, bounds.drain_s)
+        self.directory = directory.Directory(
+            clock_,
+            bounds.drain_s,
+            warm_up.SlowStarts(
+                clock_,
+                cfg.vm,
+                lambda: cfg.bounds,
+                self._services,
+                lambda: self.mesh.most_gateways(),
+            ),
+        )
         self.rollouts = rollouts.Rollouts(
             clock_,
             bounds.canary_share,
@@ -127,7 +138,9 @@
             self.rollouts,
             self.mesh,
         )
-        self.orders = gateway_rows.OrderRows(clock_, dialect, self.rollouts)
+        self.orders = gateway_rows.OrderRows(
+            clock_, dialect, self.rollouts, self.directory.set_emptied
+        )
         self.followers = self._make_followers()
         self.mesh.source = row_exchange.RowExchange(self.followers, clock_)
         self.own_rows = gateway_own.OwnRowsTask(
@@ -226,6 +239,7 @@
         """Take what a changed settings file may change while we run."""
         bounds = cfg.bounds
         self.cfg.bounds = bounds
+        self.cfg.regions = cfg.regions
         self.budget.set_bounds(
             bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
         )
@@ -298,6 +312,7 @@
             self.rollouts,
             plugin.find(policy_api.Routing, cfg.gateway_routing)(),
             self._services,
+            lambda: cfg.regions,
         )
         judge = gateway_judge.AnswerJudge(self.clock, self.directory, self.rollouts)
         gate = gateway_quarantine.Gate(self.clock, self.directory, self.quarantine)
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -29,10 +29,14 @@
         clock_: clock.Clock,
         dialect: gateway_api.Dialect,
         rollouts_: rollouts.Rollouts,
+        on_emptied: typing.Callable[[frozenset[str]], None] = lambda halls: None,
     ) -> None:
         self._clock = clock_
         self._dialect = dialect
         self._rollouts = rollouts_
+        # Told the halls that are to be empty, as often as that changes.
+        self._on_emptied = on_emptied
+        self._emptied: frozenset[str] = frozenset()
         self.odd = odd_rows.OddRows("orders", clock_)
         # The configuration in force; ``None`` before the first one.
         self.table: routes.RouteTable | None = None
@@ -40,7 +44,8 @@
         self.starts: dict[tuple[str, int], float] = {}
 
     def take_page(self, page: gateway_api.Page, whole: bool) -> None:
-        """Take changed rows."""
+        """Take changed rows, or the whole table."""
+        self._take_emptied(page.rows, whole)
         for row in page.rows:
             if row.value is None:
                 continue
@@ -49,6 +54,21 @@
             except gateway_api.InvalidDocument as exc:
                 self.odd.note(row, exc)
 
+    def _take_emptied(self, rows: list[gateway_api.Row], whole: bool) -> None:
+        """Take the halls that are to be empty: an order stands as long as its row."""
+        halls = set() if whole else set(self._emptied)
+        for row in rows:
+            hall = self._dialect.emptied_hall(row.key)
+            if hall is None:
+                continue
+            if row.value is None:
+                halls.discard(hall)
+            else:
+                halls.add(hall)
+        if halls != self._emptied:
+            self._emptied = frozenset(halls)
+            self._on_emptied(self._emptied)
+
     def _take(self, row: gateway_api.Row, value: bytes) -> None:
         table = self._dialect.route_table(row.key, value)
         if table is not None:
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -111,6 +111,8 @@
         attempt: gateway_attempt.Attempt,
         resume_after: int | None,
     ) -> None:
+        if refused := self._directory.claim_send(attempt.endpoint):
+            raise gateway_attempt.NotRun(refused)
         now = self._clock.now()
         info = gateway_api.SendInfo(
             attempt.endpoint.name,
--- a/gaprock/mechanisms.py
+++ b/gaprock/mechanisms.py
@@ -63,6 +63,9 @@
 CLIMB_RESERVE: typing.Final = Mechanism(
     "climb-reserve", "some of the retry budget is left to failures"
 )
+SLOW_START: typing.Final = Mechanism(
+    "slow-start", "an endpoint that is not warm gets what it bears, over all gateways"
+)
 READERS: typing.Final = Mechanism(
     "readers", "a hall's first gateways read the store for the others"
 )
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -129,6 +129,7 @@
         self._beat_where_due(now)
         self._forget_silent()
         self.halls.forget_silent(now)
+        self._count_members(now)
 
     def _connect_found(self, context: typing.Any) -> None:
         with self._lock:
@@ -247,6 +248,7 @@
                 prompts=prompts if is_direct or not is_far else [],
                 evidence=self._evidence_for(peer, counters),
                 suspects=self._suspects_for(peer, is_all_held),
+                fleet=self._counted.value,
             )
             if self._send(peer, beat):
                 peer.tick, peer.beat_at = tick, now
@@ -301,6 +303,7 @@
             self._directory.take_dark(beat.sender, beat.dark)
         self._directory.take_prompts(beat.prompts)
         self._quarantine.take(beat.suspects, self._is_far(peer))
+        self._told_most.note(beat.fleet, now)
         for hall in beat.halls:
             self.halls.take(hall, now, is_passed_on=not self._is_far(peer))
         for news in beat.rollouts:
--- a/gaprock/mesh_members.py
+++ b/gaprock/mesh_members.py
@@ -28,6 +28,11 @@
 FIRST_READ_S: typing.Final = 2.0
 
 
+# How many gateways there were is remembered for so long, seconds: a hall may be gone or
+# cut off for minutes, and each of its gateways by itself would take itself for alone.
+MOST_KEPT_S: typing.Final = 600.0
+
+
 class Found(typing.NamedTuple):
     """An address where a gateway takes messages.
 
@@ -39,6 +44,31 @@
     name: str = ""
 
 
+class MostSeen:
+    """The largest of the latest counts.
+
+    :param keep_s: how long a count is remembered at least, twice that at most.
+    """
+
+    __slots__ = ("_keep_s", "_since", "_newer", "_older")
+
+    def __init__(self, keep_s: float) -> None:
+        self._keep_s = keep_s
+        self._since = -clock.NEVER
+        self._newer = self._older = 0
+
+    def note(self, count: int, now: float) -> None:
+        """Take a count."""
+        if now >= self._since + self._keep_s:
+            self._since, self._older, self._newer = now, self._newer, 0
+        self._newer = max(self._newer, count)
+
+    @property
+    def value(self) -> int:
+        """The largest; 0 before the first."""
+        return max(self._newer, self._older)
+
+
 class Members:
     """The gateways that this one knows; safe for all threads."""
 
@@ -56,6 +86,9 @@
         self._clock = clock_
         # What is known of the other halls.
         self.halls = halls
+        # The most gateways that the fleet had, as we counted and as others told.
+        self._counted = MostSeen(MOST_KEPT_S)
+        self._told_most = MostSeen(MOST_KEPT_S)
         self._lock = threading.Lock()
         self._peers: dict[str, mesh_peers.Peer] = {}
         # Addresses to say hello to, filled by other threads.
@@ -73,6 +106,7 @@
     def found(self, found: list[Found]) -> None:
         """Take addresses of gateways from the store."""
         others = [one for one in found if one.address != self.address]
+        self._counted.note(1 + len(others), self._clock.now())
         with self._lock:
             self._found += others
         names = [one.name for one in others if one.hall == self.hall]
@@ -104,6 +138,22 @@
         """Give the living gateways of the fleet, us among them."""
         return 1 + len(self._living_near()) + self.halls.members()
 
+    def most_gateways(self) -> int:
+        """Give the most gateways that there were lately, whoever is missing now.
+
+        A gateway that is cut off has to go by those that it cannot hear.
+
+        :returns: 0 before the store's rows were read or anybody was heard.
+        """
+        if not self.address:
+            return 1
+        return max(self._counted.value, self._told_most.value)
+
+    def _count_members(self, now: float) -> None:
+        """Count who is there now, once anything tells that."""
+        if self._counted.value or self._told_most.value:
+            self._counted.note(self.members(), now)
+
     def turn(self, label: str) -> int:
         """Give our place among the living gateways for a duty; a hash sorts them.
 
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -94,6 +94,7 @@
     :param evidence: counters that changed since the last beat to this peer.
     :param halls: summaries: the sender's hall's to another one, others' in its own.
     :param suspects: requests that something speaks against, or no more.
+    :param fleet: the most gateways that the sender counted lately; 0 for none.
     """
 
     sender: str
@@ -110,6 +111,7 @@
     leaving: bool
     halls: list[HallNews] = []
     suspects: list[quarantine.SuspectNews] = []
+    fleet: int = 0
 
 
 def halts(news: list[RolloutNews]) -> list[tuple[str, int, bool]]:
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -40,6 +40,9 @@
         "budget_allowance",
         "canary_share",
         "session_s",
+        "warm_excess",
+        "warm_slack",
+        "emptied_s",
     )
 
     def __init__(self) -> None:
@@ -61,6 +64,12 @@
         self.canary_share = 0.1
         # Requests of a session follow one another within this time, seconds.
         self.session_s = 5.0
+        # What all gateways together may send an endpoint that is not warm within a
+        # second: the requests a second that it bears times the first, and the second.
+        self.warm_excess = 1.5
+        self.warm_slack = 5.0
+        # A hall that an operator empties gets nothing more after this time, seconds.
+        self.emptied_s = 5.0
 
 
 class Options:
@@ -73,6 +82,8 @@
         self.vm = "vm"
         # The hall this VM stands in.
         self.hall = "hall"
+        # The region of each hall, by the halls' names.
+        self.regions: dict[str, str] = {}
         # The IP number this process listens on.
         self.host = "127.0.0.1"
         # Base address of the platform's services (table, objects, rating, VM list).
--- a/gaprock/platform/documents.py
+++ b/gaprock/platform/documents.py
@@ -13,6 +13,8 @@
 
 CONFIG_KEY: typing.Final = "config"
 ROLLOUT_PREFIX: typing.Final = "rollout/"
+# An order that a hall gets nothing more, until its row goes.
+EVACUATION_PREFIX: typing.Final = "evacuate/"
 KINDS: typing.Final = {
     "safe": routes.RouteKind.SAFE,
     "unsafe": routes.RouteKind.UNSAFE,
@@ -27,6 +29,8 @@
 DOTS: typing.Final = 3
 # A rollout's time, seconds.
 MAX_FINISH_S: typing.Final = 7 * 24 * 3600
+# Nobody warms up for longer than this, milliseconds.
+MAX_COLD_MS: typing.Final = 3600 * 1000
 Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -55,6 +59,7 @@
     Sizes: list[str] = []
     CanResume: bool = False
     GapTargetMs: float = 1000.0
+    AllowedRegions: list[str] = []
 
 
 class ModelDoc(msgspec.Struct, frozen=True):
@@ -70,6 +75,9 @@
 class ServiceDoc(msgspec.Struct, frozen=True):
     Name: str
     Engine: EngineDoc | None = None
+    # Seconds that an endpoint is not warm after its start, and what it bears then.
+    WarmupS: float = 0.0
+    ColdPerS: float = 0.0
 
 
 class LimitsDoc(msgspec.Struct, frozen=True):
@@ -83,6 +91,7 @@
     Name: str
     ApiKeys: list[str] = []
     Priority: int | None = None
+    AllowedRegions: list[str] = []
 
 
 class ConfigDoc(msgspec.Struct, frozen=True):
@@ -96,8 +105,8 @@
 class ServerDoc(msgspec.Struct, frozen=True):
     """An endpoint; ``Version`` is that of its software.
 
-    Endpoints write all of this, but for ``born``, which not all of them have.  Whatever
-    lacks a field or has another type was written by somebody else.
+    Endpoints write all of this, but for ``born`` and ``ColdMs``, which not all of them
+    have.  Whatever lacks a field or has another type was written by somebody else.
     """
 
     Service: Text
@@ -107,6 +116,8 @@
     Slots: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     State: typing.Literal["ready", "draining"]
     born: typing.Annotated[int, msgspec.Meta(ge=1)] = 0
+    # How much longer it is not warm.
+    ColdMs: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
 
 
 class RolloutDoc(msgspec.Struct, frozen=True):
@@ -149,6 +160,7 @@
         doc.Slots,
         doc.State == DRAINING,
         doc.born,
+        doc.ColdMs / 1000,
     )
 
 
@@ -184,6 +196,7 @@
         max(1, doc.Attempts),
         doc.Public,
         doc.CanResume,
+        frozenset(doc.AllowedRegions),
     )
 
 
@@ -191,12 +204,17 @@
     models = doc.Engine.Models if doc.Engine else []
     costs = [routes.ModelCost(item.Name, item.Cost) for item in models]
     memory = doc.Engine.KvCapacity if doc.Engine else 0
-    return routes.Service(doc.Name, costs, memory)
+    warm_up = None
+    if doc.WarmupS > 0 and doc.ColdPerS > 0:
+        warm_up = routes.WarmUp(doc.WarmupS, doc.ColdPerS)
+    return routes.Service(doc.Name, costs, memory, warm_up)
 
 
 def _keys(tenants: list[TenantDoc]) -> dict[str, routes.Workspace]:
     return {
-        key: routes.Workspace(tenant.Name, tenant.Priority)
+        key: routes.Workspace(
+            tenant.Name, tenant.Priority, frozenset(tenant.AllowedRegions)
+        )
         for tenant in tenants
         for key in tenant.ApiKeys
     }
--- a/gaprock/platform/settings.py
+++ b/gaprock/platform/settings.py
@@ -32,6 +32,11 @@
     # Repeats that are allowed beyond the ratio, in a window.
     RetrySlack: float = 10
     CanaryShare: float = 0.1
+    # What all gateways may send a cold endpoint within a second: its pace times the
+    # first, and the second besides.
+    ColdExcess: float = 1.5
+    ColdSlack: float = 5
+    EvacMs: float = 5000
     SessionS: float = 5
 
 
@@ -51,6 +56,8 @@
     Bootstrap: bool = False
     # First and last port for what our processes say to each other.
     PortRange: list[int] = []
+    # The region of each hall.
+    Zones: dict[str, str] = {}
     Limits: LimitsDoc = LimitsDoc()
     TimingBounds: BoundsDoc = BoundsDoc()
 
@@ -74,6 +81,7 @@
     cfg.first_start = doc.Bootstrap
     cfg.mesh_port = doc.PortRange[0] if doc.PortRange else 0
     cfg.memory_mb, cfg.max_fds = int(doc.Limits.MemoryMb), doc.Limits.MaxFds
+    cfg.regions = dict(doc.Zones)
     _fill_bounds(cfg.bounds, doc.TimingBounds)
 
 
@@ -86,6 +94,9 @@
     bounds.budget_window_s = doc.BudgetWindowS
     bounds.budget_allowance = doc.RetrySlack
     bounds.canary_share = doc.CanaryShare
+    bounds.warm_excess = doc.ColdExcess
+    bounds.warm_slack = doc.ColdSlack
+    bounds.emptied_s = doc.EvacMs / 1000
     bounds.session_s = doc.SessionS
 
 
--- a/gaprock/platform/wire.py
+++ b/gaprock/platform/wire.py
@@ -128,6 +128,11 @@
         doc = odd_rows.decode(documents.RolloutDoc, value)
         return gateway_api.RolloutOrder(doc.Service, doc.ToVersion, doc.FinishByS)
 
+    def emptied_hall(self, key: str) -> str | None:
+        if not key.startswith(documents.EVACUATION_PREFIX):
+            return None
+        return key[len(documents.EVACUATION_PREFIX) :] or None
+
     def endpoint(self, key: str, value: bytes) -> gateway_api.EndpointRow:
         return documents.endpoint(value)
 
--- a/gaprock/policy_routing.py
+++ b/gaprock/policy_routing.py
@@ -20,6 +20,9 @@
 UNREAD_FILL: typing.Final = 0.15
 # An endpoint that holds the prompt's prefix may be this much fuller.
 PREFIX_FILL: typing.Final = 0.1
+# Endpoints that are drawn and compared, and how full they are when all are compared.
+FEW: typing.Final = 2
+CROWDED_FILL: typing.Final = 0.5
 
 
 def expected_wait(candidate: policy_api.Candidate) -> float:
@@ -97,6 +100,28 @@
         return fill
 
 
+@plugin.register(policy_api.Routing, "better-of-few")
+class BetterOfFew(LeastFilled):
+    """The emptiest of a few random endpoints of the own hall.
+
+    What others send is known a beat later, so an endpoint that was just relieved, or is
+    new, is the emptiest of all for every gateway at once.  A few drawn ones go where
+    the room is without the whole fleet going to one endpoint.  All are looked at where
+    the few are half full.
+    """
+
+    __slots__ = ()
+
+    def choose(
+        self, candidates: list[policy_api.Candidate], rng: random.Random
+    ) -> policy_api.Candidate | None:
+        near = [c for c in candidates if c.same_hall]
+        few = rng.sample(near, min(FEW, len(near)))
+        if not few or all(expected_fill(c) >= CROWDED_FILL for c in few):
+            return super().choose(candidates, rng)
+        return super().choose(few, rng)
+
+
 @plugin.register(policy_api.Routing, "random")
 class Random(policy_api.Routing):
     """Baseline: any live endpoint."""
--- a/gaprock/routes.py
+++ b/gaprock/routes.py
@@ -36,19 +36,38 @@
     cost: float
 
 
+class WarmUp(typing.NamedTuple):
+    """How a service's endpoints start.
+
+    :param lasts_s: how long an endpoint is not warm after its start, seconds.
+    :param per_s: requests a second that it bears meanwhile.
+    """
+
+    lasts_s: float
+    per_s: float
+
+
 class Service:
     """A group of endpoints that do the same.
 
     :param models: the models of an engine, empty for a plain service.
     :param memory: tokens that an engine has room for; 0 for a plain service.
+    :param warm_up: how its endpoints start; ``None`` if they bear all at once.
     """
 
-    __slots__ = ("name", "models", "memory")
+    __slots__ = ("name", "models", "memory", "warm_up")
 
-    def __init__(self, name: str, models: list[ModelCost], memory: int = 0) -> None:
+    def __init__(
+        self,
+        name: str,
+        models: list[ModelCost],
+        memory: int = 0,
+        warm_up: WarmUp | None = None,
+    ) -> None:
         self.name = name
         self.models = models
         self.memory = memory
+        self.warm_up = warm_up
 
     def cost_of(self, model: str) -> float:
         """Give the price of a model; 0 for one that the service does not list."""
@@ -62,10 +81,12 @@
     """Whose requests they are.
 
     :param priority: 0 is the most urgent; ``None`` leaves it to the route.
+    :param regions: where its requests may run; empty for everywhere.
     """
 
     name: str
     priority: int | None
+    regions: frozenset[str] = frozenset()
 
 
 class Route:
@@ -79,6 +100,7 @@
     :param attempts: endpoints that one request may be sent to.
     :param public: whether it is served without a key.
     :param resumable: whether a stream may go on at another endpoint.
+    :param regions: where its requests may run; empty for everywhere.
     """
 
     __slots__ = (
@@ -95,6 +117,7 @@
         "attempts",
         "public",
         "resumable",
+        "regions",
     )
 
     def __init__(
@@ -112,6 +135,7 @@
         attempts: int,
         public: bool,
         resumable: bool,
+        regions: frozenset[str] = frozenset(),
     ) -> None:
         self.name = name
         self.host = host
@@ -126,6 +150,7 @@
         self.attempts = attempts
         self.public = public
         self.resumable = resumable
+        self.regions = regions
 
     @property
     def repeatable(self) -> bool:
--- a/gaprock/test/fleetcase.py
+++ b/gaprock/test/fleetcase.py
@@ -131,6 +131,11 @@
             member.look_at = self.time.now() + 0.2 * number / len(self.members)
             member.book.take_order(order, 1, self.time.now())
 
+    def join(self, member: Member) -> None:
+        """Take a gateway in that starts late."""
+        self.members.append(member)
+        self._by_address[member.address] = member
+
     def hall(self, hall: str) -> list[Member]:
         """Give a hall's gateways."""
         return [m for m in self.members if m.hall == hall]
