--- a/gaprock/errorcodes.py
+++ b/gaprock/errorcodes.py
@@ -163,6 +163,10 @@
     1030, "held", 503, "Endpoints ended as they began to run this request"
 )
 
+NO_HALL: typing.Final = ErrorCode(
+    1031, "no-hall", 503, "All halls where the request may run are emptied"
+)
+
 OUTCOME_UNKNOWN: typing.Final = ErrorCode(
     2001, "outcome-unknown", 502, "An endpoint may have run the request"
 )
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -48,6 +48,8 @@
 # refused after this share of its goal.
 WAIT_LOOK_S: typing.Final = 0.03
 WAIT_SHARE: typing.Final = 0.2
+# The same where all halls that may run it are emptied, which takes an operator to end.
+COME_BACK_NO_HALL_S: typing.Final = (1.0, 3.0)
 JSON: typing.Final = (b"Content-Type", b"application/json")
 
 
@@ -322,6 +324,8 @@
                 chosen = self._chooser.endpoint(call, model)
                 if chosen is not None:
                     return chosen
+                if self._chooser.is_shut_out(call):
+                    raise self._shut_out(call)
             now = self._clock.now()
             if now >= give_up_at:
                 raise self._refused(call, "no usable endpoint")
@@ -339,6 +343,12 @@
             return gateway_call.GivenUp(errorcodes.DEADLINE_PAST, detail, 0.0)
         return self._overloaded(detail, call.wait_until - self._clock.now())
 
+    def _shut_out(self, call: gateway_call.Call) -> gateway_call.GivenUp:
+        """Give a call up at once that may run nowhere while its halls are emptied."""
+        if call.has_run:
+            return self.unknown(call, "halls emptied")
+        return self._come_back(errorcodes.NO_HALL, COME_BACK_NO_HALL_S)
+
     def _overloaded(self, detail: str, caller_s: float) -> gateway_call.GivenUp:
         """Refuse for want of room; the caller comes back in its turn."""
         retry_s = self._returns.next_s(self._clock.now(), caller_s)
