--- a/misc/write_days.py
+++ b/misc/write_days.py
@@ -4,7 +4,7 @@
 
 The days lie in ``deploy/days``; each is played on any site by the bench's ``run``, and
 its ``hunt`` plays them with times and figures varied.  They hold no traffic of their
-own, so the site's plays; ``@s0``, ``@c0`` and ``@z0`` stand for a site's first service, kind
+own, so the site's plays; ``@s0``, ``@c0`` and ``@z0`` are a site's first service, kind
 of request and hall.
 """
 
