Split the choice of an endpoint, and say what its parts know

The choice was one function of 50 lines that built a candidate of seven positional values for each endpoint, and asked the reading pace under two locks for each. Its parts have names now, candidates are filled by name, backlogs are read once for all, and regions are looked at only where a route or workspace has any. Endpoints that are set aside do not take the places of those that a request looks at.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -330,9 +330,12 @@
         self, service: str, around: Around, is_live: endpoint_index.Test
     ) -> list[endpoint_state.Endpoint]:
         """Look at a few endpoints of the own hall, and of others if those are full."""
+        now = self._clock.now()
 
         def stays(e: endpoint_state.Endpoint) -> bool:
-            return is_live(e) and (e.leave_at == clock.NEVER or e.lapsed)
+            is_staying = e.leave_at == clock.NEVER or e.lapsed
+            is_well = now >= e.paused_until and not e.on_trial and not e.is_doubted
+            return is_staying and is_well and is_live(e)
 
         def follow(hall: str) -> list[endpoint_state.Endpoint]:
             test = around.test
@@ -416,11 +419,18 @@
 
     def unread(self, endpoint: endpoint_state.Endpoint) -> float:
         """Give what an endpoint likely has to read, in tokens of the largest model."""
-        tokens_per_s = self.pace.tokens_per_s(endpoint.row.service)
+        return self.unread_at([endpoint])[0]
+
+    def unread_at(self, endpoints: list[endpoint_state.Endpoint]) -> list[float]:
+        """Give the same for some endpoints of one service."""
+        if not endpoints:
+            return []
+        now = self._clock.now()
+        tokens_per_s = self.pace.tokens_per_s(endpoints[0].row.service)
         with self._lock:
             if not mechanisms.BACKLOG_FALLS.on:
-                return endpoint.backlog.told
-            return endpoint.backlog.left(self._clock.now(), tokens_per_s)
+                return [e.backlog.told for e in endpoints]
+            return [e.backlog.left(now, tokens_per_s) for e in endpoints]
 
     def end(self, endpoint: endpoint_state.Endpoint) -> None:
         """Count a request that is done with."""
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -69,25 +69,7 @@
         :returns: the endpoint, and what the prompt makes it read.
         """
         now = self._clock.now()
-        side = self._rollouts.side(call.service, call.session, call.is_in_session)
-
-        def fits(e: endpoint_state.Endpoint) -> bool:
-            takes = side is None or side.takes(e.row.version)
-            return takes and self._may_run_in(call, e.row.hall)
-
-        # The share of an unproved version is one of all its endpoints.
-        is_unproved = side is not None and self._rollouts.is_narrow(side)
-        around = directory.Around(self._hall, call.place, fits)
-        usable = self._directory.usable(
-            call.service, call.excluded, None if is_unproved else around
-        )
-        fitting = [e for e in usable if fits(e)]
-        narrowed = self._rollouts.narrow(
-            side,
-            [e.name for e in fitting],
-            [e.name for e in fitting if e.row.hall == self._hall],
-        )
-        fitting = [e for e in fitting if e.name in narrowed]
+        usable, fitting = self._fitting(call)
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
         service = self._services().get(call.service)
         weight = self._directory.pace.weight(service, model) if service else 0.0
@@ -124,6 +106,32 @@
         )
         return chosen, prompt
 
+    def _fitting(
+        self, call: gateway_call.Call
+    ) -> tuple[list[endpoint_state.Endpoint], list[endpoint_state.Endpoint]]:
+        """Give the usable endpoints that are looked at, and those that fit a call."""
+        side = self._rollouts.side(call.service, call.session, call.is_in_session)
+
+        has_homes = bool(call.route.regions or _own_regions(call))
+
+        def fits(e: endpoint_state.Endpoint) -> bool:
+            takes = side is None or side.takes(e.row.version)
+            return takes and (not has_homes or self._may_run_in(call, e.row.hall))
+
+        # The share of an unproved version is one of all its endpoints.
+        is_unproved = side is not None and self._rollouts.is_narrow(side)
+        around = directory.Around(self._hall, call.place, fits)
+        usable = self._directory.usable(
+            call.service, call.excluded, None if is_unproved else around
+        )
+        fitting = [e for e in usable if fits(e)]
+        narrowed = self._rollouts.narrow(
+            side,
+            [e.name for e in fitting],
+            [e.name for e in fitting if e.row.hall == self._hall],
+        )
+        return usable, [e for e in fitting if e.name in narrowed]
+
     def is_shut_out(self, call: gateway_call.Call) -> bool:
         """Whether all endpoints stand where a call may not run, so none is awaited."""
         halls = self._directory.halls_of(call.service)
@@ -133,8 +141,8 @@
     def _may_run_in(self, call: gateway_call.Call, hall: str) -> bool:
         """Whether the regions of a call's route and of its workspace hold a hall."""
         region = self._regions().get(hall, "")
-        own = call.workspace.regions if call.workspace else frozenset()
-        return all(not homes or region in homes for homes in (call.route.regions, own))
+        homes = (call.route.regions, _own_regions(call))
+        return all(not regions or region in regions for regions in homes)
 
     def note_end(self, call: gateway_call.Call) -> None:
         """Note that a call is over: a session's rest begins."""
@@ -166,19 +174,44 @@
     ) -> endpoint_state.Endpoint | None:
         by_name = {e.name: e for e in endpoints}
         candidates = [
-            policy_api.Candidate(
-                "",
-                messages.EndpointLoad(
-                    e.name, "", [], e.load, 0, e.row.slots, e.load, 0.0
-                ),
-                0,
-                e.row.hall == self._hall,
-                False,
-                (self._directory.unread(e) + prompts[e.name].reading)
-                / max(1.0, mean_prompt),
-                prompts[e.name].kept,
-            )
-            for e in endpoints
+            self._candidate(e, prompts[e.name], unread, max(1.0, mean_prompt))
+            for e, unread in zip(endpoints, self._directory.unread_at(endpoints))
         ]
         chosen = self._routing.choose(candidates, self._rng)
         return None if chosen is None else by_name[chosen.name]
+
+    def _candidate(
+        self,
+        endpoint: endpoint_state.Endpoint,
+        prompt: endpoint_state.Prompt,
+        unread: float,
+        mean_prompt: float,
+    ) -> policy_api.Candidate:
+        """Give what the routing plug-in needs to know of an endpoint.
+
+        A gateway counts all requests as running: it is told of no queue.
+        """
+        load = endpoint.load
+        return policy_api.Candidate(
+            agent="",
+            load=messages.EndpointLoad(
+                endpoint=endpoint.name,
+                kind="",
+                versions=[],
+                running=load,
+                queued=0,
+                limit=endpoint.row.slots,
+                reported=load,
+                service_s=0.0,
+            ),
+            sent_since=0,
+            same_hall=endpoint.row.hall == self._hall,
+            holds_prefix=False,
+            unread=(unread + prompt.reading) / mean_prompt,
+            kept=prompt.kept,
+        )
+
+
+def _own_regions(call: gateway_call.Call) -> frozenset[str]:
+    """Give the regions that a call's workspace allows; none for all."""
+    return call.workspace.regions if call.workspace else frozenset()
--- a/gaprock/test/testscale.py
+++ b/gaprock/test/testscale.py
@@ -64,13 +64,13 @@
     gateway = herd.Gateway("gw", steady, 1, "least-filled")
     gateway.chooser._hall = "h0"
     scale.fill(gateway.directory, 4000, HALLS)
-    unread = gateway.directory.unread
+    unread_at = gateway.directory.unread_at
 
-    def note(endpoint: endpoint_state.Endpoint) -> float:
-        asked.append(endpoint.name)
-        return unread(endpoint)
+    def note(endpoints: list[endpoint_state.Endpoint]) -> list[float]:
+        asked.extend(endpoint.name for endpoint in endpoints)
+        return unread_at(endpoints)
 
-    gateway.directory.unread = note  # type: ignore[method-assign]
+    gateway.directory.unread_at = note  # type: ignore[method-assign]
     assert gateway.chooser.endpoint(herd.call(1, 100.0), "") is not None
     assert len(set(asked)) <= directory.LOOKED_AT
 
@@ -108,6 +108,14 @@
     assert halls == {"h0", "h1", "h2"}
 
 
+def test_endpoints_that_are_set_aside_are_passed_by() -> None:
+    book = make_directory(300)
+    first = usable(book, 7)
+    for name in first:
+        book.unreachable(book._endpoints[name], "dark")
+    assert not set(first) & set(usable(book, 7))
+
+
 def test_emptied_halls_leave_the_endpoints_of_the_others() -> None:
     book = make_directory(300)
     book.set_emptied(frozenset({"h0"}))
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -628,8 +628,7 @@
         "requests stay in the regions of their route and workspace",
         "testemptied.py::test_regions_of_the_route_and_of_the_workspace_both_bind",
         "gateway_choose.py",
-        "        return all(not homes or region in homes for homes in "
-        "(call.route.regions, own))",
+        "        return all(not regions or region in regions for regions in homes)",
         "        return True",
     ),
     _proof(
