Have the soak empty halls and hold endpoints' starts against what they bear

The soak knew one hall and endpoints that bear all at once, so none of the new promises was played from outside the processes. One endpoint in three stands in a second hall, which is emptied and taken back with chances of its own; endpoints that start during a run are not warm for 2 s. Judged: no emptied hall gets requests late from a gateway in calm, and no endpoint gets more in a second than it bears while it is not warm, from anybody.

--- a/gaprock/policy_routing.py
+++ b/gaprock/policy_routing.py
@@ -103,7 +103,7 @@
 
 @plugin.register(policy_api.Routing, "better-of-few")
 class BetterOfFew(LeastFilled):
-    """The emptiest of a few random endpoints of the own hall, and what keeps the prompt.
+    """The emptiest of a few random endpoints of the hall, and what keeps the prompt.
 
     What others send is known a beat later, so an endpoint that was just relieved, or is
     new, is the emptiest of all for every gateway at once; a few drawn ones go where the
--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -22,6 +22,14 @@
 
 DRAIN_S: typing.Final = 2.0
 CONFIG_S: typing.Final = 2.0
+# A hall that is emptied gets nothing more after this time, seconds.
+EMPTIED_S: typing.Final = 2.0
+# Endpoints that start during the run are not warm for so long, seconds, and bear so
+# many requests a second; one endpoint in so many stands in the second hall.
+WARM_UP_S: typing.Final = 2.0
+BEARS_PER_S: typing.Final = 10.0
+HALLS: typing.Final = ("h1", "h2")
+SECOND_HALL_EVERY: typing.Final = 3
 # As on the users' sites: a stop takes streams for 2.8 s, and the longest one of a soak
 # (LONG_EVENT_S) ends before the rest of this is over.
 GRACE_S: typing.Final = 8.0
@@ -67,8 +75,17 @@
 class Endpoint:
     """A stand-in behind a relay."""
 
-    def __init__(self, name: str, service: str, ledger: soak_ledger.Ledger) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        ledger: soak_ledger.Ledger,
+        hall: str,
+        warm_at: float,
+    ) -> None:
         self.name = name
+        self.hall = hall
+        self.warm_at = warm_at
         self.service = service
         # Shares of the requests that it runs and fails, and that it does not run.
         self.failing = 0.0
@@ -88,10 +105,11 @@
         return {
             "Service": self.service,
             "Addr": f"127.0.0.1:{self.relay.port}",
-            "Zone": "h1",
+            "Zone": self.hall,
             "Version": "v1",
             "Slots": SLOTS,
             "State": self.row_s,
+            "ColdMs": max(0.0, self.warm_at - self._ledger.now()) * 1000,
             "born": self.born,
         }
 
@@ -106,6 +124,7 @@
         if seen.headers.get("x-expect-instance") != self.name:
             backend.refuse(421)(fake, seen, conn)
             return
+        self._ledger.note_arrival(self.name)
         request = seen.headers.get("x-request-id", "")
         if seen.body == POISON:
             self._ledger.poisoned.append((self._ledger.now(), request))
@@ -203,6 +222,7 @@
             f'[Provider]\nAddr = "127.0.0.1:{self.store_relay.port}"\n'
             f"[TimingBounds]\nDrainMs = {DRAIN_S * 1000:.0f}\nGraceS = {grace_s}\n"
             "BudgetRatio = 0.9\nRetrySlack = 50\nCanaryShare = 0.15\n"
+            f"EvacMs = {EMPTIED_S * 1000:.0f}\n"
         )
         return path
 
@@ -260,6 +280,8 @@
         self.config_number = 0
         self.keys = [gatewaysite.KEY, "key-1", "key-2", "key-3"]
         self._made = 0
+        # Endpoints that start from then on do so while there is traffic.
+        self._is_started = False
         # Loopback addresses of this run; another run beside it has others.
         net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self.gateways = [
@@ -273,6 +295,7 @@
         for service in ("llm", "app"):
             for _ in range(3):
                 self.add_endpoint(service)
+        self._is_started = True
         for gateway in self.gateways:
             gateway.start()
         return self
@@ -293,6 +316,8 @@
         document = gatewaysite.config(self.config_number, Tenants=tenants)
         for item in typing.cast(list[dict[str, object]], document["Routes"]):
             item["TimeoutMs"] = ROUTE_MS
+        for item in typing.cast(list[dict[str, object]], document["Services"]):
+            item.update(WarmupS=WARM_UP_S, ColdPerS=BEARS_PER_S)
         self.store.put("op", "config", document)
 
     def add_key(self) -> str:
@@ -307,7 +332,12 @@
     def add_endpoint(self, service: str) -> Endpoint:
         """Start an endpoint and write its row."""
         self._made += 1
-        endpoint = Endpoint(f"e{self._made}", service, self.ledger)
+        hall = HALLS[self._made % SECOND_HALL_EVERY == 0]
+        now = self.ledger.now()
+        warm_at = now + WARM_UP_S if self._is_started else now
+        name = f"e{self._made}"
+        self.ledger.add_endpoint(name, hall, now, warm_at)
+        endpoint = Endpoint(name, service, self.ledger, hall, warm_at)
         endpoint.on_poison = lambda: self._end(endpoint)
         self.endpoints[endpoint.name] = endpoint
         self.write_row(endpoint)
--- a/gaprock/test/soak_ledger.py
+++ b/gaprock/test/soak_ledger.py
@@ -76,6 +76,22 @@
     end: float
 
 
+class Start(typing.NamedTuple):
+    """An endpoint's start, and from when on it is warm."""
+
+    hall: str
+    at: float
+    warm_at: float
+
+
+class Emptied(typing.NamedTuple):
+    """A hall that the operator emptied, and when it was taken back."""
+
+    hall: str
+    at: float
+    back_at: float
+
+
 class Ledger:
     """The record; safe for all threads."""
 
@@ -93,6 +109,21 @@
         # When the poison request came to an endpoint, and the id that it came under.
         self.poisoned: list[tuple[float, str]] = []
 
+        # Endpoints by their names, when requests came there, and emptied halls.
+        self.starts: dict[str, Start] = {}
+        self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
+        self.emptied: list[Emptied] = []
+
+    def add_endpoint(self, name: str, hall: str, at: float, warm_at: float) -> None:
+        """Write down that an endpoint starts."""
+        with self._lock:
+            self.starts[name] = Start(hall, at, warm_at)
+
+    def note_arrival(self, endpoint: str) -> None:
+        """Write down that a request came to an endpoint."""
+        with self._lock:
+            self.arrivals[endpoint].append(self.now())
+
     def now(self) -> float:
         """The soak's clock."""
         return time.monotonic()
@@ -147,8 +178,19 @@
 class Judge:
     """Holds a record against the promises."""
 
-    def __init__(self, ledger: Ledger, drain_s: float, config_s: float) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        drain_s: float,
+        config_s: float,
+        emptied_s: float = math.inf,
+        bears: int = 0,
+    ) -> None:
         self._ledger = ledger
+        # Within which a hall gets nothing more, and what an endpoint that is not warm
+        # may get in a second; 0 where it may get all.
+        self._emptied_s = emptied_s
+        self._bears = bears
         self._drain_s = drain_s
         # Within which a gateway that nothing disturbs has a change in force, seconds.
         self._known_s = config_s + SLACK_S
@@ -170,6 +212,8 @@
             self._revoked_keys,
             self._added_keys,
             self._poison,
+            self._emptied_halls,
+            self._not_warm,
         )
         return [line for check in checks for line in check()]
 
@@ -274,6 +318,26 @@
         if len(late) > POISON_LATE:
             yield f"poison: {len(late)} sends later than 3 s, of {len(came)}: {late}"
 
+    def _emptied_halls(self) -> typing.Iterator[str]:
+        """No emptied hall gets requests late."""
+        for run in self._ledger.runs:
+            made, start = self._tries.get(run.request), self._ledger.starts
+            for hall, at, back_at in self._ledger.emptied:
+                is_there = run.endpoint in start and start[run.endpoint].hall == hall
+                known_at = at + self._emptied_s + SLACK_S
+                if made is None or not is_there or not known_at < run.at < back_at:
+                    continue
+                if self._ledger.is_calm(made.gateway, at, run.at):
+                    yield f"emptied: {run.endpoint} in {hall} got {run.request}"
+
+    def _not_warm(self) -> typing.Iterator[str]:
+        """No endpoint gets more than it bears while it is not warm, from anybody."""
+        for name, start in self._ledger.starts.items() if self._bears else ():
+            came = [t for t in self._ledger.arrivals[name] if t < start.warm_at]
+            worst = max((sum(t <= o < t + 1.0 for o in came) for t in came), default=0)
+            if worst > self._bears:
+                yield f"not warm: {name} got {worst} in a second, of {self._bears}"
+
     def _is_in_force(self, made: Try, changed_at: float) -> bool:
         """Whether a request has to be handled as a change says.
 
--- a/gaprock/test/soak_run.py
+++ b/gaprock/test/soak_run.py
@@ -37,6 +37,11 @@
 ROW_SHARE: typing.Final = 0.3
 ROW_FAULTS: typing.Final[list[Step]] = []
 ODD_ROWS: typing.Final[list[Step]] = []
+# Work on halls, with chances of its own too.
+HALL_SHARE: typing.Final = 0.15
+HALL_WORK: typing.Final[list[Step]] = []
+# What an endpoint that is not warm may get in a second, by the settings' defaults.
+BEARS: typing.Final = int(1.5 * soak_fleet.BEARS_PER_S + 5)
 
 
 def fault(function: Step) -> Step:
@@ -76,6 +81,12 @@
     return function
 
 
+def hall_work(function: Step) -> Step:
+    """Register planned work on halls."""
+    HALL_WORK.append(function)
+    return function
+
+
 class Soak:
     """One seed's run."""
 
@@ -84,8 +95,11 @@
         # Chances of what comes beside.
         self.rng_beside = random.Random(-1 - seed)
         self.rng_rows = random.Random(f"rows {seed}")
+        self.rng_halls = random.Random(f"halls {seed}")
         self.ledger = soak_ledger.Ledger()
         self.fleet = soak_fleet.Fleet(self.ledger, logs, gateways)
+        # Held while a hall is emptied.
+        self.halls_lock = threading.Lock()
         self._seed = seed
         self._seconds = seconds
         self._threads: list[threading.Thread] = []
@@ -108,7 +122,13 @@
                 caller.stop()
             if not all([caller.join() for caller in callers]):
                 broken.append("a caller's request never ended")
-        judge = soak_ledger.Judge(self.ledger, soak_fleet.DRAIN_S, soak_fleet.CONFIG_S)
+        judge = soak_ledger.Judge(
+            self.ledger,
+            soak_fleet.DRAIN_S,
+            soak_fleet.CONFIG_S,
+            soak_fleet.EMPTIED_S,
+            BEARS,
+        )
         return broken + judge.broken()
 
     def _start_poison(self) -> soak_callers.PoisonCaller | None:
@@ -159,6 +179,8 @@
                 self.rng_beside.choice(beside)(self)
             if self.rng_rows.random() < ROW_SHARE:
                 self.rng_rows.choice(rows)(self)
+            if self.rng_halls.random() < HALL_SHARE:
+                self.rng_halls.choice(HALL_WORK)(self)
             time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
         for thread in self._threads:
             thread.join(soak_fleet.STOP_WAIT_S)
--- a/gaprock/test/soak_steps.py
+++ b/gaprock/test/soak_steps.py
@@ -7,6 +7,8 @@
 from gaprock.test import soak_fleet, soak_ledger, soak_run
 
 SIGNAL_GAP_S: typing.Final = 0.2
+# How long a hall is emptied, seconds: some longer than it takes to be in force.
+EMPTIED_FOR_S: typing.Final = (0.5, 7.0)
 
 
 # -- Faults of processes --
@@ -270,3 +272,22 @@
 def key_added(soak: soak_run.Soak) -> None:
     """A new key comes."""
     soak.fleet.add_key()
+
+
+@soak_run.hall_work
+def hall_emptied(soak: soak_run.Soak) -> None:
+    """The second hall is emptied, and taken back; the first one has endpoints left."""
+    hall = soak_fleet.HALLS[1]
+    lasts_s = soak.rng_halls.uniform(*EMPTIED_FOR_S)
+
+    def work() -> None:
+        with soak.halls_lock:
+            soak.fleet.store.put("op", f"evacuate/{hall}", {})
+            at = soak.ledger.now()
+            time.sleep(lasts_s)
+            # Whoever hears at once that it is over may send at once.
+            back_at = soak.ledger.now()
+            soak.fleet.store.remove("op", f"evacuate/{hall}")
+            soak.ledger.emptied.append(soak_ledger.Emptied(hall, at, back_at))
+
+    soak.later(work)
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -97,3 +97,24 @@
     late = made("a", "safe", 504, ended_at=17.0)
     assert "late" in judged(late)
     assert "late" not in judged(late, KILL)
+
+
+def test_the_judgement_finds_requests_in_emptied_halls() -> None:
+    ledger = soak_ledger.Ledger()
+    ledger.add_endpoint("e1", "h2", 0.0, 0.0)
+    ledger.emptied.append(soak_ledger.Emptied("h2", 10.0, 20.0))
+    for number, at in enumerate((9.0, 13.9, 14.1, 19.0, 20.1)):
+        ledger.add(made(f"r{number}", "safe", 200))
+        ledger.add(run(f"r{number}", "safe", at))
+    judge = soak_ledger.Judge(ledger, 2.0, 2.0, 2.0)
+    assert [line[-2:] for line in judge._emptied_halls()] == ["r2", "r3"]
+
+
+def test_the_judgement_finds_endpoints_that_get_more_than_they_bear() -> None:
+    ledger = soak_ledger.Ledger()
+    ledger.add_endpoint("e1", "h1", 10.0, 12.0)
+    ledger.arrivals["e1"] = [10.0 + 0.1 * n for n in range(20)]
+    assert not list(soak_ledger.Judge(ledger, 2.0, 2.0, 2.0, 10)._not_warm())
+    assert list(soak_ledger.Judge(ledger, 2.0, 2.0, 2.0, 9)._not_warm())
+    ledger.arrivals["e1"] += [12.1] * 50
+    assert not list(soak_ledger.Judge(ledger, 2.0, 2.0, 2.0, 10)._not_warm())
