Date the store's return by whoever it answered first

So the window of a second began anew with each gateway.

Ruled out: the new rows by difference and the fewer urgent beats; the gateway read the store itself, and lapsed rows are older than both.

The window now begins when the store answered anybody we hear. Where the store was away for one gateway alone, missing rows are endpoints that left. The test fails with the window as it was.

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -95,9 +95,13 @@
                 self._update(name, row)
             self._is_told = True
 
-    def store_returned(self) -> None:
-        """Note that the store answers again; called before its first rows are taken."""
-        self._lapses_until = self._clock.now() + LAPSES_SEEN_S
+    def store_returned(self, at: float | None = None) -> None:
+        """Note that the store answers again; called before its first rows are taken.
+
+        :param at: when it came back, if not just now.
+        """
+        now = self._clock.now()
+        self._lapses_until = (now if at is None else at) + LAPSES_SEEN_S
 
     def update(self, name: str, row: gateway_api.EndpointRow | None) -> None:
         """Take one change; ``None`` says that the row is gone."""
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -298,7 +298,7 @@
             fresh,
             gather_s,
             self.mesh.has_readers,
-            self.directory.store_returned,
+            lambda: self.directory.store_returned(self.mesh.store_back_at()),
             lambda: self.cfg.first_start and self.mesh.awaits_readers(),
             self.mesh.tries_for_us,
         )
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -136,6 +136,7 @@
         self._forget_silent()
         self.halls.forget_silent(now)
         self._count_members(now)
+        self._note_answered(now)
 
     def _connect_found(self, context: typing.Any) -> None:
         with self._lock:
--- a/gaprock/mesh_halls.py
+++ b/gaprock/mesh_halls.py
@@ -123,6 +123,10 @@
         told = [roll for news in self._all() for roll in news.rollouts]
         return sum(roll.on_old for roll in told if roll.service == service)
 
+    def has_store(self) -> bool:
+        """Whether the store answers somebody in another hall."""
+        return any(news.has_store for news in self._all())
+
     def has_reader_before(self) -> bool:
         """Whether a hall before ours by name has the store's answers."""
         return any(news.has_store and news.hall < self._own for news in self._all())
--- a/gaprock/mesh_members.py
+++ b/gaprock/mesh_members.py
@@ -100,6 +100,8 @@
         self._listen_until = clock.NEVER
         # Until when a gateway before us by name may have read the tables for us.
         self._await_until = -clock.NEVER
+        # Since when some other gateway has the store's answers; ``NEVER`` while none.
+        self._answered_since = clock.NEVER
         # Whether we were among our hall's carriers at the last look.
         self._carried = False
 
@@ -201,6 +203,25 @@
             return True
         return sum(peer.name < self.name for peer in heard) >= TRIERS
 
+    def store_back_at(self) -> float:
+        """Give when the store answered somebody again; now if nobody was heard to say.
+
+        A gateway that leaves the store to others asks it up to 5 s after its return.
+        """
+        return min(self._clock.now(), self._answered_since)
+
+    def _note_answered(self, now: float) -> None:
+        """Note whether the store answers somebody else."""
+        since = now - READER_HEARD_S
+        near = self._living_near()
+        is_answered = self.halls.has_store() or any(
+            p.heard_at >= since and p.beat and p.beat.has_store for p in near
+        )
+        if not is_answered:
+            self._answered_since = clock.NEVER
+        elif self._answered_since == clock.NEVER:
+            self._answered_since = now
+
     def leads(self) -> bool:
         """Whether no reader of the store comes before us by name, in any hall."""
         return not self._readers_before() and not self.halls.has_reader_before()
--- a/gaprock/test/testhalls.py
+++ b/gaprock/test/testhalls.py
@@ -77,6 +77,34 @@
         assert {*member.mesh.living(), member.name} == names
 
 
+# -- The store's return --
+
+
+def test_a_gateway_that_left_the_store_to_others_knows_when_it_came_back() -> None:
+    """Callers' requests reached an endpoint 25 ms after its time to leave was over.
+
+    The store was away.  A gateway that leaves it to others asks again up to 5 s after
+    it is back.  It took rows that went in between for ones that had lapsed with the
+    store, whose endpoints are used for longer, as if they had gone just then: by the log
+    of such a day seven rows were taken for lapsed by a gateway that asked at 25.8 s, one
+    by another that asked at 29.2 s.
+    """
+    fleet = settled(2, 3)
+    late = fleet.hall("h1")[-1]
+    for member in fleet.members:
+        member.table.answers = False
+    fleet.run(4.0)
+    back_at = fleet.time.now()
+    assert late.mesh.store_back_at() == back_at
+    fleet.hall("h0")[0].table.answers = True
+    fleet.run(3.0)
+    assert back_at <= late.mesh.store_back_at() <= back_at + 1.5
+    add_endpoints(late)
+    late.directory.store_returned(late.mesh.store_back_at())
+    late.directory.update("e1", None)
+    assert not late.directory._endpoints["e1"].lapsed
+
+
 # -- Reach --
 
 
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -631,6 +631,14 @@
         "        return all(not regions or region in regions for regions in homes)",
         "        return True",
     ),
+    _proof(
+        "the store came back when it answered somebody again",
+        "testhalls.py::test_a_gateway_that_left_the_store_to_others_knows_when_it_came"
+        "_back",
+        "mesh_members.py",
+        "return min(self._clock.now(), self._answered_since)",
+        "return self._clock.now()",
+    ),
     _proof(
         "changes that are not all known are no answer to a peer",
         "testscale.py::test_a_peer_that_is_too_far_behind_gets_the_whole_table",
