--- a/gaprock/test/testhalls.py
+++ b/gaprock/test/testhalls.py
@@ -85,9 +85,9 @@
 
     The store was away.  A gateway that leaves it to others asks again up to 5 s after
     it is back.  It took rows that went in between for ones that had lapsed with the
-    store, whose endpoints are used for longer, as if they had gone just then: by the log
-    of such a day seven rows were taken for lapsed by a gateway that asked at 25.8 s, one
-    by another that asked at 29.2 s.
+    store, whose endpoints are used for longer, as if they had gone just then: by the
+    log of such a day a gateway that asked at 25.8 s took seven rows for lapsed, and one
+    that asked at 29.2 s another one.
     """
     fleet = settled(2, 3)
     late = fleet.hall("h1")[-1]
