Name the beats of a round by what they are

A letter was a word of ours for a beat that is encoded once for all peers that were told the same; names alone change. testhalls, testfleet and testscale green.

--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -246,9 +246,9 @@
         """Send beats, and give the peers that were reached."""
         if not peers:
             return []
-        writer = _Letters(self._near_beat(passing))
+        round_ = _BeatRound(self._near_beat(passing))
         if any(self._is_far(peer) for peer in peers):
-            writer.far = self._far_beat(now)
+            round_.far = self._far_beat(now)
         is_direct = len(self._living_near()) < mesh_plan.CARRIERS
         tells_prompts = not self._is_crowded()
         reached = []
@@ -259,35 +259,37 @@
             # few requests leave it, and they were a quarter of the bytes.
             is_told = tells_prompts and (is_direct or not is_far)
             key = (is_far, peer.tick, peer.prompts if is_told else -1, is_all_held)
-            if key not in writer.letters:
-                writer.letters[key] = self._letter(writer, peer, is_told, is_all_held)
-            letter = writer.letters[key]
-            if self._send_bytes(peer, letter.data):
-                peer.tick, peer.prompts = letter.tick, letter.prompts
+            if key not in round_.encoded:
+                round_.encoded[key] = self._encode_for(
+                    round_, peer, is_told, is_all_held
+                )
+            encoded = round_.encoded[key]
+            if self._send_bytes(peer, encoded.data):
+                peer.tick, peer.prompts = encoded.tick, encoded.prompts
                 peer.beat_at = now
                 if is_all_held:
                     peer.held_told_at = now
                 reached.append(peer)
         return reached
 
-    def _letter(
+    def _encode_for(
         self,
-        writer: "_Letters",
+        round_: "_BeatRound",
         peer: mesh_peers.Peer,
         is_told: bool,
         is_all_held: bool,
-    ) -> "_Letter":
+    ) -> "_EncodedBeat":
         """Write the beat of a peer, which is that of all who were told the same."""
         tick, counters = self._evidence.since(peer.tick)
         prompt_count, prompts = self._directory.prompts_since(peer.prompts)
         beat = msgspec.structs.replace(
-            writer.far if self._is_far(peer) and writer.far else writer.near,
+            round_.far if self._is_far(peer) and round_.far else round_.near,
             prompts=prompts if is_told else [],
             evidence=self._evidence_for(peer, counters),
             suspects=self._suspects_for(peer, is_all_held),
             fleet=self._counted.value,
         )
-        return _Letter(mesh_messages.encode(beat), tick, prompt_count)
+        return _EncodedBeat(mesh_messages.encode(beat), tick, prompt_count)
 
     def _send(self, peer: mesh_peers.Peer, message: mesh_messages.Message) -> bool:
         return self._send_bytes(peer, mesh_messages.encode(message))
@@ -397,7 +399,7 @@
                     del self._peers[peer.address]
 
 
-class _Letter(typing.NamedTuple):
+class _EncodedBeat(typing.NamedTuple):
     """A beat as it goes out.
 
     :param tick: the evidence that it brings its peer up to.
@@ -409,15 +411,15 @@
     prompts: int
 
 
-class _Letters:
+class _BeatRound:
     """The beats of one round, by what their peers were told before."""
 
-    __slots__ = ("near", "far", "letters")
+    __slots__ = ("near", "far", "encoded")
 
     def __init__(self, near: mesh_messages.Beat) -> None:
         self.near = near
         self.far: mesh_messages.Beat | None = None
-        self.letters: dict[tuple[bool, int, int, bool], _Letter] = {}
+        self.encoded: dict[tuple[bool, int, int, bool], _EncodedBeat] = {}
 
 
 def push_socket(context: typing.Any) -> typing.Any:
