--- a/gaprock/report.py
+++ b/gaprock/report.py
@@ -21,6 +21,10 @@
 # Lines that could not be read, as examples.
 UNREAD_SHOWN: typing.Final = 3
 NONE: typing.Final = "none"
+# Lines of gateways that take an operator's word on a hall into force, closer than this
+# together, are of one order, seconds: it is in force everywhere well within that.
+ORDER_S: typing.Final = 8.0
+HALL_EVENTS: typing.Final = ("hall-emptied", "hall-back")
 
 
 class Ended(enum.Enum):
@@ -61,12 +65,26 @@
     planned: bool
 
 
+class HallChange(typing.NamedTuple):
+    """A hall that was emptied or taken back, as gateways took that into force.
+
+    :param event: ``hall-emptied`` or ``hall-back``.
+    """
+
+    hall: str
+    event: str
+    first: float
+    last: float
+    gateways: int
+
+
 class Collected:
     """The lines of some logs, by request."""
 
     __slots__ = (
         "by_request",
         "store_calls",
+        "halls",
         "down",
         "lines",
         "unread",
@@ -78,6 +96,8 @@
         self.by_request: dict[str, list[logs.LogLine]] = collections.defaultdict(list)
         # Calls to the shared store.
         self.store_calls: list[logs.LogLine] = []
+        # Halls that were emptied or taken back, a line for each gateway.
+        self.halls: list[logs.LogLine] = []
         self.down: list[Down] = []
         self.lines = 0
         # Texts that are no lines of ours: how many, and some of them.
@@ -103,6 +123,8 @@
         self._last[line.process] = line
         if line.event == "store-call":
             self.store_calls.append(line)
+        if line.event in HALL_EVENTS:
+            self.halls.append(line)
         if "request" in line.fields:
             self.by_request[line.fields["request"]].append(line)
 
@@ -255,6 +277,22 @@
             counts.setdefault(name, collections.Counter())[moment] += 1
         return dict(sorted(counts.items(), key=lambda item: -item[1].total()))
 
+    def halls(self) -> list[HallChange]:
+        """Give when halls were emptied and taken back, over all gateways."""
+        found: list[HallChange] = []
+        latest: dict[tuple[str, str], int] = {}
+        for line in sorted(self.found.halls, key=lambda one: one.at):
+            key = line.fields.get("hall", NONE), line.event
+            at = line.at - self.found.first_at
+            known = latest.get(key)
+            if known is None or at > found[known].last + ORDER_S:
+                latest[key] = len(found)
+                found.append(HallChange(*key, at, at, 1))
+            else:
+                old = found[known]
+                found[known] = old._replace(last=at, gateways=old.gateways + 1)
+        return found
+
     def longest(self) -> list[Verdict]:
         """Give the longest waits."""
         return sorted(self.verdicts, key=lambda v: -v.waited_s)[:LONGEST]
--- a/gaprock/report_text.py
+++ b/gaprock/report_text.py
@@ -16,6 +16,7 @@
         _table("second", _by_moment(found)),
         _store_calls(found),
         _longest(found),
+        _halls(found),
         _down(found),
     ]
     return "\n\n".join(part for part in parts if part) + "\n"
@@ -87,6 +88,19 @@
     return "\n".join(lines)
 
 
+def _halls(found: report.Report) -> str:
+    """List when halls were emptied and taken back, and how long that took to spread."""
+    lines = []
+    for change in found.halls():
+        word = "emptied" if change.event == "hall-emptied" else "taken back"
+        took_s = change.last - change.first
+        lines.append(
+            f"{change.first:>8.1f} s  {change.hall}  {word}, on "
+            f"{change.gateways} gateways within {took_s:.1f} s"
+        )
+    return "\n".join(["halls", *lines]) if lines else ""
+
+
 def _down(found: report.Report) -> str:
     """List when processes took no callers; those who came then left no line."""
     lines = []
--- a/gaprock/test/testreport.py
+++ b/gaprock/test/testreport.py
@@ -219,3 +219,22 @@
     shown = [row.split() for row in report_text.render(found).splitlines()]
     assert ["read", "op", "3", "2", "1"] in shown
     assert ["poll", "servers", "1", "0", "1"] in shown
+
+
+def test_halls_that_are_emptied_and_taken_back_are_listed() -> None:
+    lines = [
+        line(5.0 + 0.1 * number, "hall-emptied", f"gateway-{number}", hall="h1")
+        for number in range(3)
+    ]
+    lines.append(line(9.0, "hall-back", hall="h1"))
+    lines.append(line(30.0, "hall-emptied", hall="h1"))
+    found = report.Report(report.collect(lines))
+    changes = [(c.event, c.gateways, round(c.last - c.first, 1)) for c in found.halls()]
+    assert changes == [
+        ("hall-emptied", 3, 0.2),
+        ("hall-back", 1, 0.0),
+        ("hall-emptied", 1, 0.0),
+    ]
+    text = report_text.render(found)
+    assert "h1  emptied, on 3 gateways within 0.2 s" in text
+    assert "h1  taken back, on 1 gateways" in text
