--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -123,8 +123,8 @@
     def changes_after(self, since: int) -> list[gateway_api.Row] | None:
         """Give the changes after a version; ``None`` if some may not be known.
 
-        The rows of 3,000 endpoints, some 180 bytes each, would be handed on whole at each
-        change of one of them.
+        The rows of 3,000 endpoints, some 180 bytes each, would be handed on whole at
+        each change of one of them.
         """
         with self._lock:
             if since < self._changes_from:
