Have a play of endpoints that come back repeat

The same seed gave 32 to 66. Ruled out: load; the play has a clock of its own.

The test's bound stays; its play is a larger one (100 gateways, 600 sends a second), so that it stands on more than one seed's chance.

--- a/bench/herd.py
+++ b/bench/herd.py
@@ -55,7 +55,9 @@
 class Gateway:
     """One gateway's decisions, with its own view of the endpoints."""
 
-    def __init__(self, name: str, time: clock.Clock, fleet: int, routing: str) -> None:
+    def __init__(
+        self, name: str, time: clock.Clock, fleet: int, routing: str, seed: int = 0
+    ) -> None:
         self.name = name
         cfg = options.Options()
         services = {SERVICE: routes.Service(SERVICE, [], 0, RULE)}
@@ -77,6 +79,10 @@
             lambda: services,
         )
 
+        # A play repeats: its choices are drawn from its seed.
+        self.chooser._rng = random.Random(f"choice {seed} {name}")
+        self.directory._rng = random.Random(f"pause {seed} {name}")
+
     def send(self, call: gateway_call.Call) -> str:
         """Choose, and count the send; give the endpoint's name, or empty for none."""
         found = self.chooser.endpoint(call, "")
@@ -99,10 +105,11 @@
         self.rng = random.Random(seed)
         self.time = clock.ManualClock(100.0)
         self.gateways = [
-            Gateway(f"gw-{n}", self.time, gateways, routing) for n in range(gateways)
+            Gateway(f"gw-{n}", self.time, gateways, routing, seed)
+            for n in range(gateways)
         ]
         self.names = [f"e{n:04}" for n in range(endpoints)]
-        self.away = set(self.names[: endpoints // AWAY_SHARE])
+        self.away = self.names[: endpoints // AWAY_SHARE]
         self.per_s = per_s
         self.sends: dict[str, list[float]] = collections.defaultdict(list)
         self.refused = self.asked = 0
@@ -140,7 +147,7 @@
             gone_at = GONE_AT + self.rng.uniform(0.0, ROW_LAG_S)
             self._at(gone_at, functools.partial(self._drop_rows, gateway))
             back_at = BACK_AT + self.rng.uniform(0.0, ROW_LAG_S)
-            come_back = functools.partial(self._put_rows, gateway, sorted(self.away), 1)
+            come_back = functools.partial(self._put_rows, gateway, self.away, 1)
             self._at(back_at, come_back)
         at = 0.0
         while at < END_AT:
--- a/gaprock/test/testwarmup.py
+++ b/gaprock/test/testwarmup.py
@@ -105,8 +105,7 @@
 ) -> None:
     """A third of the endpoints comes back empty; one gateway in five is cut off.
 
-    The emptiest of all without a part each got 30 (21 gateways) and 38 (300) sends in
-    the worst second of these plays, with parts 19 and 5.
+    ``bench.herd`` prints what the worst second is without a part each.
     """
     plugin.load_all(plugin.GATEWAY_MODULES)
     endpoints = 40 if gateways == 21 else 120
@@ -120,10 +119,10 @@
 def test_without_parts_the_fleet_overruns_what_an_endpoint_bears(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The same plays show what the parts are for."""
+    """A larger fleet at twice the load shows what the parts are for."""
     plugin.load_all(plugin.GATEWAY_MODULES)
     monkeypatch.setattr(mechanisms.SLOW_START, "on", False)
-    play = herd.Play(40, 40, 350.0, "least-filled", 0)
+    play = herd.Play(100, 60, 600.0, "least-filled", 0)
     play.run()
     assert play.worst() > MOST
 
