Read the rate limits that endpoints name, and log what is believed of them

The adapter decodes it now; what is no plain decimal number, or stands there twice, names nothing and has a line of its own. What is sent is not changed yet.

Which answer counts: a lower limit at once, a higher one or an end only from an answer whose request was sent after the last naming had come; property test over answers that overtake each other. Any answer of the endpoint counts, 4xx, 5xx, refusals; one by another endpoint at the address ends nothing.

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -14,6 +14,7 @@
     endpoint_state,
     eventlog,
     gateway_api,
+    rate_limits,
     warm_up,
 )
 
@@ -63,6 +64,8 @@
         self._slow_starts = slow_starts or warm_up.SlowStarts(clock_)
         # The halls that an operator has emptied.
         self._emptied: frozenset[str] = frozenset()
+        # The rate limits that endpoints name.
+        self.limits = rate_limits.RateLimits(clock_)
         self._drain_s = drain_s
         self._lock = threading.Lock()
         # The present life of each endpoint, by its id and by the life's name.
@@ -120,6 +123,7 @@
                 if idle and now > endpoint.leave_at + self._drain_s:
                     del self._endpoints[name], self._lives[endpoint.life]
                     self._forget(endpoint)
+            self.limits.forget_old(self._lives)
 
     def _update(self, name: str, row: gateway_api.EndpointRow) -> None:
         endpoint = self._endpoints.get(name)
--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -201,6 +201,21 @@
     resume_after: int | None
 
 
+class LimitNotice(typing.NamedTuple):
+    """What an answer says of its endpoint's rate limit.
+
+    :param per_s: the requests a second that it takes from all gateways together;
+        ``None`` where it names no limit.
+    :param odd: what stands in its place and is no such number; empty otherwise.
+    """
+
+    per_s: float | None = None
+    odd: str = ""
+
+
+NO_LIMIT: typing.Final = LimitNotice()
+
+
 class AnswerHead(typing.NamedTuple):
     """The head of an endpoint's answer.
 
@@ -211,6 +226,7 @@
     :param echo: the request id that it answers.
     :param confidence: the model's own opinion of its answer, 0 to 100.
     :param encoded: whether the body is not the endpoint's plain one.
+    :param limit: what it says of the endpoint's rate limit.
     """
 
     status: int
@@ -221,6 +237,7 @@
     echo: str
     confidence: float | None
     encoded: bool
+    limit: LimitNotice = NO_LIMIT
 
 
 class InvalidDocument(Exception):
