Add a failing test: an endpoint that names a rate limit gets many times as much

Symptom: with three gateways, a caller or two at each, an endpoint that names 2.5 requests a second gets 665 in 4 s; asked are at most the limit and one request for each gateway, 13.

--- /dev/null
+++ b/gaprock/test/limitcase.py
@@ -0,0 +1,90 @@
+"""Endpoints that name a rate limit, behind several gateways, and what they get."""
+
+import contextlib
+import threading
+import time
+import typing
+
+from gaprock.test import gatewayfleet, gatewaysite
+from gaprock.test.fakes import backend
+
+# Any span of this length counts, seconds.
+WINDOW_S: typing.Final = 4.0
+ENDPOINTS: typing.Final = 3
+# Pause of a caller between two requests, seconds.
+CALLER_PAUSE_S: typing.Final = 0.01
+
+
+def most_in_window(moments: typing.Iterable[float]) -> int:
+    """Give the most moments within any window."""
+    ordered = sorted(moments)
+    most = first = 0
+    for last, moment in enumerate(ordered):
+        while ordered[first] <= moment - WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class Endpoint:
+    """An endpoint, one in each hall, that names a limit once it is told to."""
+
+    def __init__(
+        self, site: gatewaysite.GatewaySite, name: str, service: str, hall: str
+    ) -> None:
+        self.arrivals: list[float] = []
+        # What it says of its limit; empty for nothing.
+        self.limit = ""
+        self.confidence = "90"
+        self.fake = site.backends[name] = backend.Backend(name)
+        self.fake.usual = self._answer
+        site.write_row(name, service, Zone=hall)
+
+    def _answer(
+        self, fake: backend.Backend, seen: backend.Seen, conn: typing.Any
+    ) -> None:
+        self.arrivals.append(time.monotonic())
+        if not seen.target.startswith(backend.STREAM_PATH):
+            body = fake.name.encode()
+            conn.sendall(backend.head(seen, body=body, Server_Limit=self.limit) + body)
+            return
+        start = backend.head(
+            seen,
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+            X_Confidence=self.confidence,
+            Server_Limit=self.limit,
+        )
+        conn.sendall(start + backend.chunk(backend.event(1)) + b"0\r\n\r\n")
+
+    def most_since(self, since: float) -> int:
+        """Give the most arrivals in a window that begins after a moment."""
+        return most_in_window(at for at in self.arrivals if at >= since)
+
+
+class Fleet(gatewayfleet.Fleet):
+    """Gateways and endpoints, one of each in a hall."""
+
+    def start_endpoints(self, stack: contextlib.ExitStack) -> int:
+        self.endpoints = [
+            Endpoint(self.site, f"e{n}", self.service_name, f"h{n}")
+            for n in range(1, ENDPOINTS + 1)
+        ]
+        return ENDPOINTS
+
+    def press(self, numbers: typing.Iterable[int], seconds: float) -> list[int]:
+        """Have callers send to some gateways all the time; give the statuses."""
+        until = time.monotonic() + seconds
+        statuses: list[int] = []
+
+        def run(number: int) -> None:
+            while time.monotonic() < until:
+                statuses.append(self.call(number, b"x").status)
+                time.sleep(CALLER_PAUSE_S)
+
+        threads = [threading.Thread(target=run, args=(n,)) for n in numbers]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return statuses
--- a/gaprock/test/testlimits.py
+++ b/gaprock/test/testlimits.py
@@ -1,5 +1,16 @@
-"""Rate limits that endpoints name: who knows of them, and what gateways send."""
+"""Rate limits that endpoints name: who knows of them, and what gateways send.
 
+The story.  A model endpoint in need named the requests a second that it takes from all
+gateways together, and for as long as it did so it got two to three times as many, in
+spans of four seconds, while others of its service had room.
+
+The order of events.  Two of nine endpoints name limits of 3.2 and 2.4 a second in their
+answers; three seconds later their halls' gateways still send what they did before, and
+when callers come in a burst more than ever, since an endpoint with little to do is the
+emptiest one.
+"""
+
+import time
 import typing
 
 import hypothesis
@@ -8,6 +19,7 @@
 
 from gaprock import clock, endpoint_state, gateway_api, rate_limits
 from gaprock.platform import wire
+from gaprock.test import limitcase
 
 NO_LIMIT: typing.Final = gateway_api.NO_LIMIT
 
@@ -135,3 +147,23 @@
     time.advance(rate_limits.KEEP_S + 1.0)
     limits.forget_old({over.life, there.life})
     assert list(limits._known) == [there.life]
+
+
+# -- The whole path --
+
+
+@pytest.mark.parametrize("kind", ["safe", "gen"])
+def test_an_endpoint_in_need_gets_what_it_names_from_all_gateways(kind: str) -> None:
+    """Each hall's callers press; where models climb, each request is two sends."""
+    with limitcase.Fleet(3, kind) as fleet:
+        for one in fleet.endpoints:
+            one.confidence = "5"
+        fleet.press([0, 1, 2], 0.3)
+        in_need = fleet.endpoints[0]
+        in_need.limit = "2.5"
+        fleet.press([0, 1, 2], 0.3)
+        fleet.let_tell()
+        told_at = time.monotonic()
+        statuses = fleet.press([0, 0, 1, 2], limitcase.WINDOW_S + 1.0)
+        assert 1 <= in_need.most_since(told_at) <= 2.5 * limitcase.WINDOW_S + 3
+        assert set(statuses) == {200}
