Keep to the rate limits that endpoints name, over all gateways together

Callers' side: an endpoint in need got two to three times what it had named, and was slower and failed more for it, while others had room.

Cause: the limit was read nowhere, and placing went by slots alone, so that an endpoint with little to do drew more than ever. Class: a bound that many gateways share, of which each knows neither the bound nor what others do. Ruled out: gateways that each keep to the whole limit (one alone sent all of one endpoint's requests), and ways of sending that pass a limit by (first sends were five of six).

Mend: who knows (rate_limits): a naming is told in beats at once and between halls by carriers, with its age; ends and higher limits only by answers to later requests. What each may send (rate_pacing): an equal share by itself; what somebody living does not want of its own is lent to those that want more, once they lacked for 1.5 s; silence lends nothing. All ways of sending go through the last look before a request leaves, where slow starts are held too; a send that is refused there goes elsewhere, counts as no send and is true as not run. Sends are evenly spread, and one that begins anew draws its moment.

Why this holds: nobody is asked before a send, so cuts, frozen gateways and starts change what is lent, never the equal shares, whose sum is the limit.

One mechanism or two: warm_up keeps its own way of dividing, since its bound is of one second, may not be overrun by gateways that are cut off, and needs no word of others; both are asked at the same two places, and the smaller counts.

--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -16,6 +16,7 @@
     endpoint_state,
     eventlog,
     mechanisms,
+    rate_pacing,
     reading_pace,
     warm_up,
 )
@@ -40,8 +41,9 @@
         clock_: clock.Clock,
         drain_s: float,
         slow_starts: warm_up.SlowStarts | None = None,
+        pacer: rate_pacing.Pacer | None = None,
     ) -> None:
-        super().__init__(clock_, drain_s, slow_starts)
+        super().__init__(clock_, drain_s, slow_starts, pacer)
         self._rng = random.Random()
         # How fast the engines read.
         self.pace = reading_pace.ReadingPace()
--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -14,7 +14,7 @@
     endpoint_state,
     eventlog,
     gateway_api,
-    rate_limits,
+    rate_pacing,
     warm_up,
 )
 
@@ -52,6 +52,7 @@
 
     :param drain_s: within which a leaving endpoint gets nothing more, seconds.
     :param slow_starts: what endpoints that are not warm may get.
+    :param pacer: what endpoints that name a rate limit may get.
     """
 
     def __init__(
@@ -59,13 +60,14 @@
         clock_: clock.Clock,
         drain_s: float,
         slow_starts: warm_up.SlowStarts | None = None,
+        pacer: rate_pacing.Pacer | None = None,
     ) -> None:
         self._clock = clock_
         self._slow_starts = slow_starts or warm_up.SlowStarts(clock_)
         # The halls that an operator has emptied.
         self._emptied: frozenset[str] = frozenset()
-        # The rate limits that endpoints name.
-        self.limits = rate_limits.RateLimits(clock_)
+        # What endpoints that name a rate limit may get.
+        self.pacer = pacer or rate_pacing.Pacer(clock_)
         self._drain_s = drain_s
         self._lock = threading.Lock()
         # The present life of each endpoint, by its id and by the life's name.
@@ -123,7 +125,7 @@
                 if idle and now > endpoint.leave_at + self._drain_s:
                     del self._endpoints[name], self._lives[endpoint.life]
                     self._forget(endpoint)
-            self.limits.forget_old(self._lives)
+            self.pacer.forget_old(self._lives)
 
     def _update(self, name: str, row: gateway_api.EndpointRow) -> None:
         endpoint = self._endpoints.get(name)
@@ -244,13 +246,16 @@
         """Claim a send that goes out now.
 
         The last look before the request leaves: since it was chosen, another thread may
-        have had our next send to an endpoint that warms up, or its hall was emptied.
+        have had our next send to an endpoint that warms up or names a rate limit, or
+        its hall was emptied.
 
         :returns: why it must not go out; empty if it may.
         """
         if endpoint.row.hall in self._emptied:
             return "hall emptied"
-        return "" if self._slow_starts.take(endpoint) else "warming up"
+        if not self._slow_starts.take(endpoint):
+            return "warming up"
+        return "" if self.pacer.take(endpoint) else "rate limited"
 
     # -- Choice --
 
@@ -264,19 +269,18 @@
 
         Those that are leaving come in only when there is no other; one whose row
         lapsed is likely to come back and is used as before for a while.  One that warms
-        up is left out until our next send to it is due.
+        up, or names a rate limit, is left out until our next send to it is due.
 
         :param around: where to look in a service with many endpoints; ``None`` for all.
         """
         now = self._clock.now()
-        emptied, slow_starts = self._emptied, self._slow_starts
+        slow_starts, pacer = self._slow_starts, self.pacer
 
         def is_live(e: endpoint_state.Endpoint) -> bool:
             return (
-                now < e.leave_at
-                and e.life not in excluded
-                and e.row.hall not in emptied
+                self._is_open(e, excluded, now)
                 and (now >= e.warm_at or slow_starts.may_send(e, now))
+                and pacer.may_send(e, now)
             )
 
         with self._lock:
@@ -289,6 +293,28 @@
         staying = [e for e in live if e.leave_at == clock.NEVER or e.lapsed]
         return staying or live
 
+    def paced(self, service: str, excluded: set[str]) -> list[endpoint_state.Endpoint]:
+        """Give the endpoints that are usable but for the rate limits that they name."""
+        now, pacer = self._clock.now(), self.pacer
+        with self._lock:
+            limited = [self._lives.get(life) for life in pacer.limits.lives()]
+            return [
+                e
+                for e in limited
+                if e is not None
+                and e.row.service == service
+                and e.leave_at == clock.NEVER
+                and self._is_open(e, excluded, now)
+                and not pacer.may_send(e, now)
+            ]
+
+    def _is_open(
+        self, endpoint: endpoint_state.Endpoint, excluded: set[str], now: float
+    ) -> bool:
+        """Whether a request may go to an endpoint, but for what it bears now."""
+        is_there = now < endpoint.leave_at and endpoint.life not in excluded
+        return is_there and endpoint.row.hall not in self._emptied
+
     def _around(
         self, service: str, around: Around, is_live: endpoint_index.Test
     ) -> list[endpoint_state.Endpoint]:
--- a/gaprock/directory_told.py
+++ b/gaprock/directory_told.py
@@ -10,6 +10,7 @@
     eventlog,
     mechanisms,
     prefix_cache,
+    rate_pacing,
     warm_up,
 )
 
@@ -32,8 +33,9 @@
         clock_: clock.Clock,
         drain_s: float,
         slow_starts: warm_up.SlowStarts | None = None,
+        pacer: rate_pacing.Pacer | None = None,
     ) -> None:
-        super().__init__(clock_, drain_s, slow_starts)
+        super().__init__(clock_, drain_s, slow_starts, pacer)
         # The lives at which each other gateway has requests, as it told last.
         self._told: dict[str, typing.Collection[str]] = {}
         # Memory of a service's engines, in tokens.
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -24,6 +24,19 @@
 MEAN_WEIGHT: typing.Final = 0.05
 
 
+class _Fitting(typing.NamedTuple):
+    """The endpoints that are looked at for a send.
+
+    :param usable: those that may get a request now.
+    :param fitting: those of them that may get this one.
+    :param paced: those that may get this one later, by the rate limits they name.
+    """
+
+    usable: list[endpoint_state.Endpoint]
+    fitting: list[endpoint_state.Endpoint]
+    paced: list[endpoint_state.Endpoint]
+
+
 class Chooser:
     """The choice of services and endpoints; safe for all threads.
 
@@ -70,7 +83,7 @@
         :returns: the endpoint, and what the prompt makes it read.
         """
         now = self._clock.now()
-        usable, fitting = self._fitting(call)
+        usable, fitting, paced = self._fitting(call)
         good = [e for e in fitting if not self._is_avoided(call, e, now)]
         service = self._services().get(call.service)
         weight = self._directory.pace.weight(service, model) if service else 0.0
@@ -79,8 +92,10 @@
         self._mean_prompt[call.service] = mean + MEAN_WEIGHT * (whole - mean)
         marks = prefix_cache.marks_of(model, call.info.parts) if weight else []
         tokens = call.info.tokens_in
-        prompts = {e.name: e.prompt(marks, tokens, weight) for e in fitting}
+        prompts = {e.name: e.prompt(marks, tokens, weight) for e in fitting + paced}
         chosen = self._best(good or fitting, prompts, mean)
+        if paced:
+            self._note_paced(call, chosen, paced, prompts, mean)
         if chosen is None:
             return None
         prompt = prompts[chosen.name]
@@ -107,9 +122,28 @@
         )
         return chosen, prompt
 
-    def _fitting(
-        self, call: gateway_call.Call
-    ) -> tuple[list[endpoint_state.Endpoint], list[endpoint_state.Endpoint]]:
+    def _note_paced(
+        self,
+        call: gateway_call.Call,
+        chosen: endpoint_state.Endpoint | None,
+        paced: list[endpoint_state.Endpoint],
+        prompts: dict[str, endpoint_state.Prompt],
+        mean: float,
+    ) -> None:
+        """Note the endpoint that would have had a send, had its limit allowed it."""
+        best = self._best(([chosen] if chosen else []) + paced, prompts, mean)
+        if best is None or best is chosen:
+            return
+        self._directory.pacer.note_wanted(best)
+        eventlog.info(
+            "send-paced",
+            request=call.info.request,
+            endpoint=best.name,
+            instead=chosen.name if chosen else "none",
+            next_s=self._directory.pacer.next_at(best) - self._clock.now(),
+        )
+
+    def _fitting(self, call: gateway_call.Call) -> "_Fitting":
         """Give the usable endpoints that are looked at, and those that fit a call."""
         side = self._rollouts.side(call.service, call.session, call.is_in_session)
 
@@ -131,7 +165,12 @@
             [e.name for e in fitting],
             [e.name for e in fitting if e.row.hall == self._hall],
         )
-        return usable, [e for e in fitting if e.name in narrowed]
+        paced = self._directory.paced(call.service, call.excluded)
+        return _Fitting(
+            usable,
+            [e for e in fitting if e.name in narrowed],
+            [e for e in paced if fits(e)],
+        )
 
     def is_shut_out(self, call: gateway_call.Call) -> bool:
         """Whether all endpoints stand where a call may not run, so none is awaited."""
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -38,6 +38,7 @@
     plugin,
     policy_api,
     quarantine,
+    rate_pacing,
     retry_window,
     rollout_writer,
     rollouts,
@@ -108,6 +109,7 @@
                 self._services,
                 lambda: self.mesh.most_gateways(),
             ),
+            rate_pacing.Pacer(clock_, lambda: self.mesh.most_gateways()),
         )
         self.rollouts = rollouts.Rollouts(
             clock_,
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -318,7 +318,7 @@
         head = attempt.head
         is_stray = bool(head.echo) and head.echo != call.info.request
         if not is_stray and not (head.wrong_endpoint and head.limit.per_s is None):
-            limits = self._directory.limits
+            limits = self._directory.pacer.limits
             limits.note_answer(attempt.endpoint, head.limit, attempt.sent_at)
 
     def _check_head(
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -337,6 +337,7 @@
         if not self._is_far(peer):
             self._directory.take_loads(beat.sender, beat.loads)
             self._directory.take_dark(beat.sender, beat.dark)
+            self._directory.pacer.take_news(beat.sender, 1, beat.limits)
         self._directory.take_prompts(beat.prompts)
         self._quarantine.take(beat.suspects, self._is_far(peer))
         self._told_most.note(beat.fleet, now)
@@ -389,6 +390,7 @@
                 eventlog.warning("peer-silent", peer=peer.name, silent_s=silent_s)
                 self._directory.take_loads(peer.name, {})
                 self._directory.take_dark(peer.name, ())
+                self._directory.pacer.take_news(peer.name, 1, [])
                 peer.beat = None
             # One in another hall has no socket unless it is tried.
             is_kept = peer.name or self._is_far(peer)
--- a/gaprock/mesh_beats.py
+++ b/gaprock/mesh_beats.py
@@ -78,7 +78,8 @@
         halts = [(r.order.service, r.revision, r.halted) for r in rolls]
         dark = self._directory.dark(), self._directory.doubted()
         held = list(self._quarantine.ticks.values())
-        return halts, self._has_store(), self.leaving, dark, held
+        limits = sorted(one.urgent for one in self._directory.pacer.news())
+        return halts, self._has_store(), self.leaving, dark, held, limits
 
     def _near_news(self) -> mesh_peers.News:
         """Give what is worth a beat to the own hall before the idle one is due."""
@@ -94,11 +95,23 @@
         dark = self._directory.dark()
         state = (self._has_store(), self.leaving)
         held, suspected = self._suspect_ticks(is_far=False)
+        limits = self._directory.pacer.news()
+        named = sorted(one.urgent for one in limits)
+        wanted = sorted((one.endpoint, one.wanted_per_s) for one in limits)
         # In a large hall each finds for itself what is dark, and all tell all of it.
         is_urgent = not self._is_crowded()
         return mesh_peers.News(
-            (halts, told, state, held, dark if is_urgent else ()),
-            (self._near_loads(), moving, tick, proofs, suspected, versions, dark),
+            (halts, told, state, held, named, dark if is_urgent else ()),
+            (
+                self._near_loads(),
+                moving,
+                tick,
+                proofs,
+                suspected,
+                versions,
+                dark,
+                wanted,
+            ),
         )
 
     def _near_loads(self) -> dict[str, endpoint_state.Load]:
@@ -124,9 +137,10 @@
         tick, _ = self._evidence.since(1 << 60)
         proofs = self._proofs()
         held, suspected = self._suspect_ticks(is_far=True)
+        wanted = [(one.endpoint, one.wanted_per_s) for one in hall.limits]
         return mesh_peers.News(
             (hall.urgent, orders, self.leaving, held),
-            (hall.loads, moving, tick, proofs, suspected),
+            (hall.loads, moving, tick, proofs, suspected, wanted),
         )
 
     def _hall_news(self, now: float) -> mesh_messages.HallNews:
@@ -153,6 +167,9 @@
             mesh_halls.heaviest(mesh_halls.sum_loads(loads)),
             self._directory.found_dark([peer.name for peer in near]),
             mesh_halls.sum_rollouts(rolls),
+            mesh_halls.sum_wanted(
+                self._directory.pacer.news(), [beat.limits for beat in beats]
+            ),
         )
 
     def _proofs(self) -> list[float]:
@@ -198,6 +215,7 @@
             [],
             self.leaving,
             passing,
+            limits=self._directory.pacer.news(),
         )
 
     def _far_beat(self, now: float) -> mesh_messages.Beat:
--- a/gaprock/mesh_halls.py
+++ b/gaprock/mesh_halls.py
@@ -5,10 +5,20 @@
 too old is forgotten with all that it told.
 """
 
+import collections
 import threading
 import typing
 
-from gaprock import directory, endpoint_state, eventlog, mesh_messages, rollouts
+import msgspec
+
+from gaprock import (
+    directory,
+    endpoint_state,
+    eventlog,
+    mesh_messages,
+    rate_limits,
+    rollouts,
+)
 
 # A summary counts no more after this time, seconds.
 SILENT_S: typing.Final = 2.5
@@ -74,6 +84,8 @@
         name = source_name(news.hall)
         self._directory.take_loads(name, news.loads)
         self._directory.take_dark(name, news.dark)
+        pacer = self._directory.pacer
+        pacer.take_news(name, news.members, news.limits, news.age_s)
         for told in news.rollouts:
             self._rollouts.take_told(told, now, name)
 
@@ -88,6 +100,7 @@
             eventlog.warning("hall-silent", hall=hall, silent_s=now - known.as_of)
             self._directory.take_loads(source_name(hall), {})
             self._directory.take_dark(source_name(hall), ())
+            self._directory.pacer.take_news(source_name(hall), 0, [])
 
     def to_pass_on(self, now: float) -> list[mesh_messages.HallNews]:
         """Give the summaries that the own hall has not heard lately, with their age."""
@@ -161,6 +174,20 @@
     return {name: loads[name] for name in names[:LOADS_TOLD]}
 
 
+def sum_wanted(
+    own: list[rate_limits.LimitNews],
+    told: typing.Iterable[list[rate_limits.LimitNews]],
+) -> list[rate_limits.LimitNews]:
+    """Give the limits that the carrier knows, with what its whole hall wants."""
+    wanted: dict[str, float] = collections.defaultdict(float)
+    for news in [own, *told]:
+        for one in news:
+            wanted[one.endpoint] += one.wanted_per_s
+    return [
+        msgspec.structs.replace(one, wanted_per_s=wanted[one.endpoint]) for one in own
+    ]
+
+
 def sum_rollouts(
     told: typing.Iterable[list[mesh_messages.RolloutNews]],
 ) -> list[mesh_messages.RolloutNews]:
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gaprock import endpoint_state, messages, prefix_cache, quarantine
+from gaprock import endpoint_state, messages, prefix_cache, quarantine, rate_limits
 
 # Row tables that a beat gives versions of, in this order.
 TABLES: typing.Final = ("orders", "endpoints", "outcomes")
@@ -56,6 +56,7 @@
     :param has_store: whether the store answers one of them.
     :param loads: what all of them have at each endpoint, together.
     :param dark: endpoints that take no connection from one of them.
+    :param limits: rate limits that endpoints name, and what all of them want to send.
     """
 
     hall: str
@@ -66,11 +67,13 @@
     loads: dict[str, endpoint_state.Load]
     dark: list[str]
     rollouts: list[RolloutNews]
+    limits: list[rate_limits.LimitNews] = []
 
     @property
     def urgent(self) -> object:
         """What everybody must know at once."""
-        return self.carriers, self.dark, halts(self.rollouts)
+        limits = sorted(one.urgent for one in self.limits)
+        return self.carriers, self.dark, halts(self.rollouts), limits
 
     def aged(self, age_s: float) -> "HallNews":
         """Give it with its age now."""
@@ -95,6 +98,7 @@
     :param halls: summaries: the sender's hall's to another one, others' in its own.
     :param suspects: requests that something speaks against, or no more.
     :param fleet: the most gateways that the sender counted lately; 0 for none.
+    :param limits: rate limits that endpoints name, and what the sender wants to send.
     """
 
     sender: str
@@ -112,6 +116,7 @@
     halls: list[HallNews] = []
     suspects: list[quarantine.SuspectNews] = []
     fleet: int = 0
+    limits: list[rate_limits.LimitNews] = []
 
 
 def halts(news: list[RolloutNews]) -> list[tuple[str, int, bool]]:
--- a/gaprock/rate_limits.py
+++ b/gaprock/rate_limits.py
@@ -11,6 +11,8 @@
 import threading
 import typing
 
+import msgspec
+
 from gaprock import clock, endpoint_state, eventlog, gateway_api
 
 # How long an end is remembered, so that older word of a limit does not bring it back,
@@ -18,6 +20,33 @@
 KEEP_S: typing.Final = 10.0
 # What stands in place of a limit and is none is logged so often, seconds.
 LOG_ODD_S: typing.Final = 10.0
+# Word of two gateways that is not further apart is of the same moment, seconds: beats
+# take a while, and what was told must not grow newer by being told back.
+SAME_S: typing.Final = 0.3
+# Limits that a beat tells, those that are wanted most.
+MOST_TOLD: typing.Final = 40
+# Stands for an end in what is told.
+ENDED: typing.Final = -1.0
+
+
+class LimitNews(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint's limit, and what the sender wants to send there.
+
+    :param endpoint: its life.
+    :param per_s: requests a second; ``ENDED`` for a limit that is over.
+    :param age_s: seconds since that was said.
+    :param wanted_per_s: requests a second.
+    """
+
+    endpoint: str
+    per_s: float
+    age_s: float
+    wanted_per_s: float
+
+    @property
+    def urgent(self) -> tuple[str, float]:
+        """What everybody must know at once."""
+        return self.endpoint, self.per_s
 
 
 class _Limit:
@@ -81,6 +110,54 @@
             age_s=self._clock.now() - as_of,
         )
 
+    # -- What gateways tell each other --
+
+    def news(self, wanted: dict[str, float]) -> list[LimitNews]:
+        """Give what is known.
+
+        :param wanted: requests a second that we want to send, by endpoint.
+        """
+        if not self._known:
+            return []
+        now = self._clock.now()
+        with self._lock:
+            news = [
+                LimitNews(
+                    life,
+                    ENDED if known.per_s is None else known.per_s,
+                    now - known.as_of,
+                    wanted.get(life, 0.0),
+                )
+                for life, known in self._known.items()
+            ]
+        news.sort(key=lambda one: (-one.wanted_per_s, one.endpoint))
+        return news[:MOST_TOLD]
+
+    def take_news(self, sender: str, news: list[LimitNews], age_s: float = 0.0) -> None:
+        """Take what another gateway, or a hall's carrier, tells.
+
+        :param age_s: how long the news were on their way, seconds.
+        """
+        now = self._clock.now() - age_s
+        with self._lock:
+            for one in news:
+                per_s = one.per_s if one.per_s >= 0 else None
+                self._merge(one.endpoint, per_s, now - max(0.0, one.age_s), sender)
+
+    def _merge(self, life: str, per_s: float | None, as_of: float, sender: str) -> None:
+        """Take what is newer, and of word of the same moment the lower limit."""
+        known = self._known.get(life)
+        if known is None:
+            if per_s is not None:
+                self._set(life, per_s, as_of, sender)
+            return
+        is_newer = as_of > known.as_of + SAME_S
+        is_same = abs(as_of - known.as_of) <= SAME_S
+        if is_newer:
+            self._set(life, per_s, as_of, sender)
+        elif is_same and per_s is not None and not _relaxes(known, per_s):
+            self._set(life, per_s, max(as_of, known.as_of), sender)
+
     def _note_odd(self, endpoint: endpoint_state.Endpoint, text: str) -> None:
         now = self._clock.now()
         with self._lock:
@@ -94,6 +171,13 @@
         known = self._known.get(life)
         return known.per_s if known is not None else None
 
+    def lives(self) -> list[str]:
+        """Give the endpoints that name a limit."""
+        if not self._known:
+            return []
+        with self._lock:
+            return [life for life, k in self._known.items() if k.per_s is not None]
+
     def forget_old(self, lives: typing.Container[str]) -> None:
         """Drop what has ended, and endpoints that are not there.
 
--- a/gaprock/test/testlimits.py
+++ b/gaprock/test/testlimits.py
@@ -8,8 +8,17 @@
 answers; three seconds later their halls' gateways still send what they did before, and
 when callers come in a burst more than ever, since an endpoint with little to do is the
 emptiest one.
+
+The cause.  The limit was read nowhere, and each gateway chose by slots alone: a bound
+that many share, of which each knows neither the bound nor what the others do.
+
+The evidence.  With the limit read and logged, ``endpoint-limited`` stood in the log of
+the gateway that went on to send some 600 requests in four seconds at a limit of 10; in
+the recorded day's play one gateway alone sent 31 of an endpoint's 31 requests in two
+seconds (13 and 14 s) at a limit of 3.2 a second, a sixth of them climbs.
 """
 
+import functools
 import time
 import typing
 
@@ -17,9 +26,17 @@
 import hypothesis.strategies as st
 import pytest
 
-from gaprock import clock, endpoint_state, gateway_api, rate_limits
+from bench import limits as limit_plays
+from gaprock import (
+    clock,
+    endpoint_state,
+    gateway_api,
+    mesh_members,
+    rate_limits,
+    rate_pacing,
+)
 from gaprock.platform import wire
-from gaprock.test import limitcase
+from gaprock.test import fleetcase, limitcase
 
 NO_LIMIT: typing.Final = gateway_api.NO_LIMIT
 
@@ -149,6 +166,165 @@
     assert list(limits._known) == [there.life]
 
 
+# -- How it is divided --
+
+
+@hypothesis.given(
+    per_s=st.floats(0.1, 200.0),
+    wanted=st.lists(st.floats(0.0, 100.0), min_size=1, max_size=30),
+    silent=st.integers(0, 10),
+)
+def test_the_shares_of_all_are_no_more_than_the_limit(
+    per_s: float, wanted: list[float], silent: int
+) -> None:
+    """Each hears the others; those that are silent keep an equal share."""
+    gateways = len(wanted) + silent
+    claims = [rate_pacing.Claim(1, each) for each in wanted]
+    shares = [
+        rate_pacing.share(per_s, gateways, each, claims[:n] + claims[n + 1 :])
+        for n, each in enumerate(wanted)
+    ]
+    lent = sum(min(each, got) for each, got in zip(wanted, shares))
+    assert lent + silent * per_s / gateways <= per_s * 1.000001
+    assert all(got >= per_s / gateways * 0.999999 for got in shares)
+
+
+def test_a_gateway_that_knows_of_none_has_no_share() -> None:
+    assert rate_pacing.share(5.0, 0, 1.0, []) == 0.0
+
+
+def allowed(per_s: float) -> float:
+    """What the users allow in a window."""
+    return 1.5 * per_s * limit_plays.WINDOW_S + 5
+
+
+@pytest.mark.parametrize("load", ["even", "one", "turns"])
+@pytest.mark.parametrize("per_s", [0.3, 2.4, 20.0])
+@pytest.mark.parametrize("gateways", [1, 3, 21, 68])
+def test_no_window_holds_more_than_is_allowed(
+    gateways: int, per_s: float, load: str
+) -> None:
+    """``bench.limits`` prints what there is in the worst one, and the use."""
+    play = limit_plays.Play(gateways, per_s, "by-wants", load)
+    play.run()
+    assert play.worst() <= allowed(per_s)
+
+
+@pytest.mark.parametrize("gateways", [3, 21])
+def test_a_limit_is_used(gateways: int) -> None:
+    even = limit_plays.Play(gateways, 2.4, "by-wants", "even")
+    even.run()
+    assert even.use() >= 0.85
+    one = limit_plays.Play(gateways, 2.4, "by-wants", "one")
+    one.run()
+    assert one.use() >= 0.7
+
+
+def test_what_nobody_lends_is_not_used() -> None:
+    """Where one gateway of 21 has all callers: 0.05 with equal parts, 0.92 lent."""
+    play = limit_plays.Play(21, 2.4, "equal", "one")
+    play.run()
+    assert play.use() < 0.1
+
+
+def trouble(play: limit_plays.Play, kind: str) -> None:
+    """Plan trouble for a play's gateways; every other one is hit."""
+    hit = play.gateways[::2]
+
+    def set_all(name: str, value: bool) -> None:
+        for gateway in hit:
+            setattr(gateway, name, value)
+
+    if kind == "added":
+        # A third more than anybody knows of, who hear of a limit by beats alone.
+        for number in range(len(play.gateways), 4 * len(play.gateways) // 3):
+            added = limit_plays.Gateway(number, play)
+            play.at(8.0, functools.partial(play.join, added))
+        return
+    play.at(8.0, lambda: set_all(f"is_{kind}", True))
+    if kind != "dead":
+        play.at(14.0, lambda: set_all(f"is_{kind}", False))
+
+
+@pytest.mark.parametrize("kind", ["cut", "frozen", "dead", "added"])
+@pytest.mark.parametrize("per_s", [2.4, 20.0])
+@pytest.mark.parametrize("gateways", [3, 21])
+def test_the_bound_holds_as_gateways_come_and_go(
+    gateways: int, per_s: float, kind: str
+) -> None:
+    for load in ("even", "one"):
+        play = limit_plays.Play(gateways, per_s, "by-wants", load)
+        trouble(play, kind)
+        play.run()
+        assert play.worst() <= allowed(per_s)
+
+
+def test_a_limit_of_none_is_tried_now_and_then() -> None:
+    """Somebody has to hear that it is over."""
+    play = limit_plays.Play(3, 0.0, "by-wants", "even")
+    play.run()
+    assert 1 <= len([at for at in play.sends if at > limit_plays.COUNTED_AT])
+    assert play.worst() <= allowed(0.0)
+
+
+# -- Who knows --
+
+
+def limits_of(fleet: fleetcase.Fleet, life: str) -> set[float | None]:
+    return {m.directory.pacer.limits.limit(life) for m in fleet.living()}
+
+
+def test_all_gateways_hear_of_a_limit_and_of_its_end() -> None:
+    fleet = fleetcase.Fleet(3, 7)
+    fleet.run(4.0)
+    one = endpoint()
+    first = fleet.members[-1].directory.pacer.limits
+    first.note_answer(one, limited_to(2.4), fleet.time.now())
+    took_s = fleet.run(3.0, until=lambda: limits_of(fleet, one.life) == {2.4})
+    assert took_s <= 1.0
+    fleet.run(0.5)
+    other = fleet.members[0].directory.pacer.limits
+    other.note_answer(one, NO_LIMIT, fleet.time.now())
+    fleet.run(3.0, until=lambda: limits_of(fleet, one.life) == {None})
+    assert limits_of(fleet, one.life) == {None}
+    # Nothing old brings it back, and it is forgotten in the end.
+    fleet.run(rate_limits.KEEP_S + 2.0)
+    assert limits_of(fleet, one.life) == {None}
+
+
+def test_one_that_starts_hears_of_limits_and_one_that_hears_nobody_keeps_them() -> None:
+    fleet = fleetcase.Fleet(1, 3)
+    one = endpoint()
+    fleet.run(1.0)
+    fleet.members[0].directory.pacer.limits.note_answer(
+        one, limited_to(2.4), fleet.time.now()
+    )
+    fleet.run(1.0)
+    late = fleetcase.Member(fleet, "h0", 99)
+    fleet.join(late)
+    late.mesh.found([mesh_members.Found(m.address, m.hall) for m in fleet.members[:-1]])
+    fleet.run(2.0, until=lambda: limits_of(fleet, one.life) == {2.4})
+    assert limits_of(fleet, one.life) == {2.4}
+    for member in fleet.members[:-1]:
+        member.is_dead = True
+    fleet.run(20.0)
+    assert late.directory.pacer.limits.limit(one.life) == 2.4
+
+
+def test_word_of_a_limit_does_not_grow_newer_by_being_told() -> None:
+    """Else an old one would outlive the answer that ends it."""
+    fleet = fleetcase.Fleet(2, 3)
+    fleet.run(2.0)
+    one = endpoint()
+    fleet.members[0].directory.pacer.limits.note_answer(
+        one, limited_to(2.4), fleet.time.now()
+    )
+    fleet.run(10.0)
+    for member in fleet.members:
+        known = member.directory.pacer.limits._known[one.life]
+        assert fleet.time.now() - known.as_of > 8.0
+
+
 # -- The whole path --
 
 
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -596,6 +596,48 @@
         "warm_up.py",
         "            endpoint.next_send_at = now + pause\n",
     ),
+    _proof(
+        "an endpoint that names a rate limit gets it from all gateways together",
+        "testlimits.py::test_an_endpoint_in_need_gets_what_it_names_from_all_gateways",
+        "directory_rows.py",
+        'return "" if self.pacer.take(endpoint) else "rate limited"',
+        'return ""',
+    ),
+    _proof(
+        "an answer that was begun before a limit was named does not end it",
+        "testlimits.py::test_a_limit_holds_until_an_answer_to_a_later_request_names"
+        "_none",
+        "rate_limits.py",
+        "if _relaxes(known, per_s) and known and sent_at <= known.as_of:",
+        "if False:",
+    ),
+    _proof(
+        "what one gateway does not want of a limit another one may send",
+        "testlimits.py::test_a_limit_is_used",
+        "rate_pacing.py",
+        "    return equal + spare * lack / lacks",
+        "    return equal",
+    ),
+    _proof(
+        "gateways that begin at once draw the moments of their first sends",
+        "testlimits.py::test_no_window_holds_more_than_is_allowed",
+        "rate_pacing.py",
+        "            pace.begin(now, self._rng.random())",
+        "            pace.begin(now, 1.0)",
+    ),
+    _proof(
+        "all gateways hear of a limit",
+        "testlimits.py::test_all_gateways_hear_of_a_limit_and_of_its_end",
+        "mesh_beats.py",
+        "            limits=self._directory.pacer.news(),\n",
+    ),
+    _proof(
+        "word of a limit does not grow newer by being told back",
+        "testlimits.py::test_word_of_a_limit_does_not_grow_newer_by_being_told",
+        "rate_limits.py",
+        "is_newer = as_of > known.as_of + SAME_S",
+        "is_newer = as_of > known.as_of",
+    ),
     _proof(
         "an endpoint that was out of sight counts as not warm",
         "testwarmup.py::test_one_that_was_out_of_sight_is_spared_before_its_row_says"
@@ -615,7 +657,8 @@
         "an emptied hall gets nothing",
         "testemptied.py::test_an_order_stands_until_its_row_goes",
         "directory_rows.py",
-        "                and e.row.hall not in emptied\n",
+        "return is_there and endpoint.row.hall not in self._emptied",
+        "return is_there",
     ),
     _proof(
         "a send that was chosen before its hall was emptied does not go out",
