Have requests wait in line for endpoints that take only so many, or refuse them

Cause: where all endpoints that may run a request name a rate limit or warm up, each request looked for a fifth of its goal in vain and was then refused, with a time to come back that followed the ends of other requests; whoever looked in the right moment was sent, however little it is worth.

Now: such requests stand in a line of their service, the most urgent first. Who will be sent by 0.6 of its goal waits; who will not is refused at once as not run (code 1032) and comes back at the pace at which sends fall due here. Models are not climbed while a first send waits. An endpoint that refused a request is asked again before the request is given up.

Tests: order and emptiness of the line as a property, times to come back, three endpoints of 2 a second under callers who ask all the time: only 200 and 503. Found by them: no position times an endless pause is no number.

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -308,6 +308,24 @@
                 and not pacer.may_send(e, now)
             ]
 
+    def turns(
+        self, service: str, excluded: set[str]
+    ) -> list[tuple[endpoint_state.Endpoint, rate_pacing.Turn]]:
+        """Give when each endpoint of a service that is open takes our next sends."""
+        now = self._clock.now()
+        with self._lock:
+            return [
+                (e, self._turn(e))
+                for e in self._index.of_service(service)
+                if self._is_open(e, excluded, now)
+            ]
+
+    def _turn(self, endpoint: endpoint_state.Endpoint) -> rate_pacing.Turn:
+        """Give when an endpoint takes our next sends: the later and fewer of both."""
+        warm, limited = self._slow_starts.turn(endpoint), self.pacer.turn(endpoint)
+        next_at = max(warm.next_at, limited.next_at)
+        return rate_pacing.Turn(next_at, min(warm.per_s, limited.per_s))
+
     def _is_open(
         self, endpoint: endpoint_state.Endpoint, excluded: set[str], now: float
     ) -> bool:
--- a/gaprock/errorcodes.py
+++ b/gaprock/errorcodes.py
@@ -167,6 +167,10 @@
     1031, "no-hall", 503, "All halls where the request may run are emptied"
 )
 
+PACED: typing.Final = ErrorCode(
+    1032, "paced", 503, "The endpoints take fewer requests a second than come"
+)
+
 OUTCOME_UNKNOWN: typing.Final = ErrorCode(
     2001, "outcome-unknown", 502, "An endpoint may have run the request"
 )
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -7,12 +7,15 @@
     clock,
     directory,
     directory_rows,
+    endpoint_index,
     endpoint_state,
     eventlog,
     gateway_call,
     messages,
     policy_api,
     prefix_cache,
+    rate_pacing,
+    rollout_state,
     rollouts,
     routes,
 )
@@ -24,6 +27,10 @@
 MEAN_WEIGHT: typing.Final = 0.05
 
 
+# The endpoint of a send, and what the prompt makes it read.
+Choice = tuple[endpoint_state.Endpoint, endpoint_state.Prompt]
+
+
 class _Fitting(typing.NamedTuple):
     """The endpoints that are looked at for a send.
 
@@ -74,13 +81,10 @@
         weights = [pool.weight for pool in pools]
         return self._rng.choices(pools, weights)[0].service
 
-    def endpoint(
-        self, call: gateway_call.Call, model: str
-    ) -> tuple[endpoint_state.Endpoint, endpoint_state.Prompt] | None:
+    def endpoint(self, call: gateway_call.Call, model: str) -> Choice | None:
         """Choose the endpoint of the next send; ``None`` when there is none.
 
         :param model: the model that is asked; empty for the one that the caller named.
-        :returns: the endpoint, and what the prompt makes it read.
         """
         now = self._clock.now()
         usable, fitting, paced = self._fitting(call)
@@ -140,19 +144,13 @@
             request=call.info.request,
             endpoint=best.name,
             instead=chosen.name if chosen else "none",
-            next_s=self._directory.pacer.next_at(best) - self._clock.now(),
+            next_s=self._directory.pacer.turn(best).next_at - self._clock.now(),
         )
 
     def _fitting(self, call: gateway_call.Call) -> "_Fitting":
         """Give the usable endpoints that are looked at, and those that fit a call."""
         side = self._rollouts.side(call.service, call.session, call.is_in_session)
-
-        has_homes = bool(call.route.regions or _own_regions(call))
-
-        def fits(e: endpoint_state.Endpoint) -> bool:
-            takes = side is None or side.takes(e.row.version)
-            return takes and (not has_homes or self._may_run_in(call, e.row.hall))
-
+        fits = self._fits(call, side)
         # The share of an unproved version is one of all its endpoints.
         is_unproved = side is not None and self._rollouts.is_narrow(side)
         around = directory_rows.Around(self._hall, call.place, fits)
@@ -172,6 +170,32 @@
             [e for e in paced if fits(e)],
         )
 
+    def _fits(
+        self, call: gateway_call.Call, side: rollout_state.Side | None
+    ) -> endpoint_index.Test:
+        """Make the test of endpoints that may run a call, whenever that is."""
+        has_homes = bool(call.route.regions or _own_regions(call))
+
+        def fits(e: endpoint_state.Endpoint) -> bool:
+            takes = side is None or side.takes(e.row.version)
+            return takes and (not has_homes or self._may_run_in(call, e.row.hall))
+
+        return fits
+
+    def turn(self, call: gateway_call.Call) -> rate_pacing.Turn | None:
+        """Give when those that may run a call take it.
+
+        :returns: ``None`` where there are none, or one of them takes any number.
+        """
+        side = self._rollouts.side(call.service, call.session, call.is_in_session)
+        fits = self._fits(call, side)
+        known = self._directory.turns(call.service, call.excluded)
+        turns = [turn for endpoint, turn in known if fits(endpoint)]
+        next_at = min((turn.next_at for turn in turns), default=-clock.NEVER)
+        if next_at == rate_pacing.ANY_TIME.next_at:
+            return None
+        return rate_pacing.Turn(next_at, sum(turn.per_s for turn in turns))
+
     def is_shut_out(self, call: gateway_call.Call) -> bool:
         """Whether all endpoints stand where a call may not run, so none is awaited."""
         halls = self._directory.halls_of(call.service)
--- a/gaprock/gateway_models.py
+++ b/gaprock/gateway_models.py
@@ -13,6 +13,7 @@
     gateway_attempt,
     gateway_call,
     mechanisms,
+    paced_line,
     policy_api,
     prefix_cache,
     retry_window,
@@ -29,6 +30,7 @@
 
     :param services: the services of the configuration in force, by name.
     :param hall: the hall that this gateway stands in.
+    :param line: who waits for a first send.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "_budget",
         "_services",
         "_hall",
+        "_line",
     )
 
     def __init__(
@@ -50,6 +53,7 @@
         budget: retry_window.RetryWindow,
         services: typing.Callable[[], dict[str, routes.Service]],
         hall: str = "",
+        line: paced_line.PacedLine | None = None,
     ) -> None:
         self._clock = clock_
         self._directory = directory_
@@ -58,6 +62,7 @@
         self._budget = budget
         self._services = services
         self._hall = hall
+        self._line = line or paced_line.PacedLine()
 
     def first(self, call: gateway_call.Call) -> str:
         """Choose the model; empty where the caller named it."""
@@ -130,6 +135,9 @@
         budget_left = int(self._budget.left(call.service, now) - reserve)
         # Before the first send, that send itself is not a climb.
         sends_left = call.sends_left if call.sends else call.sends_left - 1
+        if not self._line.is_empty(call.service):
+            # A climb would take the send that another request waits for.
+            sends_left = 0
         return policy_api.ModelAsk(
             models,
             call.info.tokens_in,
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -34,6 +34,7 @@
     ids,
     mesh,
     options,
+    paced_line,
     periodic,
     plugin,
     policy_api,
@@ -318,6 +319,7 @@
         )
         judge = gateway_judge.AnswerJudge(self.clock, self.directory, self.rollouts)
         gate = gateway_quarantine.Gate(self.clock, self.directory, self.quarantine)
+        line = paced_line.PacedLine()
         self._sender = gateway_sender.Sender(
             self.clock, self.dialect, self.directory, self.metrics, judge, gate
         )
@@ -329,6 +331,7 @@
             self.budget,
             self._services,
             cfg.hall,
+            line,
         )
         relay = gateway_relay.Relay(
             self.clock,
@@ -350,6 +353,7 @@
             self.budget,
             self.metrics,
             self._max_calls(),
+            line,
             self._is_stale,
             lambda: self.is_ready,
         )
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -15,7 +15,6 @@
 
 from gaprock import (
     clock,
-    endpoint_state,
     errorcodes,
     errors,
     eventlog,
@@ -29,6 +28,8 @@
     gateway_relay,
     gateway_sender,
     http_exchange,
+    paced_line,
+    rate_pacing,
     retry_window,
     return_times,
     routes,
@@ -48,7 +49,11 @@
 # refused after this share of its goal.
 WAIT_LOOK_S: typing.Final = 0.03
 WAIT_SHARE: typing.Final = 0.2
-# The same where all halls that may run it are emptied, which takes an operator to end.
+# Where all that may run a call take only so many a second, it waits for its turn until
+# this share of its goal, if that comes by then.
+TURN_SHARE: typing.Final = 0.6
+# When to come back where all halls that may run it are emptied, which takes an operator
+# to end, seconds.
 COME_BACK_NO_HALL_S: typing.Final = (1.0, 3.0)
 JSON: typing.Final = (b"Content-Type", b"application/json")
 
@@ -78,6 +83,7 @@
         budget: retry_window.RetryWindow,
         metrics: gateway_metrics.GatewayMetrics,
         max_calls: int,
+        line: paced_line.PacedLine,
         is_stale: typing.Callable[[], bool],
         is_ready: typing.Callable[[], bool],
     ) -> None:
@@ -92,6 +98,7 @@
         self._budget = budget
         self._metrics = metrics
         self._max_calls = max_calls
+        self._line = line
         self._is_stale = is_stale
         self._is_ready = is_ready
         self._rng = random.Random()
@@ -315,13 +322,13 @@
 
     def _find_endpoint(
         self, call: gateway_call.Call, reply: gateway_call.Reply, model: str
-    ) -> tuple[endpoint_state.Endpoint, endpoint_state.Prompt]:
+    ) -> gateway_choose.Choice:
         """Choose an endpoint, waiting a moment for one when there is none."""
         give_up_at = self._clock.now() + WAIT_SHARE * call.route.goal_s
         give_up_at = min(give_up_at, call.deadline)
         while True:
             if not self._gate.must_wait(call):
-                chosen = self._chooser.endpoint(call, model)
+                chosen = self._choose(call, reply, model)
                 if chosen is not None:
                     return chosen
                 if self._chooser.is_shut_out(call):
@@ -335,6 +342,65 @@
                 call.excluded.clear()
             threading.Event().wait(WAIT_LOOK_S)
 
+    def _choose(
+        self, call: gateway_call.Call, reply: gateway_call.Reply, model: str
+    ) -> gateway_choose.Choice | None:
+        """Choose an endpoint; whoever waits for one already goes first."""
+        if self._line.is_empty(call.service):
+            chosen = self._chooser.endpoint(call, model)
+            if chosen is not None:
+                return chosen
+        turn = self._chooser.turn(call)
+        if turn is None:
+            return self._chooser.endpoint(call, model)
+        return self._await_turn(call, reply, model, turn)
+
+    def _await_turn(
+        self,
+        call: gateway_call.Call,
+        reply: gateway_call.Reply,
+        model: str,
+        turn: rate_pacing.Turn | None,
+    ) -> gateway_choose.Choice | None:
+        """Wait in line for endpoints that take only so many requests a second.
+
+        :returns: ``None`` when there are none of these any more.
+        :raises gateway_call.GivenUp: as soon as the turn will come too late.
+        """
+        latest_at = call.inbound.arrived_at + TURN_SHARE * call.route.goal_s
+        latest_at = min(latest_at, call.deadline)
+        place = self._line.enter(call)
+        try:
+            while turn is not None:
+                if self._line.is_first(call, place):
+                    chosen = self._chooser.endpoint(call, model)
+                    if chosen is not None:
+                        return chosen
+                if self._line.sent_at(call, place, turn) > latest_at:
+                    if call.excluded and not call.has_run:
+                        # One that refused it may have room by now.
+                        call.excluded.clear()
+                        return None
+                    raise self._paced_out(call, turn)
+                reply.caller.check()
+                threading.Event().wait(WAIT_LOOK_S)
+                turn = self._chooser.turn(call)
+            return None
+        finally:
+            self._line.leave(call, place)
+
+    def _paced_out(
+        self, call: gateway_call.Call, turn: rate_pacing.Turn
+    ) -> gateway_call.GivenUp:
+        """Give a call up whose turn does not come in time."""
+        if call.has_run:
+            return self.unknown(call, "endpoints take no more")
+        now = self._clock.now()
+        caller_s = call.wait_until - now
+        retry_s = self._line.come_back_s(call, turn, now, caller_s)
+        detail = f"{turn.per_s:.2g} a second, next in {turn.next_at - now:.2g} s"
+        return gateway_call.GivenUp(errorcodes.PACED, detail, retry_s)
+
     def _refused(self, call: gateway_call.Call, detail: str) -> gateway_call.GivenUp:
         """Give a call up that no endpoint took."""
         if call.has_run:
--- a/gaprock/rate_pacing.py
+++ b/gaprock/rate_pacing.py
@@ -46,6 +46,25 @@
 SHARE_S: typing.Final = 0.1
 
 
+class Turn(typing.NamedTuple):
+    """When our next sends are due.
+
+    :param next_at: the first one; ``NEVER`` for none, the past for one that may go now.
+    :param per_s: how many a second from then on.
+    """
+
+    next_at: float
+    per_s: float
+
+    @property
+    def pause_s(self) -> float:
+        """The seconds between two of them."""
+        return 1.0 / self.per_s if self.per_s > 0 else clock.NEVER
+
+
+ANY_TIME: typing.Final = Turn(-clock.NEVER, clock.NEVER)
+
+
 class Claim(typing.NamedTuple):
     """What a gateway, or a hall, wants to send to an endpoint.
 
@@ -212,13 +231,14 @@
             pace.note_send(now)
             return True
 
-    def next_at(self, endpoint: endpoint_state.Endpoint) -> float:
-        """Give when our next send to an endpoint is due; the past if one may go now."""
+    def turn(self, endpoint: endpoint_state.Endpoint) -> Turn:
+        """Give when our next sends to an endpoint are due."""
         per_s = self.limits.limit(endpoint.life)
         if per_s is None:
-            return -clock.NEVER
+            return ANY_TIME
         with self._lock:
-            return self._due(endpoint.life, per_s, self._clock.now()).next_at
+            pace = self._due(endpoint.life, per_s, self._clock.now())
+            return Turn(pace.next_at, pace.per_s)
 
     def note_wanted(self, endpoint: endpoint_state.Endpoint) -> None:
         """Note a request that would have gone there, had our share allowed it."""
--- a/gaprock/return_times.py
+++ b/gaprock/return_times.py
@@ -42,15 +42,17 @@
             self._ends.append(now)
             self._expire(now)
 
-    def next_s(self, now: float, caller_s: float) -> float:
+    def next_s(self, now: float, caller_s: float, pace_s: float | None = None) -> float:
         """Give the seconds after which the next refused caller is to come back.
 
         :param caller_s: for which the caller still waits.
+        :param pace_s: between two that find room; ``None`` takes it from the ends.
         """
         with self._lock:
             self._expire(now)
             first_at = now + SHORTEST_S
-            self._last_at = max(self._last_at + self._pace_s(), first_at)
+            pace_s = self._pace_s() if pace_s is None else pace_s
+            self._last_at = max(self._last_at + pace_s, first_at)
             # Whoever cannot wait for its place comes while it still can.
             latest_at = max(first_at, now + CALLER_SHARE * caller_s)
             self._last_at = min(self._last_at, latest_at)
--- a/gaprock/warm_up.py
+++ b/gaprock/warm_up.py
@@ -24,7 +24,15 @@
 import typing
 import zlib
 
-from gaprock import clock, endpoint_state, eventlog, mechanisms, options, routes
+from gaprock import (
+    clock,
+    endpoint_state,
+    eventlog,
+    mechanisms,
+    options,
+    rate_pacing,
+    routes,
+)
 
 # More gateways may be there than were ever heard of, such as those that were just
 # added: so many for each one that is known.
@@ -159,6 +167,17 @@
             endpoint.next_send_at = now + pause
             return True
 
+    def turn(self, endpoint: endpoint_state.Endpoint) -> rate_pacing.Turn:
+        """Give when our next sends to an endpoint are due."""
+        now = self._clock.now()
+        if now >= endpoint.warm_at or not mechanisms.SLOW_START.on:
+            return rate_pacing.ANY_TIME
+        pause_s = self._pause_s(endpoint)
+        if pause_s <= 0:
+            return rate_pacing.ANY_TIME
+        next_at = clock.NEVER if pause_s >= clock.NEVER else endpoint.next_send_at
+        return rate_pacing.Turn(min(next_at, endpoint.warm_at), 1.0 / pause_s)
+
     def _pause_s(self, endpoint: endpoint_state.Endpoint) -> float:
         rule = self._rule(endpoint)
         if rule is None:
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -490,7 +490,7 @@
         "testreturns.py::test_more_callers_are_served_than_with_times_drawn_from_a"
         "_span",
         "return_times.py",
-        "self._last_at + self._pace_s()",
+        "self._last_at + pace_s",
         "self._last_at",
     ),
     _proof(
@@ -638,6 +638,21 @@
         "is_newer = as_of > known.as_of + SAME_S",
         "is_newer = as_of > known.as_of",
     ),
+    _proof(
+        "what endpoints do not take in time is refused at once",
+        "testpaced.py::test_what_is_more_than_all_endpoints_take_is_refused_as_not"
+        "_run",
+        "gateway_serve.py",
+        "if self._line.sent_at(call, place, turn) > latest_at:",
+        "if False:",
+    ),
+    _proof(
+        "the most urgent that waits goes first",
+        "testpaced.py::test_the_most_urgent_goes_first_and_then_who_came_first",
+        "paced_line.py",
+        "place = Place(call.urgency, next(self._numbers))",
+        "place = Place(0, next(self._numbers))",
+    ),
     _proof(
         "an endpoint that was out of sight counts as not warm",
         "testwarmup.py::test_one_that_was_out_of_sight_is_spared_before_its_row_says"
