--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -29,6 +29,8 @@
         "store_calls",
         "odd_rows",
         "requests_held",
+        "endpoints_limited",
+        "sends_paced",
         "clock_gaps",
     )
 
@@ -107,6 +109,16 @@
             "Requests that are held back, since endpoints ended as they began",
             registry=registry,
         )
+        self.endpoints_limited = prometheus_client.Gauge(
+            "gaprock_endpoints_limited",
+            "Endpoints that name a rate limit",
+            registry=registry,
+        )
+        self.sends_paced = prometheus_client.Gauge(
+            "gaprock_sends_paced",
+            "Sends that went elsewhere or waited, since a rate limit left no room",
+            registry=registry,
+        )
         self.odd_rows = prometheus_client.Gauge(
             "gaprock_odd_rows",
             "Rows that could not be used since the start, by table",
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -424,6 +424,9 @@
         for odd in self._odd:
             self.metrics.odd_rows.labels(odd.table).set(odd.count)
         self.metrics.requests_held.set(self.quarantine.held_count)
+        pacer = self.directory.pacer
+        self.metrics.endpoints_limited.set(len(pacer.limits.lives()))
+        self.metrics.sends_paced.set(pacer.paced)
         for follower in self.followers:
             gauge = self.metrics.store_connected.labels(follower.table)
             gauge.set(follower.connected)
--- a/gaprock/rate_limits.py
+++ b/gaprock/rate_limits.py
@@ -60,12 +60,18 @@
 
 
 class RateLimits:
-    """The limits of all endpoints by their lives; safe for all threads."""
+    """The limits of all endpoints by their lives; safe for all threads.
 
-    __slots__ = ("_clock", "_lock", "_known", "_odd_at")
+    :param gateways: gives how many share a limit, for the log.
+    """
+
+    __slots__ = ("_clock", "_gateways", "_lock", "_known", "_odd_at")
 
-    def __init__(self, clock_: clock.Clock) -> None:
+    def __init__(
+        self, clock_: clock.Clock, gateways: typing.Callable[[], int] = lambda: 1
+    ) -> None:
         self._clock = clock_
+        self._gateways = gateways
         self._lock = threading.Lock()
         self._known: dict[str, _Limit] = {}
         # When an odd limit of an endpoint was last logged, by its life.
@@ -108,6 +114,7 @@
             before="none" if before is None else before,
             source=source,
             age_s=self._clock.now() - as_of,
+            gateways=self._gateways(),
         )
 
     # -- What gateways tell each other --
--- a/gaprock/rate_pacing.py
+++ b/gaprock/rate_pacing.py
@@ -190,7 +190,16 @@
     :param gateways: gives the most gateways that were known lately, or 0.
     """
 
-    __slots__ = ("limits", "_clock", "_gateways", "_rng", "_lock", "_paces", "_claims")
+    __slots__ = (
+        "limits",
+        "paced",
+        "_clock",
+        "_gateways",
+        "_rng",
+        "_lock",
+        "_paces",
+        "_claims",
+    )
 
     def __init__(
         self,
@@ -198,7 +207,9 @@
         gateways: typing.Callable[[], int] = lambda: 1,
         rng: random.Random | None = None,
     ) -> None:
-        self.limits = rate_limits.RateLimits(clock_)
+        self.limits = rate_limits.RateLimits(clock_, gateways)
+        # Sends that went elsewhere, or waited, since a limit did not allow them.
+        self.paced = 0
         self._clock = clock_
         self._gateways = gateways
         self._rng = rng or random.Random()
@@ -227,6 +238,7 @@
             pace = self._due(endpoint.life, per_s, now)
             pace.note_wanted(now)
             if now < pace.next_at:
+                self.paced += 1
                 return False
             pace.note_send(now)
             return True
@@ -243,6 +255,7 @@
     def note_wanted(self, endpoint: endpoint_state.Endpoint) -> None:
         """Note a request that would have gone there, had our share allowed it."""
         with self._lock:
+            self.paced += 1
             self._pace(endpoint.life).note_wanted(self._clock.now())
 
     def _pace(self, life: str) -> Pace:
--- a/gaprock/report.py
+++ b/gaprock/report.py
@@ -25,6 +25,7 @@
 # together, are of one order, seconds: it is in force everywhere well within that.
 ORDER_S: typing.Final = 8.0
 HALL_EVENTS: typing.Final = ("hall-emptied", "hall-back")
+LIMIT_EVENTS: typing.Final = ("endpoint-limited", "endpoint-unlimited")
 
 
 class Ended(enum.Enum):
@@ -65,17 +66,20 @@
     planned: bool
 
 
-class HallChange(typing.NamedTuple):
-    """A hall that was emptied or taken back, as gateways took that into force.
+class Change(typing.NamedTuple):
+    """A change of belief that spread over the gateways.
 
-    :param event: ``hall-emptied`` or ``hall-back``.
+    :param name: of the hall or the endpoint that it is about.
+    :param event: of the lines that tell it.
+    :param detail: what the first line says besides.
     """
 
-    hall: str
+    name: str
     event: str
     first: float
     last: float
     gateways: int
+    detail: str
 
 
 class Collected:
@@ -85,6 +89,7 @@
         "by_request",
         "store_calls",
         "halls",
+        "limits",
         "down",
         "lines",
         "unread",
@@ -98,6 +103,8 @@
         self.store_calls: list[logs.LogLine] = []
         # Halls that were emptied or taken back, a line for each gateway.
         self.halls: list[logs.LogLine] = []
+        # Endpoints that named a rate limit or none any more, in the same way.
+        self.limits: list[logs.LogLine] = []
         self.down: list[Down] = []
         self.lines = 0
         # Texts that are no lines of ours: how many, and some of them.
@@ -125,6 +132,8 @@
             self.store_calls.append(line)
         if line.event in HALL_EVENTS:
             self.halls.append(line)
+        if line.event in LIMIT_EVENTS:
+            self.limits.append(line)
         if "request" in line.fields:
             self.by_request[line.fields["request"]].append(line)
 
@@ -277,17 +286,31 @@
             counts.setdefault(name, collections.Counter())[moment] += 1
         return dict(sorted(counts.items(), key=lambda item: -item[1].total()))
 
-    def halls(self) -> list[HallChange]:
+    def halls(self) -> list[Change]:
         """Give when halls were emptied and taken back, over all gateways."""
-        found: list[HallChange] = []
-        latest: dict[tuple[str, str], int] = {}
-        for line in sorted(self.found.halls, key=lambda one: one.at):
-            key = line.fields.get("hall", NONE), line.event
+        return self._changes(self.found.halls, "hall")
+
+    def limits(self) -> list[Change]:
+        """Give when endpoints named rate limits, over all gateways."""
+        return self._changes(self.found.limits, "endpoint", "per_s")
+
+    def _changes(
+        self, lines: list[logs.LogLine], name: str, detail: str = ""
+    ) -> list[Change]:
+        """Put together what several gateways tell of the same change.
+
+        :param name: the field that says what it is about.
+        """
+        found: list[Change] = []
+        latest: dict[tuple[str, str, str], int] = {}
+        for line in sorted(lines, key=lambda one: one.at):
+            text = line.fields.get(detail, "")
+            key = line.fields.get(name, NONE), line.event, text
             at = line.at - self.found.first_at
             known = latest.get(key)
             if known is None or at > found[known].last + ORDER_S:
                 latest[key] = len(found)
-                found.append(HallChange(*key, at, at, 1))
+                found.append(Change(key[0], line.event, at, at, 1, text))
             else:
                 old = found[known]
                 found[known] = old._replace(last=at, gateways=old.gateways + 1)
--- a/gaprock/report_text.py
+++ b/gaprock/report_text.py
@@ -17,6 +17,7 @@
         _store_calls(found),
         _longest(found),
         _halls(found),
+        _limits(found),
         _down(found),
     ]
     return "\n\n".join(part for part in parts if part) + "\n"
@@ -95,12 +96,26 @@
         word = "emptied" if change.event == "hall-emptied" else "taken back"
         took_s = change.last - change.first
         lines.append(
-            f"{change.first:>8.1f} s  {change.hall}  {word}, on "
+            f"{change.first:>8.1f} s  {change.name}  {word}, on "
             f"{change.gateways} gateways within {took_s:.1f} s"
         )
     return "\n".join(["halls", *lines]) if lines else ""
 
 
+def _limits(found: report.Report) -> str:
+    """List when endpoints named rate limits, and how long that took to spread."""
+    lines = []
+    for change in found.limits():
+        is_limited = change.event == "endpoint-limited"
+        word = f"takes {change.detail} a second" if is_limited else "names no limit"
+        took_s = change.last - change.first
+        lines.append(
+            f"{change.first:>8.1f} s  {change.name}  {word}, on "
+            f"{change.gateways} gateways within {took_s:.1f} s"
+        )
+    return "\n".join(["rate limits", *lines]) if lines else ""
+
+
 def _down(found: report.Report) -> str:
     """List when processes took no callers; those who came then left no line."""
     lines = []
--- a/gaprock/test/testreport.py
+++ b/gaprock/test/testreport.py
@@ -238,3 +238,25 @@
     text = report_text.render(found)
     assert "h1  emptied, on 3 gateways within 0.2 s" in text
     assert "h1  taken back, on 1 gateways" in text
+
+
+def test_rate_limits_are_listed_as_they_spread() -> None:
+    lines = [
+        line(
+            5.0 + 0.1 * number,
+            "endpoint-limited",
+            f"gateway-{number}",
+            endpoint="e",
+            per_s=2.4,
+        )
+        for number in range(3)
+    ]
+    lines.append(line(9.0, "endpoint-unlimited", endpoint="e", per_s="none"))
+    found = report.Report(report.collect(lines))
+    changes = [(c.event, c.gateways, c.detail) for c in found.limits()]
+    assert changes == [
+        ("endpoint-limited", 3, "2.4"),
+        ("endpoint-unlimited", 1, "none"),
+    ]
+    text = report_text.render(found)
+    assert "takes 2.4 a second, on 3 gateways within 0.2 s" in text
