--- a/misc/write_days.py
+++ b/misc/write_days.py
@@ -52,6 +52,19 @@
 
 
 DAYS: typing.Final[dict[str, list[Trouble]]] = {
+    "deadly-twice-beside-crashes": [
+        fault("poison", "deadly", at=4.0, **{"class": "@c0"}, share=0.1, for_s=8.0),
+        fault("srv_crash", at=9.0, share=0.2, for_s=3.0, service="@s0"),
+        fault("poison", "deadly", at=15.0, **{"class": "@c1"}, share=0.03, for_s=8.0),
+    ],
+    "deadly-for-a-plain-service-beside-kills": [
+        fault("poison", "deadly", at=4.0, **{"class": "@c4"}, share=0.05, for_s=20.0),
+        fault("herd_kill", at=9.0, share=0.5),
+    ],
+    "deadly-while-all-are-killed": [
+        fault("poison", "deadly", at=5.0, **{"class": "@c0"}, share=0.05, for_s=20.0),
+        fault("herd_kill", at=12.0, share=1.0),
+    ],
     "cold-return-in-a-burst": [
         fault("cold_return", at=5.0, zone="@z0", for_s=4.5),
         fault("burst", at=9.0, x=1.7, for_s=4.0),
