Have comments say what they guard against, and keep their figures here

What they said, as it stood there:

Carriers: 3,672 to 80 messages a second between halls (68 gateways). All peers asked for tables of 3,000 rows: served again 14 s after a kill. Summaries with 1,000 loads: 25 KB. Sessions moved: 47 of 400, 4 of 60. Sends without an answer: 384 of 881. Behaviour is not changed.

--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -297,7 +297,7 @@
         """Say in the end of a run whether its endpoint ended under it.
 
         Guards against a request that ends each endpoint that runs it, one after the
-        other, through all entries (``testownpoison``).
+        other, through all entries.
         """
         if end.code not in CUT_CODES:
             return end
--- a/gaprock/backlog.py
+++ b/gaprock/backlog.py
@@ -10,8 +10,8 @@
 
 # Share of its pace at which an engine is taken to read: it makes tokens meanwhile.  And
 # the share of what waits that is never taken as read, since the belief may be wrong.
-# Together with learned weights of the models: further site's worth +0.009 (+- 0.005,
-# 18 paired days), bytes between halls -0.004, since fewer queues look full.
+# Guards against queues that look full long after they were read, and requests that go
+# to other halls for it.
 READING_SHARE: typing.Final = 0.6
 LEFT_SHARE: typing.Final = 0.2
 
--- a/gaprock/clock.py
+++ b/gaprock/clock.py
@@ -61,9 +61,7 @@
     """A clock that no change of the time of day moves, and no suspension stops.
 
     For a process whose deadlines stay inside it.  The usual steady clock stands still
-    while a machine is suspended, so that everything known looked fresh afterwards: an
-    old configuration counted as proved past its bound, and a call went on past its
-    caller's time (``testsuspended``).
+    while a machine is suspended, so that everything known looks fresh afterwards.
     """
 
     __slots__ = ()
--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -26,9 +26,8 @@
 LAPSES_SEEN_S: typing.Final = 1.0
 LAPSED_SHARE: typing.Final = 0.85
 # A service with so many endpoints is looked at as a whole; of a larger one a request
-# looks at so many in its own hall, and as many in each other one while those are full.
-# A choice among 4,000 took 81 ms of processor time, among those that a request looks
-# at 0.1 ms (``bench.scale``).
+# looks at so many in its own hall, and as many in each other one while those are full:
+# a choice among thousands takes longer than a request may wait.
 WHOLE_MOST: typing.Final = 100
 LOOKED_AT: typing.Final = 16
 FULL_SHARE: typing.Final = 0.5
--- a/gaprock/directory_told.py
+++ b/gaprock/directory_told.py
@@ -15,9 +15,7 @@
 )
 
 # Share of an engine's memory that is taken as room for parts of prompts; running
-# requests have the rest.  Choosing by what is kept is worth 0.013 (+- 0.007, 12 paired
-# days of the further site); with a share of 0.55 it is 0.007 (+- 0.004) less, with 1.1
-# 0.004 (+- 0.006) more.
+# requests have the rest.
 CACHE_SHARE: typing.Final = 0.8
 # Prompts that are kept to be told to other gateways.
 TOLD_PROMPTS: typing.Final = 1000
--- a/gaprock/freshness.py
+++ b/gaprock/freshness.py
@@ -36,8 +36,7 @@
     An answer tells only that the store's time fell between the question and the answer,
     so the difference of the clocks is known within bounds, which every answer narrows.
     Whoever hands a time on says which bound is safe there: with the question's moment
-    alone, an answer that took 2 s made a rollout that began 2 s older on all gateways,
-    and sessions moved in its first half (``testmovedsessions``).
+    alone a late answer makes a rollout older than it is, and moves sessions.
     """
 
     __slots__ = ("_bounds",)
--- a/gaprock/gateway_judge.py
+++ b/gaprock/gateway_judge.py
@@ -3,9 +3,7 @@
 A send speaks for or against the version that it went to as soon as that is known: with
 the first part of its answer, with a failure, or when it has waited far longer than the
 stable version takes, whether an answer still comes or not.  Callers of a slow version
-leave, or their time is over, before its answers are there: of 881 requests of a rollout
-384 went to a version that took eight times as long while callers left after half a
-second, since only answers counted (``testunstopped``).
+leave, or their time is over, before its answers are there.
 """
 
 import typing
--- a/gaprock/gateway_models.py
+++ b/gaprock/gateway_models.py
@@ -69,10 +69,8 @@
         if not call.info.any_model or not call.route.models:
             return ""
         # A stream that a caller resumes is no exception: the models' opinions are of
-        # the whole request, whichever made its first part.  Asking the largest at once
-        # cost 0.0012 (+- 0.0004) of the worth in use of models, and 0.0016 (+- 0.0007)
-        # of the requests failed more, over 18 paired days: many come at once after a
-        # kill.
+        # the whole request, whichever made its first part, and many such come at once
+        # after a kill.
         return self._choice.first(self._ask(call)) or call.route.models[-1]
 
     def larger(
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -38,9 +38,8 @@
 COME_BACK_LEAVING_S: typing.Final = (0.02, 0.1)
 COME_BACK_BEHIND_S: typing.Final = (0.15, 0.6)
 COME_BACK_UNREADY_S: typing.Final = (0.2, 0.6)
-# A start takes some 30 ms from the port to the tables; a request that comes meanwhile
-# is held for so long at most, and looked at so often, seconds.  The share of refused
-# requests fell by 0.0018 (+- 0.0006) over 18 paired days of the further site.
+# A request that comes between the opening of the port and the tables' reading is held
+# for so long at most, and looked at so often, seconds.
 START_WAIT_S: typing.Final = 0.3
 START_LOOK_S: typing.Final = 0.02
 JSON: typing.Final = (b"Content-Type", b"application/json")
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -11,9 +11,7 @@
 Peers are found once, through rows in the shared store; a gateway that starts later
 tells the ones that it finds there, and they answer with beats of their own.
 
-Guards against traffic that grows with the square of the gateways: with beats to every
-gateway of the fleet 68 of them in five halls sent 3,672 messages a second between halls
-when nothing changed, with carriers 80 (``testhalls``).
+Guards against traffic that grows with the square of the gateways.
 """
 
 import collections
@@ -54,8 +52,7 @@
 # and gave none to the peer; a ping and its answer are about 20 bytes.
 HEARTBEAT_MS: typing.Final = 1000
 # Pause before rows are asked for again, seconds, and the peers that are asked for the
-# same table within it.  A gateway that started in a hall of 100 asked each of them for
-# tables of 3,000 rows: all served again 14 s after all were killed.
+# same table within it: all peers' copies of large tables at once would hold up a start.
 ASK_PAUSE_S: typing.Final = 0.5
 ASKED_AT_ONCE: typing.Final = 2
 
--- a/gaprock/mesh_halls.py
+++ b/gaprock/mesh_halls.py
@@ -26,7 +26,7 @@
 # carrier is first; what changed in what everybody must know goes at once.
 PASS_S: typing.Final = 0.8
 # Endpoints of a hall whose loads other halls hear of: those that they had better not
-# send to.  With the loads of 1,000 they were 25 KB a summary.
+# send to.  Guards against summaries that grow with the endpoints.
 LOADS_TOLD: typing.Final = 40
 
 
--- a/gaprock/policy_guard.py
+++ b/gaprock/policy_guard.py
@@ -20,8 +20,7 @@
 # Log of the mean number of good answers between two false stops of the CUSUM.
 CUSUM_LIMIT: typing.Final = math.log(1e7)
 # The same for a doubt, which lasts until good answers have outweighed the bad ones.  A
-# version is not made the only one meanwhile: with 14 of the answers of its last second
-# bad it was, and then nothing could stop it (``testunstopped``).
+# version is not made the only one meanwhile, since nothing could stop it then.
 DOUBT_LIMIT: typing.Final = math.log(100)
 # A version may be worse than the stable one by this much.
 TOLERANCE: typing.Final = 0.03
--- a/gaprock/policy_models.py
+++ b/gaprock/policy_models.py
@@ -10,17 +10,14 @@
 from gaprock import mechanisms, plugin, policy_api
 
 # Answers with less confidence than this are asked for again, 0 to 100: a model that is
-# as likely wrong as right says so much.  The further site's worth was 0.015 (+- 0.005)
-# less at 45 and 0.002 less at 55, each over 18 paired days; with 70 and the largest
-# model alone it was 0.027 (+- 0.005) less over 12.
+# as likely wrong as right says so much.
 DOUBTFUL: typing.Final = 50.0
 # How much surer a model in the middle is than a smaller one before any was compared,
 # and the comparisons that this counts for.
 FIRST_GAIN: typing.Final = 15.0
 FIRST_GAIN_WEIGHT: typing.Final = 5.0
 # Climbing shrinks from all of it to none between these shares of the time left that the
-# larger model's first event would take.  A hard bound at 0.7 or at 1.0 cost 0.012 and
-# 0.022 of the worth (12 paired days): second answers of the one make others late.
+# larger model's first event would take: second answers of the one make others late.
 CALM: typing.Final = 0.3
 STRAINED: typing.Final = 0.6
 # Time that another answer needs at least, seconds.
--- a/gaprock/policy_routing.py
+++ b/gaprock/policy_routing.py
@@ -107,10 +107,8 @@
 
     What others send is known a beat later, so an endpoint that was just relieved, or is
     new, is the emptiest of all for every gateway at once; a few drawn ones go where the
-    room is without the whole fleet going to one endpoint.  Not the default: with 13
-    endpoints a hall the largest prompts got 0.056 (+- 0.013) more of their worth, and
-    the whole worth was 0.003 (+- 0.007) more; with four, where a drawn one is often the
-    wrong one, it was 0.008 (+- 0.008) less (six paired days each).
+    room is without the whole fleet going to one endpoint.  Not the default: where a
+    hall has few endpoints, a drawn one is often the wrong one.
     """
 
     __slots__ = ()
@@ -123,8 +121,7 @@
         few += [c for c in near if c.kept >= KEPT_SHARE]
         best = super().choose(few, rng)
         if best is None or self._cost(best) >= HALL_FILL:
-            # An empty one in another hall would be better; without a look at all, the
-            # worth with four endpoints a hall was 0.038 (+- 0.006) less.
+            # An empty one in another hall would be better.
             return super().choose(candidates, rng)
         return best
 
--- a/gaprock/quarantine.py
+++ b/gaprock/quarantine.py
@@ -11,9 +11,8 @@
 Nothing of it is stored: a gateway that starts hears what is held in the first beats of
 any other one.
 
-Guards against a request that ends a whole service: one ended ten endpoints of nine in
-8 s, and ends three now (``testpoison``).  Of 126 bystanders there 9 were open at three
-ends; none would have been held, since none had just begun at two of them.
+Guards against a request that ends a whole service, and spares those that were open
+beside it: they had not just begun at one end after the other.
 """
 
 import collections
@@ -40,10 +39,7 @@
 HELD_WEIGHT: typing.Final = 6
 # Where endpoints end without it as well, chance puts a request at several ends: for
 # each so many ends of the last seconds at which it was not, one more end at which it
-# had just begun is asked for.  Guards bystanders of endpoints that end by turns: in 40
-# plays of 3,600 requests each (``testquarantine``) 840 were held where one of nine
-# endpoints ended each 0.6 s, 5 where one did each 2 s, 23 where three did; now 1, 0, 0.
-# A poison request beside an end each 3 s ends 3.15 endpoints instead of 3.0.
+# had just begun is asked for.  Guards bystanders of endpoints that end by turns.
 OTHER_ENDS: typing.Final = 4
 OTHER_ENDS_S: typing.Final = 10.0
 # A request is held for so long after the last endpoint that it ended, seconds; then it
--- a/gaprock/return_times.py
+++ b/gaprock/return_times.py
@@ -4,8 +4,7 @@
 place is taken.  With times drawn from one span they all come back within that span,
 whatever has come free meanwhile, and most are refused for good, since callers try once
 more.  Here each gets a later time than the one before it, at the pace at which requests
-of this process end: those who were refused first come first, and find room.  Of 120
-callers who meet 40 places at once, 0.64 are served instead of 0.23 (``testreturns``).
+of this process end: those who were refused first come first, and find room.
 """
 
 import collections
--- a/gaprock/rollout_pace.py
+++ b/gaprock/rollout_pace.py
@@ -8,8 +8,7 @@
 # well above one.
 SLOW_TIMES: typing.Final = 5.0
 # The faster answers: a quarter of the latest ones are below.  A mean rises with
-# whatever slows a part of the old endpoints, and hid a version that was as slow as
-# those (``testunstopped``).
+# whatever slows a part of the old endpoints, and hides a version as slow as those.
 FAST_SHARE: typing.Final = 0.25
 LATEST: typing.Final = 64
 # Answers of the stable version before slowness is judged.
--- a/gaprock/rollout_sessions.py
+++ b/gaprock/rollout_sessions.py
@@ -8,10 +8,8 @@
 of the first share that it saw on the old version, in its beats.  For the first moment
 of a rollout, until all have told, every session counts as one that goes on.
 
-Guards against sessions that an order moves: of 400 that ran just before it, 47 changed
-their version in the first half when their next request came through another gateway,
-and 4 of 60 at the same one (``testmovedsessions``, ``testrollouts``); a site allows
-three.
+Guards against sessions that an order moves, also where their next request comes through
+another gateway.
 """
 
 import collections
--- a/gaprock/warm_up.py
+++ b/gaprock/warm_up.py
@@ -13,9 +13,7 @@
 send there; it needs no list of gateways, so they need not agree on one.
 
 Guards against endpoints that fall over as they come back, and against overrunning what
-the site allows: with a third of 40 endpoints coming back at once, one of them got 52
-sends in a second of 32 allowed from 40 gateways that choose the emptiest, with parts 10
-(``bench.herd``, 350 sends a second).
+the site allows.
 """
 
 import functools
