Give a gateway that is cut off no more than its part of the repeats' allowance

One that was cut off, or had just started and heard nobody yet, took the whole of it for its own: seven gateways that fell apart took seven allowances (the new test, seen to fail with members()). It is divided by the most that were known lately, as rate limits and slow starts are; who knows of none has none of it, its ratio aside. Cost: after gateways are gone for good the others have less of it for ten minutes.

--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -161,7 +161,10 @@
             cfg.first_start,
         )
         self.budget = retry_window.RetryWindow(
-            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window_s
+            bounds.budget_ratio,
+            bounds.budget_allowance,
+            bounds.budget_window_s,
+            lambda: self.mesh.most_gateways(),
         )
         self.server = self._make_server()
         self.leaving = False
@@ -406,7 +409,6 @@
         self.directory.forget_gone()
         self._sender.settle_breaks()
         self.quarantine.forget_old()
-        self.budget.members = self.mesh.members()
         table = self.orders.table
         if table is not None and table.number != self._limits_of:
             self._limits_of = table.number
--- a/gaprock/retry_window.py
+++ b/gaprock/retry_window.py
@@ -36,18 +36,26 @@
     :param ratio: repeats allowed for each request.
     :param allowance: repeats allowed beyond that, for the whole fleet.
     :param window_s: length of the window, seconds.
+    :param members: gives how many processes share the allowance, the most that were
+        known lately: one that is cut off, or has just started, has no more than its
+        part of it.  0 where that is not known; it has none of it then.
     """
 
-    __slots__ = ("_ratio", "_allowance", "_window_s", "_lock", "_windows", "members")
+    __slots__ = ("_ratio", "_allowance", "_window_s", "_members", "_lock", "_windows")
 
-    def __init__(self, ratio: float, allowance: float, window_s: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        allowance: float,
+        window_s: float,
+        members: typing.Callable[[], int] = lambda: 1,
+    ) -> None:
         self._ratio = ratio
         self._allowance = allowance
         self._window_s = window_s
+        self._members = members
         self._lock = threading.Lock()
         self._windows: dict[str, _Window] = collections.defaultdict(_Window)
-        # Processes that share the allowance.
-        self.members = 1
 
     def set_bounds(self, ratio: float, allowance: float, window_s: float) -> None:
         """Take changed settings."""
@@ -81,5 +89,6 @@
         window = self._windows[service]
         window.expire(now - self._window_s)
         allowed = self._ratio * len(window.firsts)
-        allowed += self._allowance / max(1, self.members)
+        members = self._members()
+        allowed += self._allowance / members if members else 0.0
         return USED_SHARE * allowed - len(window.repeats)
--- a/gaprock/test/testhalls.py
+++ b/gaprock/test/testhalls.py
@@ -14,8 +14,9 @@
     mesh_peers,
     mesh_plan,
     messages,
+    retry_window,
 )
-from gaprock.test import fleetcase
+from gaprock.test import fleetcase, gatewaysite
 
 # Within which what everybody must know is known, and a carrier passed by, seconds.
 TOLD_S: typing.Final = 0.3
@@ -341,3 +342,30 @@
         tried |= {peer.address for peer in chosen}
     assert len(tried) == 5
     assert mesh_plan.targets(peers, {"tcp://4"}, 20.0) == [peers[4]]
+
+
+# -- Bounds that all gateways share --
+
+
+def test_a_fleet_that_falls_apart_keeps_to_one_allowance_of_repeats() -> None:
+    """Each took itself for alone, and the whole allowance for its own."""
+    fleet = fleetcase.Fleet(1, 7)
+    fleet.run(2.0)
+    for member in fleet.members:
+        fleet.mute.add(member.name)
+    fleet.run(5.0)
+    assert {member.mesh.members() for member in fleet.members} == {1}
+    taken = 0
+    for member in fleet.members:
+        budget = retry_window.RetryWindow(0.5, 35.0, 10.0, member.mesh.most_gateways)
+        taken += sum(budget.take("s", fleet.time.now()) for _ in range(50))
+    assert 0 < taken <= 35
+
+
+def test_a_gateways_budget_goes_by_the_most_gateways_that_were_known(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with gatewaysite.GatewaySite() as site:
+        monkeypatch.setattr(site.gateway.mesh, "most_gateways", lambda: 10)
+        left = site.gateway.budget.left("s", 0.0)
+        assert left <= site.cfg.bounds.budget_allowance / 10
--- a/gaprock/test/testrouting.py
+++ b/gaprock/test/testrouting.py
@@ -80,9 +80,10 @@
     steps: list[tuple[float, int, bool]],
 ) -> None:
     ratio, allowance, window_s = 0.5, 9.0, 5.0
-    fleet = [retry_window.RetryWindow(ratio, allowance, window_s) for _ in range(3)]
-    for member in fleet:
-        member.members = len(fleet)
+    fleet = [
+        retry_window.RetryWindow(ratio, allowance, window_s, lambda: 3)
+        for _ in range(3)
+    ]
     now, firsts, repeats = 0.0, [], []
     for pause_s, number, is_first in steps:
         now += pause_s
@@ -99,13 +100,19 @@
 
 
 def test_the_allowance_of_the_fleet_is_shared() -> None:
-    fleet = [retry_window.RetryWindow(0.5, 9.0, 5.0) for _ in range(3)]
-    for member in fleet:
-        member.members = len(fleet)
+    fleet = [retry_window.RetryWindow(0.5, 9.0, 5.0, lambda: 3) for _ in range(3)]
     taken = sum(member.take("s", 1.0) for member in fleet for _ in range(20))
     assert 0 < taken <= 9
 
 
+def test_a_gateway_that_knows_of_none_has_none_of_the_allowance() -> None:
+    budget = retry_window.RetryWindow(0.5, 9.0, 5.0, lambda: 0)
+    assert not budget.take("s", 1.0)
+    for _ in range(10):
+        budget.note_first("s", 1.0)
+    assert budget.take("s", 1.0)
+
+
 def row(version: str = "v1", draining: bool = False) -> gateway_api.EndpointRow:
     return gateway_api.EndpointRow("app", "127.0.0.1", 1, "h1", version, 4, draining)
 
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -210,9 +210,17 @@
         "the allowance is shared by the members",
         "testrouting.py::test_the_allowance_of_the_fleet_is_shared",
         "retry_window.py",
-        "self._allowance / max(1, self.members)",
+        "self._allowance / members if members else 0.0",
         "self._allowance",
     ),
+    _proof(
+        "a gateway that is cut off has no more than its part of the allowance",
+        "testhalls.py::test_a_gateways_budget_goes_by_the_most_gateways_that_were"
+        "_known",
+        "gateway_node.py",
+        "window_s,\n            lambda: self.mesh.most_gateways(),",
+        "window_s,\n            lambda: self.mesh.members(),",
+    ),
     _proof(
         "no session changes sides in the first half",
         "testrollouts.py::test_no_session_changes_its_version_in_the_first_half",
