Have endpoints of the soak name rate limits, and look for them only where needed

The soak: an endpoint names 0 to 4 requests a second for 4 to 8 s, beside all faults; from 3 s after that no four seconds may hold more than half as much again and five, from whatever gateway, disturbed or not.

A choice asks for limits only while there are some: two calls for each endpoint that is looked at were spent on every request.

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -274,12 +274,13 @@
         """
         now = self._clock.now()
         slow_starts, pacer = self._slow_starts, self.pacer
+        is_paced = not pacer.limits.is_empty
 
         def is_live(e: endpoint_state.Endpoint) -> bool:
             return (
                 self._is_open(e, excluded, now)
                 and (now >= e.warm_at or slow_starts.may_send(e, now))
-                and pacer.may_send(e, now)
+                and (not is_paced or pacer.may_send(e, now))
             )
 
         with self._lock:
@@ -295,6 +296,8 @@
     def paced(self, service: str, excluded: set[str]) -> list[endpoint_state.Endpoint]:
         """Give the endpoints that are usable but for the rate limits that they name."""
         now, pacer = self._clock.now(), self.pacer
+        if pacer.limits.is_empty:
+            return []
         with self._lock:
             limited = [self._lives.get(life) for life in pacer.limits.lives()]
             return [
@@ -330,8 +333,9 @@
     ) -> bool:
         """Whether a request may go to an endpoint, but for what it bears now."""
         is_there = now < endpoint.leave_at and endpoint.life not in excluded
-        is_there = is_there and not endpoint.is_known_dark(now)
-        return is_there and endpoint.row.hall not in self._emptied
+        if not is_there or endpoint.is_dark and endpoint.is_known_dark(now):
+            return False
+        return endpoint.row.hall not in self._emptied
 
     def living(
         self, service: str, test: endpoint_index.Test
--- a/gaprock/rate_limits.py
+++ b/gaprock/rate_limits.py
@@ -124,7 +124,7 @@
 
         :param wanted: requests a second that we want to send, by endpoint.
         """
-        if not self._known:
+        if self.is_empty:
             return []
         now = self._clock.now()
         with self._lock:
@@ -178,10 +178,13 @@
         known = self._known.get(life)
         return known.per_s if known is not None else None
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint names a limit, as on most days."""
+        return not self._known
+
     def lives(self) -> list[str]:
         """Give the endpoints that name a limit."""
-        if not self._known:
-            return []
         with self._lock:
             return [life for life, k in self._known.items() if k.per_s is not None]
 
--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -91,6 +91,8 @@
         self.failing = 0.0
         self.refusing = 0.0
         self.slow_s = 0.0
+        # The rate limit that it names; empty for none.
+        self.limit = ""
         self._ledger = ledger
         self.fake = backend.Backend(name)
         self.fake.usual = self._answer
@@ -152,7 +154,8 @@
             self._stream(seen, conn, request, events_of(request), whole=True)
         else:
             body = answer_of(request)
-            conn.sendall(backend.head(seen, body=body) + body)
+            head = backend.head(seen, body=body, Server_Limit=self.limit)
+            conn.sendall(head + body)
 
     def _fail(self, seen: backend.Seen, conn: socket.socket, mark: int) -> None:
         if mark < 100:
@@ -176,6 +179,7 @@
             Content_Type="text/event-stream",
             Transfer_Encoding="chunked",
             X_Confidence=str(mark.digest()[0] % 101),
+            Server_Limit=self.limit,
         )
         conn.sendall(start)
         for number in range(int(seen.headers.get("last-event-id", "0")) + 1, last + 1):
--- a/gaprock/test/soak_ledger.py
+++ b/gaprock/test/soak_ledger.py
@@ -28,6 +28,13 @@
 ALL: typing.Final = "all"
 
 
+# A rate limit counts after this time, seconds, in spans of this length, with so many
+# requests besides.
+LIMIT_KNOWN_S: typing.Final = 3.0
+LIMIT_WINDOW_S: typing.Final = 4.0
+LIMIT_SLACK: typing.Final = 5
+
+
 class Try(typing.NamedTuple):
     """A caller's request, as it ended.
 
@@ -92,6 +99,15 @@
     back_at: float
 
 
+class Limited(typing.NamedTuple):
+    """An endpoint that named a rate limit, requests a second, in a span."""
+
+    endpoint: str
+    per_s: float
+    at: float
+    until: float
+
+
 class Ledger:
     """The record; safe for all threads."""
 
@@ -113,6 +129,7 @@
         self.starts: dict[str, Start] = {}
         self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.emptied: list[Emptied] = []
+        self.limited: list[Limited] = []
 
     def add_endpoint(self, name: str, hall: str, at: float, warm_at: float) -> None:
         """Write down that an endpoint starts."""
@@ -214,6 +231,7 @@
             self._poison,
             self._emptied_halls,
             self._not_warm,
+            self._rate_limits,
         )
         return [line for check in checks for line in check()]
 
@@ -338,6 +356,18 @@
             if worst > self._bears:
                 yield f"not warm: {name} got {worst} in a second, of {self._bears}"
 
+    def _rate_limits(self) -> typing.Iterator[str]:
+        """No endpoint gets half as much again as it names, and a few, from anybody."""
+        for name, per_s, at, until in self._ledger.limited:
+            most = 1.5 * per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+            known_at = at + LIMIT_KNOWN_S
+            came = [t for t in self._ledger.arrivals[name] if known_at <= t < until]
+            for first in came:
+                got = sum(first <= t < first + LIMIT_WINDOW_S for t in came)
+                if got > most:
+                    yield f"rate limit: {name} got {got} at {per_s} a second"
+                    break
+
     def _is_in_force(self, made: Try, changed_at: float) -> bool:
         """Whether a request has to be handled as a change says.
 
--- a/gaprock/test/soak_run.py
+++ b/gaprock/test/soak_run.py
@@ -40,6 +40,9 @@
 # Work on halls, with chances of its own too.
 HALL_SHARE: typing.Final = 0.15
 HALL_WORK: typing.Final[list[Step]] = []
+# Endpoints that name a rate limit, with chances of their own.
+LIMIT_SHARE: typing.Final = 0.15
+LIMIT_WORK: typing.Final[list[Step]] = []
 # What an endpoint that is not warm may get in a second, by the settings' defaults.
 BEARS: typing.Final = int(1.5 * soak_fleet.BEARS_PER_S + 5)
 
@@ -87,6 +90,12 @@
     return function
 
 
+def limit_work(function: Step) -> Step:
+    """Register what makes endpoints name a rate limit."""
+    LIMIT_WORK.append(function)
+    return function
+
+
 class Soak:
     """One seed's run."""
 
@@ -96,6 +105,7 @@
         self.rng_beside = random.Random(-1 - seed)
         self.rng_rows = random.Random(f"rows {seed}")
         self.rng_halls = random.Random(f"halls {seed}")
+        self.rng_limits = random.Random(f"limits {seed}")
         self.ledger = soak_ledger.Ledger()
         self.fleet = soak_fleet.Fleet(self.ledger, logs, gateways)
         # Held while a hall is emptied.
@@ -181,6 +191,8 @@
                 self.rng_rows.choice(rows)(self)
             if self.rng_halls.random() < HALL_SHARE:
                 self.rng_halls.choice(HALL_WORK)(self)
+            if self.rng_limits.random() < LIMIT_SHARE:
+                self.rng_limits.choice(LIMIT_WORK)(self)
             time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
         for thread in self._threads:
             thread.join(soak_fleet.STOP_WAIT_S)
--- a/gaprock/test/soak_steps.py
+++ b/gaprock/test/soak_steps.py
@@ -11,6 +11,11 @@
 EMPTIED_FOR_S: typing.Final = (0.5, 7.0)
 
 
+# How long an endpoint names a rate limit, seconds, and the limits, requests a second.
+LIMITED_FOR_S: typing.Final = (4.0, 8.0)
+LIMITS: typing.Final = (0.0, 1.0, 2.5, 4.0)
+
+
 # -- Faults of processes --
 
 
@@ -291,3 +296,25 @@
             soak.ledger.emptied.append(soak_ledger.Emptied(hall, at, back_at))
 
     soak.later(work)
+
+
+# -- Endpoints in need --
+
+
+@soak_run.limit_work
+def endpoint_in_need(soak: soak_run.Soak) -> None:
+    """An endpoint names a rate limit in all of its answers for a while."""
+    endpoint = soak.rng_limits.choice(list(soak.fleet.endpoints.values()))
+    lasts_s = soak.rng_limits.uniform(*LIMITED_FOR_S)
+    per_s = soak.rng_limits.choice(LIMITS)
+
+    def work() -> None:
+        at = soak.ledger.now()
+        endpoint.limit = f"{per_s}"
+        time.sleep(lasts_s)
+        soak.ledger.limited.append(
+            soak_ledger.Limited(endpoint.name, per_s, at, soak.ledger.now())
+        )
+        endpoint.limit = ""
+
+    soak.later(work)
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -110,6 +110,18 @@
     assert [line[-2:] for line in judge._emptied_halls()] == ["r2", "r3"]
 
 
+def test_the_judgement_finds_endpoints_that_get_more_than_they_name() -> None:
+    ledger = soak_ledger.Ledger()
+    ledger.limited.append(soak_ledger.Limited("e1", 2.0, 10.0, 20.0))
+    # Before it is known, and after it is over, any number may come.
+    ledger.arrivals["e1"] = [11.0] * 50 + [14.0 + 0.2 * n for n in range(17)]
+    ledger.arrivals["e1"] += [20.1] * 50
+    judge = soak_ledger.Judge(ledger, 2.0, 2.0)
+    assert not list(judge._rate_limits())
+    ledger.arrivals["e1"].append(15.0)
+    assert [line[:18] for line in judge._rate_limits()] == ["rate limit: e1 got"]
+
+
 def test_the_judgement_finds_endpoints_that_get_more_than_they_bear() -> None:
     ledger = soak_ledger.Ledger()
     ledger.add_endpoint("e1", "h1", 10.0, 12.0)
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -694,8 +694,8 @@
         "an emptied hall gets nothing",
         "testemptied.py::test_an_order_stands_until_its_row_goes",
         "directory_rows.py",
-        "return is_there and endpoint.row.hall not in self._emptied",
-        "return is_there",
+        "        return endpoint.row.hall not in self._emptied\n",
+        "        return True\n",
     ),
     _proof(
         "a send that was chosen before its hall was emptied does not go out",
