--- a/gaprock/rate_limits.py
+++ b/gaprock/rate_limits.py
@@ -162,8 +162,8 @@
         is_same = abs(as_of - known.as_of) <= SAME_S
         if is_newer:
             self._set(life, per_s, as_of, sender)
-        elif is_same and per_s is not None and not _relaxes(known, per_s):
-            self._set(life, per_s, max(as_of, known.as_of), sender)
+        elif is_same and _is_lower(per_s, known.per_s):
+            self._set(life, per_s, known.as_of, sender)
 
     def _note_odd(self, endpoint: endpoint_state.Endpoint, text: str) -> None:
         now = self._clock.now()
@@ -204,6 +204,11 @@
                     del self._odd_at[life]
 
 
+def _is_lower(per_s: float | None, than: float | None) -> bool:
+    """Whether a limit allows less than another one; ``None`` allows all."""
+    return per_s is not None and (than is None or per_s < than)
+
+
 def _relaxes(known: _Limit | None, per_s: float | None) -> bool:
     """Whether a naming allows more than what is known."""
     if known is None or known.per_s is None:
--- a/gaprock/test/testlimits.py
+++ b/gaprock/test/testlimits.py
@@ -319,10 +319,10 @@
     fleet.members[0].directory.pacer.limits.note_answer(
         one, limited_to(2.4), fleet.time.now()
     )
-    fleet.run(10.0)
+    fleet.run(20.0)
     for member in fleet.members:
         known = member.directory.pacer.limits._known[one.life]
-        assert fleet.time.now() - known.as_of > 8.0
+        assert fleet.time.now() - known.as_of > 20.0 - rate_limits.SAME_S
 
 
 # -- The whole path --
