Have only large fleets draw where they begin

A test for the first send of a pace never held when it was meant to (its share was nothing then) and held a moment later: a gateway of a small fleet that had not sent yet could be put back by a draw.

--- a/gaprock/rate_pacing.py
+++ b/gaprock/rate_pacing.py
@@ -35,7 +35,8 @@
 # would be lost otherwise; by so many seconds, and this share of it, at most.
 SHORTER_MOST_S: typing.Final = 4.0
 SHORTER_SHARE: typing.Final = 0.5
-# So many seconds' worth of sends may go out at once when all gateways begin together.
+# So many seconds' worth of sends may go out at once when all gateways begin together;
+# with more gateways each draws the moment at which it begins.
 BEGIN_S: typing.Final = 1.0
 # Share of a limit that is planned for; the rest is for sends that come close together.
 USED_SHARE: typing.Final = 0.9
@@ -268,12 +269,11 @@
             return pace
         per_s = max(USED_SHARE * per_s, TRIAL_PER_S)
         gateways = self._gateways()
-        is_first = pace.next_at == -clock.NEVER
         others: list[Claim] = []
         if gateways and pace.may_borrow(per_s / gateways, now):
             others = self._others(life)
         pace.set_share(share(per_s, gateways, pace.wanted_per_s(now), others), now)
-        if is_first or gateways > BEGIN_S * per_s:
+        if gateways > BEGIN_S * per_s:
             pace.begin(now, self._rng.random())
         return pace
 
