Have a caller leave a line, and expect a refusal where no endpoint is there

Traced: the test had the request wait for an endpoint that nobody knows of; such a request is refused at once now, so there is nothing left to leave. Replaced by two: with no endpoint the answer is not run at once and nobody is asked, and a caller that leaves while it waits for its turn at an endpoint that names a limit has asked it once, not twice.

--- a/gaprock/test/testsilent.py
+++ b/gaprock/test/testsilent.py
@@ -233,9 +233,8 @@
     leave_while_one_hangs(site, fakes, data)
 
 
-def test_a_caller_that_leaves_while_no_endpoint_is_there_asks_none(
-    site: gatewaysite.GatewaySite,
-) -> None:
+def have_a_long_goal(site: gatewaysite.GatewaySite) -> None:
+    """Give requests a minute, so that one may wait for long."""
     gatewaysite.wait_until(lambda: site.gateway.is_ready, "ready")
     routes = [
         gatewaysite.route("/safe/", "safe", "app", TimeoutMs=60_000, GoalMs=60_000)
@@ -246,9 +245,30 @@
         and site.gateway.orders.table.number == 2,
         "in force",
     )
+
+
+def test_a_request_for_which_no_endpoint_is_there_is_refused_at_once(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    have_a_long_goal(site)
+    assert site.call("/safe/x", X_Deadline_Ms="60000").status == 503
+    assert not site.add("a", "app").seen
+
+
+def test_a_caller_that_leaves_while_it_waits_for_its_turn_asks_none(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    have_a_long_goal(site)
+    fake = site.add("a", "app")
+    fake.scripts.append(
+        lambda fake, seen, conn: conn.sendall(
+            backend.head(seen, body=b"x", Server_Limit="0") + b"x"
+        )
+    )
+    assert site.call("/safe/x").status == 200
     sock = site.connect()
     sock.sendall(site.request("/safe/x", X_Deadline_Ms="60000"))
     gatewaysite.wait_until(lambda: site.gateway.server.open_calls == 1, "it waits")
     sock.close()
     gatewaysite.wait_until(lambda: not site.gateway.server.open_calls, "it has ended")
-    assert not site.add("a", "app").seen
+    assert len(fake.seen) == 1
