--- a/gaprock/test/testsilent.py
+++ b/gaprock/test/testsilent.py
@@ -3,6 +3,7 @@
 No reset tells of such a connection: only a time-out of our own, or another connection.
 """
 
+import random
 import socket
 import threading
 import typing
@@ -259,6 +260,8 @@
     site: gatewaysite.GatewaySite,
 ) -> None:
     have_a_long_goal(site)
+    # Its turn is drawn; this draw has it wait for most of ten seconds.
+    site.gateway.directory.pacer._rng = random.Random(1)
     fake = site.add("a", "app")
     fake.scripts.append(
         lambda fake, seen, conn: conn.sendall(
