List changes of belief in the report by one function

Found in the last read of the change: the lists of emptied halls and of rate limits wrote the same lines twice, but for their words. testreport passes, its assertions are as they were; formatter, linter and type checker are clean.

--- a/gaprock/report_text.py
+++ b/gaprock/report_text.py
@@ -91,29 +91,37 @@
 
 def _halls(found: report.Report) -> str:
     """List when halls were emptied and taken back, and how long that took to spread."""
-    lines = []
-    for change in found.halls():
-        word = "emptied" if change.event == "hall-emptied" else "taken back"
-        took_s = change.last - change.first
-        lines.append(
-            f"{change.first:>8.1f} s  {change.name}  {word}, on "
-            f"{change.gateways} gateways within {took_s:.1f} s"
-        )
-    return "\n".join(["halls", *lines]) if lines else ""
+
+    def word(change: report.Change) -> str:
+        return "emptied" if change.event == "hall-emptied" else "taken back"
+
+    return _spread("halls", found.halls(), word)
 
 
 def _limits(found: report.Report) -> str:
     """List when endpoints named rate limits, and how long that took to spread."""
-    lines = []
-    for change in found.limits():
+
+    def word(change: report.Change) -> str:
         is_limited = change.event == "endpoint-limited"
-        word = f"takes {change.detail} a second" if is_limited else "names no limit"
+        return f"takes {change.detail} a second" if is_limited else "names no limit"
+
+    return _spread("rate limits", found.limits(), word)
+
+
+def _spread(
+    title: str,
+    changes: list[report.Change],
+    word: typing.Callable[[report.Change], str],
+) -> str:
+    """List changes of belief, with the time until all gateways had them."""
+    lines = []
+    for change in changes:
         took_s = change.last - change.first
         lines.append(
-            f"{change.first:>8.1f} s  {change.name}  {word}, on "
+            f"{change.first:>8.1f} s  {change.name}  {word(change)}, on "
             f"{change.gateways} gateways within {took_s:.1f} s"
         )
-    return "\n".join(["rate limits", *lines]) if lines else ""
+    return "\n".join([title, *lines]) if lines else ""
 
 
 def _down(found: report.Report) -> str:
