Read what an answer says of its endpoint, and log what is believed of it

What callers saw: nothing yet; no decision changes with this commit.

One typed notice of an answer (rate limit, leaving, backoff) is decoded in the adapter and taken at one place for every answer: refusals, failures, heads of streams. An answer that names another endpoint as its own says nothing of this one. Lines endpoint-leaving (source, age), endpoint-stays, endpoint-backoff, endpoint-backoff-over, endpoint-notice-odd; gauges.

--- /dev/null
+++ b/gaprock/backoffs.py
@@ -0,0 +1,199 @@
+"""Backoffs: endpoints that shed load and want nothing from this gateway for a while.
+
+What an endpoint rejects is over at once, so one that sheds has the least to do and
+would be chosen first.  Until the end of the time that it asks for nothing is sent
+there; what was sent before the word came may still arrive.  A later word can move the
+end only further away.
+
+The end is no signal that the load fits again.  Sends then begin with one, and each
+answer that is no refusal allows two more; gateways that were asked in the same moment
+begin at different ones.  The word is not told to other gateways: it binds the one that
+was turned away, and one bad moment would become an outage.
+"""
+
+import random
+import threading
+import typing
+
+from gaprock import clock, endpoint_state, eventlog, rate_pacing
+
+# A longer backoff is taken for one of so many seconds.
+LONGEST_S: typing.Final = 3600.0
+# The first send is up to this share of the backoff after its end, and no later than so
+# many seconds.
+SPREAD_SHARE: typing.Final = 0.2
+SPREAD_MOST_S: typing.Final = 1.0
+# Sends that an answer allows while the load comes back.
+SENDS_PER_ANSWER: typing.Final = 2
+# Where nothing was answered for so long, one more is sent, seconds.
+RETRY_S: typing.Final = 1.0
+# The load is back where nobody has sent for so long after the end, seconds.
+IDLE_S: typing.Final = 10.0
+# Requests a second that an endpoint is reckoned to take as its load comes back.
+RESUMED_PER_S: typing.Final = 4.0
+
+
+class _Backoff:
+    """The backoff of one life.
+
+    :param until: its end.
+    :param resume_at: when the first send may go out.
+    """
+
+    __slots__ = ("until", "resume_at", "sends_left", "last_at", "answers", "refused")
+
+    def __init__(self) -> None:
+        self.until = -clock.NEVER
+        self.resume_at = -clock.NEVER
+        # Sends that may go out once it has ended, and when the last one did.
+        self.sends_left = 1
+        self.last_at = -clock.NEVER
+        # Answers since its end that were no refusals, and all requests turned away.
+        self.answers = 0
+        self.refused = 0
+
+    @property
+    def next_at(self) -> float:
+        """When the next send is due."""
+        if self.sends_left > 0:
+            return self.resume_at
+        return max(self.resume_at, self.last_at + RETRY_S)
+
+
+class Backoffs:
+    """The backoffs of all endpoints by their lives; safe for all threads."""
+
+    __slots__ = ("avoided", "asked", "_clock", "_rng", "_lock", "_known")
+
+    def __init__(self, clock_: clock.Clock, rng: random.Random | None = None) -> None:
+        # Sends that were stopped as they left, and backoffs that were asked for.
+        self.avoided = 0
+        self.asked = 0
+        self._clock = clock_
+        self._rng = rng or random.Random()
+        self._lock = threading.Lock()
+        self._known: dict[str, _Backoff] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint backs us off, as most of the time."""
+        return not self._known
+
+    def note_refusal(
+        self, endpoint: endpoint_state.Endpoint, backoff_s: float, sent_at: float
+    ) -> None:
+        """Take that an endpoint turned a request away.
+
+        :param backoff_s: for which it wants no more of them; 0 if it does not say.
+        :param sent_at: when the request was sent.
+        """
+        if not backoff_s and endpoint.life not in self._known:
+            return
+        with self._lock:
+            known = self._known.setdefault(endpoint.life, _Backoff())
+            known.refused += 1
+            if backoff_s:
+                self._extend(endpoint, known, min(backoff_s, LONGEST_S), sent_at)
+
+    def _extend(
+        self,
+        endpoint: endpoint_state.Endpoint,
+        known: _Backoff,
+        backoff_s: float,
+        sent_at: float,
+    ) -> None:
+        now = self._clock.now()
+        is_new = now >= known.until
+        until = now + backoff_s
+        if until > known.until:
+            spread_s = min(SPREAD_MOST_S, SPREAD_SHARE * backoff_s)
+            known.until = until
+            known.resume_at = until + self._rng.random() * spread_s
+        known.sends_left, known.answers = 1, 0
+        if is_new:
+            self.asked += 1
+            eventlog.info(
+                "endpoint-backoff",
+                endpoint=endpoint.name,
+                for_s=backoff_s,
+                took_s=now - sent_at,
+                running=endpoint.running,
+                refused=known.refused,
+            )
+
+    def note_answer(self, endpoint: endpoint_state.Endpoint, sent_at: float) -> None:
+        """Take an answer that is no refusal.
+
+        :param sent_at: when the request was sent that it answers.
+        """
+        if endpoint.life not in self._known:
+            return
+        with self._lock:
+            known = self._known.get(endpoint.life)
+            if known is None or sent_at < known.resume_at:
+                return
+            known.answers += 1
+            known.sends_left += SENDS_PER_ANSWER
+            if known.answers >= endpoint.row.slots:
+                self._end(endpoint.life, known, "answered")
+
+    def _end(self, life: str, known: _Backoff, reason: str) -> None:
+        del self._known[life]
+        eventlog.info(
+            "endpoint-backoff-over",
+            endpoint=life,
+            reason=reason,
+            refused=known.refused,
+            after_s=self._clock.now() - known.until,
+        )
+
+    # -- Sends --
+
+    def may_send(self, endpoint: endpoint_state.Endpoint, now: float) -> bool:
+        """Whether a send to an endpoint may go out now."""
+        known = self._known.get(endpoint.life)
+        return known is None or now >= known.next_at
+
+    def take(self, endpoint: endpoint_state.Endpoint) -> bool:
+        """Count a send that goes out now; give whether it may."""
+        if endpoint.life not in self._known:
+            return True
+        with self._lock:
+            known = self._known.get(endpoint.life)
+            now = self._clock.now()
+            if known is None:
+                return True
+            if now < known.next_at:
+                self.avoided += 1
+                return False
+            known.sends_left = max(0, known.sends_left - 1)
+            known.last_at = now
+            return True
+
+    def turn(self, endpoint: endpoint_state.Endpoint) -> rate_pacing.Turn:
+        """Give when our next sends to an endpoint are due."""
+        known = self._known.get(endpoint.life)
+        if known is None:
+            return rate_pacing.ANY_TIME
+        return rate_pacing.Turn(known.next_at, RESUMED_PER_S)
+
+    def count(self) -> int:
+        """Give how many endpoints want nothing now."""
+        now = self._clock.now()
+        with self._lock:
+            return sum(now < known.until for known in self._known.values())
+
+    def forget_old(self, lives: typing.Container[str]) -> None:
+        """Drop what nobody sends to any more, and endpoints that are not there.
+
+        A row may lapse and come back meanwhile, so a time that is not over is kept.
+
+        :param lives: those that are there.
+        """
+        now = self._clock.now()
+        with self._lock:
+            for life, known in list(self._known.items()):
+                if life not in lives and now >= known.until:
+                    self._end(life, known, "gone")
+                elif now >= max(known.resume_at, known.last_at) + IDLE_S:
+                    self._end(life, known, "idle")
--- /dev/null
+++ b/gaprock/departures.py
@@ -0,0 +1,182 @@
+"""Endpoints that say in their answers that they leave, and since when.
+
+An answer tells it before the shared store does, which may be silent or read late.  So
+the store's row does not take it back: nothing tells a row that is older than the answer
+from a newer one, unless it was seen to say ``draining`` before.  What does is an answer
+to a request that was sent after the last such answer had come, since answers overtake
+each other.  Another life of the endpoint begins without.
+"""
+
+import threading
+import typing
+
+import msgspec
+
+from gaprock import clock, eventlog
+
+# How long the end of a departure is remembered, so that older word does not bring it
+# back, seconds.
+KEEP_S: typing.Final = 10.0
+# How long one is kept whose endpoint is not there, seconds: its row may be back after
+# an outage of the store.
+KEEP_GONE_S: typing.Final = 600.0
+# Word of two gateways that is not further apart is of the same moment, seconds: beats
+# take a while, and what was told must not grow newer by being told back.
+SAME_S: typing.Final = 0.3
+# Departures that a beat tells, the newest.
+MOST_TOLD: typing.Final = 40
+
+
+class DepartureNews(msgspec.Struct, array_like=True, frozen=True):
+    """Whether an endpoint leaves, as the sender knows.
+
+    :param endpoint: its life.
+    :param since_s: seconds since it first said so.
+    :param age_s: seconds since that was last said, or found to be over.
+    """
+
+    endpoint: str
+    is_leaving: bool
+    since_s: float
+    age_s: float
+
+    @property
+    def urgent(self) -> tuple[str, bool]:
+        """What everybody must know at once."""
+        return self.endpoint, self.is_leaving
+
+
+class _Departure:
+    """What is known of an endpoint; ``since`` is ``NEVER`` once it is over."""
+
+    __slots__ = ("since", "as_of")
+
+    def __init__(self, since: float, as_of: float) -> None:
+        self.since = since
+        self.as_of = as_of
+
+
+class Departures:
+    """The departures of all endpoints by their lives; safe for all threads."""
+
+    __slots__ = ("_clock", "_lock", "_known")
+
+    def __init__(self, clock_: clock.Clock) -> None:
+        self._clock = clock_
+        self._lock = threading.Lock()
+        self._known: dict[str, _Departure] = {}
+
+    def note_answer(self, life: str, is_leaving: bool, sent_at: float) -> None:
+        """Take what the head of an answer says, or that it says nothing.
+
+        :param sent_at: when the request was sent that it answers.
+        """
+        known = self._known.get(life)
+        if known is None and not is_leaving:
+            return
+        with self._lock:
+            known = self._known.get(life)
+            now = self._clock.now()
+            if is_leaving:
+                since = known.since if known is not None else clock.NEVER
+                self._set(life, min(since, now), now, "answer")
+            elif known is not None and sent_at > known.as_of:
+                self._set(life, clock.NEVER, sent_at, "answer")
+
+    def note_row_back(self, life: str) -> None:
+        """Take that a row which said ``draining`` no longer does."""
+        with self._lock:
+            if life in self._known:
+                self._set(life, clock.NEVER, self._clock.now(), "row")
+
+    def _set(self, life: str, since: float, as_of: float, source: str) -> None:
+        known = self._known.get(life)
+        was_leaving = known is not None and known.since < clock.NEVER
+        self._known[life] = _Departure(since, as_of)
+        is_leaving = since < clock.NEVER
+        if is_leaving is was_leaving:
+            return
+        eventlog.info(
+            "endpoint-leaving" if is_leaving else "endpoint-stays",
+            endpoint=life,
+            source=source,
+            age_s=self._clock.now() - (since if is_leaving else as_of),
+        )
+
+    def since(self, life: str) -> float:
+        """Give since when an endpoint says that it leaves; ``NEVER`` if it does not."""
+        known = self._known.get(life)
+        return known.since if known is not None else clock.NEVER
+
+    # -- What gateways tell each other --
+
+    def news(
+        self, is_wanted: typing.Callable[[str], bool] = lambda life: True
+    ) -> list[DepartureNews]:
+        """Give what is known.
+
+        :param is_wanted: whether a departure is worth telling, by the endpoint's life.
+        """
+        if not self._known:
+            return []
+        now = self._clock.now()
+        with self._lock:
+            news = [
+                DepartureNews(
+                    life,
+                    known.since < clock.NEVER,
+                    now - min(now, known.since),
+                    now - known.as_of,
+                )
+                for life, known in self._known.items()
+                if known.since == clock.NEVER or is_wanted(life)
+            ]
+        news.sort(key=lambda one: (one.age_s, one.endpoint))
+        return news[:MOST_TOLD]
+
+    def take_news(
+        self, sender: str, news: list[DepartureNews], age_s: float = 0.0
+    ) -> None:
+        """Take what another gateway, or a hall's carrier, tells.
+
+        :param age_s: how long the news were on their way, seconds.
+        """
+        now = self._clock.now() - age_s
+        with self._lock:
+            for one in news:
+                as_of = now - max(0.0, one.age_s)
+                since = now - max(0.0, one.since_s) if one.is_leaving else clock.NEVER
+                self._merge(one.endpoint, since, as_of, sender)
+
+    def _merge(self, life: str, since: float, as_of: float, sender: str) -> None:
+        """Take what is newer, and of word of the same moment that it leaves."""
+        known = self._known.get(life)
+        if known is None:
+            if since < clock.NEVER:
+                self._set(life, since, as_of, sender)
+            return
+        if as_of > known.as_of + SAME_S:
+            if since < clock.NEVER:
+                since = min(since, known.since)
+            self._set(life, since, as_of, sender)
+        elif since < known.since and as_of >= known.as_of - SAME_S:
+            self._set(life, since, known.as_of, sender)
+
+    def lives(self) -> list[str]:
+        """Give the endpoints that say that they leave."""
+        with self._lock:
+            return [k for k, one in self._known.items() if one.since < clock.NEVER]
+
+    def forget_old(self, lives: typing.Container[str]) -> None:
+        """Drop what is over, and endpoints that are not there.
+
+        :param lives: those that are there.
+        """
+        now = self._clock.now()
+        with self._lock:
+            for life, known in list(self._known.items()):
+                is_over = known.since == clock.NEVER
+                if life in lives and not is_over:
+                    continue
+                if now > known.as_of + (KEEP_S if is_over else KEEP_GONE_S):
+                    del self._known[life]
--- a/gaprock/directory.py
+++ b/gaprock/directory.py
@@ -13,10 +13,10 @@
 from gaprock import (
     clock,
     directory_told,
+    endpoint_notices,
     endpoint_state,
     eventlog,
     mechanisms,
-    rate_pacing,
     reading_pace,
     warm_up,
 )
@@ -39,9 +39,9 @@
         clock_: clock.Clock,
         drain_s: float,
         slow_starts: warm_up.SlowStarts | None = None,
-        pacer: rate_pacing.Pacer | None = None,
+        notices: endpoint_notices.NoticeBook | None = None,
     ) -> None:
-        super().__init__(clock_, drain_s, slow_starts, pacer)
+        super().__init__(clock_, drain_s, slow_starts, notices)
         self._rng = random.Random()
         # How fast the engines read.
         self.pace = reading_pace.ReadingPace()
--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -11,6 +11,7 @@
 from gaprock import (
     clock,
     endpoint_index,
+    endpoint_notices,
     endpoint_state,
     eventlog,
     gateway_api,
@@ -51,7 +52,7 @@
 
     :param drain_s: within which a leaving endpoint gets nothing more, seconds.
     :param slow_starts: what endpoints that are not warm may get.
-    :param pacer: what endpoints that name a rate limit may get.
+    :param notices: what endpoints say of themselves in their answers.
     """
 
     def __init__(
@@ -59,14 +60,15 @@
         clock_: clock.Clock,
         drain_s: float,
         slow_starts: warm_up.SlowStarts | None = None,
-        pacer: rate_pacing.Pacer | None = None,
+        notices: endpoint_notices.NoticeBook | None = None,
     ) -> None:
         self._clock = clock_
         self._slow_starts = slow_starts or warm_up.SlowStarts(clock_)
         # The halls that an operator has emptied.
         self._emptied: frozenset[str] = frozenset()
+        self.notices = notices or endpoint_notices.NoticeBook(clock_)
         # What endpoints that name a rate limit may get.
-        self.pacer = pacer or rate_pacing.Pacer(clock_)
+        self.pacer = self.notices.pacer
         self._drain_s = drain_s
         self._lock = threading.Lock()
         # The present life of each endpoint, by its id and by the life's name.
@@ -124,7 +126,7 @@
                 if idle and now > endpoint.leave_at + self._drain_s:
                     del self._endpoints[name], self._lives[endpoint.life]
                     self._forget(endpoint)
-            self.pacer.forget_old(self._lives)
+            self.notices.forget_old(self._lives)
 
     def _update(self, name: str, row: gateway_api.EndpointRow) -> None:
         endpoint = self._endpoints.get(name)
@@ -207,7 +209,9 @@
         if endpoint.leave_at != clock.NEVER:
             return
         endpoint.leave_at = self._clock.now() + share * self._drain_s
-        eventlog.info("endpoint-leaving", endpoint=endpoint.name, reason=reason)
+        eventlog.info(
+            "endpoint-leaving", endpoint=endpoint.name, source="row", reason=reason
+        )
 
     # -- Halls that are emptied --
 
--- a/gaprock/directory_told.py
+++ b/gaprock/directory_told.py
@@ -6,11 +6,11 @@
 from gaprock import (
     clock,
     directory_rows,
+    endpoint_notices,
     endpoint_state,
     eventlog,
     mechanisms,
     prefix_cache,
-    rate_pacing,
     warm_up,
 )
 
@@ -31,9 +31,9 @@
         clock_: clock.Clock,
         drain_s: float,
         slow_starts: warm_up.SlowStarts | None = None,
-        pacer: rate_pacing.Pacer | None = None,
+        notices: endpoint_notices.NoticeBook | None = None,
     ) -> None:
-        super().__init__(clock_, drain_s, slow_starts, pacer)
+        super().__init__(clock_, drain_s, slow_starts, notices)
         # The lives at which each other gateway has requests, as it told last.
         self._told: dict[str, typing.Collection[str]] = {}
         # Memory of a service's engines, in tokens.
--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -216,6 +216,25 @@
 NO_LIMIT: typing.Final = LimitNotice()
 
 
+class EndpointNotice(typing.NamedTuple):
+    """What an answer says of the endpoint that gave it.
+
+    :param limit: its rate limit.
+    :param is_leaving: whether it leaves.
+    :param backoff_s: how long it wants no requests from this gateway, seconds; 0 where
+        it asks for no backoff.
+    :param odd: headers whose values cannot be used, as ``name: value``.
+    """
+
+    limit: LimitNotice = NO_LIMIT
+    is_leaving: bool = False
+    backoff_s: float = 0.0
+    odd: tuple[str, ...] = ()
+
+
+NO_NOTICE: typing.Final = EndpointNotice()
+
+
 class AnswerHead(typing.NamedTuple):
     """The head of an endpoint's answer.
 
@@ -226,7 +245,8 @@
     :param echo: the request id that it answers.
     :param confidence: the model's own opinion of its answer, 0 to 100.
     :param encoded: whether the body is not the endpoint's plain one.
-    :param limit: what it says of the endpoint's rate limit.
+    :param instance: the endpoint that answered; empty if it does not say.
+    :param notice: what it says of the endpoint.
     """
 
     status: int
@@ -237,7 +257,8 @@
     echo: str
     confidence: float | None
     encoded: bool
-    limit: LimitNotice = NO_LIMIT
+    instance: str = ""
+    notice: EndpointNotice = NO_NOTICE
 
 
 class InvalidDocument(Exception):
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -31,6 +31,10 @@
         "requests_held",
         "endpoints_limited",
         "sends_paced",
+        "endpoints_leaving",
+        "endpoints_backing_off",
+        "backoffs",
+        "sends_backed_off",
         "clock_gaps",
     )
 
@@ -119,6 +123,26 @@
             "Sends that went elsewhere or waited, since a rate limit left no room",
             registry=registry,
         )
+        self.endpoints_leaving = prometheus_client.Gauge(
+            "gaprock_endpoints_leaving",
+            "Endpoints that say in their answers that they leave",
+            registry=registry,
+        )
+        self.endpoints_backing_off = prometheus_client.Gauge(
+            "gaprock_endpoints_backing_off",
+            "Endpoints that shed load and want no requests from this gateway now",
+            registry=registry,
+        )
+        self.backoffs = prometheus_client.Gauge(
+            "gaprock_backoffs",
+            "Backoffs that endpoints asked this gateway for since the start",
+            registry=registry,
+        )
+        self.sends_backed_off = prometheus_client.Gauge(
+            "gaprock_sends_backed_off",
+            "Sends that a backoff stopped at the last look before they left",
+            registry=registry,
+        )
         self.odd_rows = prometheus_client.Gauge(
             "gaprock_odd_rows",
             "Rows that could not be used since the start, by table",
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -14,6 +14,7 @@
 from gaprock import (
     clock,
     directory,
+    endpoint_notices,
     eventlog,
     evidence,
     followers,
@@ -111,7 +112,9 @@
                 self._services,
                 lambda: self.mesh.most_gateways(),
             ),
-            rate_pacing.Pacer(clock_, lambda: self.mesh.most_gateways()),
+            endpoint_notices.NoticeBook(
+                clock_, rate_pacing.Pacer(clock_, lambda: self.mesh.most_gateways())
+            ),
         )
         self.rollouts = rollouts.Rollouts(
             clock_,
@@ -427,12 +430,19 @@
         for odd in self._odd:
             self.metrics.odd_rows.labels(odd.table).set(odd.count)
         self.metrics.requests_held.set(self.quarantine.held_count)
-        pacer = self.directory.pacer
-        self.metrics.endpoints_limited.set(len(pacer.limits.lives()))
-        self.metrics.sends_paced.set(pacer.paced)
+        self._set_notice_metrics(self.directory.notices)
         for follower in self.followers:
             gauge = self.metrics.store_connected.labels(follower.table)
             gauge.set(follower.connected)
             age = self.metrics.store_proof_age.labels(follower.table)
             age.set(self.clock.now() - follower.fresh.proved_at)
         return 200, self.metrics.render()
+
+    def _set_notice_metrics(self, notices: endpoint_notices.NoticeBook) -> None:
+        """Count what endpoints say of themselves."""
+        self.metrics.endpoints_limited.set(len(notices.pacer.limits.lives()))
+        self.metrics.sends_paced.set(notices.pacer.paced)
+        self.metrics.endpoints_leaving.set(len(notices.departures.lives()))
+        self.metrics.endpoints_backing_off.set(notices.backoffs.count())
+        self.metrics.backoffs.set(notices.backoffs.asked)
+        self.metrics.sends_backed_off.set(notices.backoffs.avoided)
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -153,7 +153,7 @@
         self._directory.heard(endpoint)
         attempt.begun_at = self._clock.now()
         attempt.head = self._dialect.read_answer(raw.status, raw.headers)
-        self._note_limit(call, attempt)
+        self._note_notice(call, attempt)
         self._check_head(call, attempt)
         attempt.note_read(self._directory)
 
@@ -306,20 +306,20 @@
             look.close()
         return True
 
-    def _note_limit(
+    def _note_notice(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
-        """Take what an answer says of its endpoint's rate limit.
+        """Take what an answer says of its endpoint.
 
         Any answer of the endpoint counts, refusals and failures too, whether the caller
-        still waits for it or not.  One that is not to this request, or by whoever has
-        the address now, says nothing of the endpoint.
+        still waits for it or not.  One that is not to this request, or that names
+        another endpoint as its own, says nothing of this one.
         """
-        head = attempt.head
+        head, name = attempt.head, attempt.endpoint.name
         is_stray = bool(head.echo) and head.echo != call.info.request
-        if not is_stray and not (head.wrong_endpoint and head.limit.per_s is None):
-            limits = self._directory.pacer.limits
-            limits.note_answer(attempt.endpoint, head.limit, attempt.sent_at)
+        if not is_stray and head.instance in ("", name):
+            notices = self._directory.notices
+            notices.note_answer(attempt.endpoint, head, attempt.sent_at)
 
     def _check_head(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
--- a/gaprock/platform/wire.py
+++ b/gaprock/platform/wire.py
@@ -1,12 +1,11 @@
 """The platform's header and table names, decoded once into the gateway's types."""
 
-import re
 import typing
 
 import msgspec
 
 from gaprock import gateway_api, odd_rows, plugin, routes
-from gaprock.platform import documents
+from gaprock.platform import documents, notices
 
 # Headers that concern one connection only.
 CONNECTION_HEADERS: typing.Final = frozenset(
@@ -48,12 +47,6 @@
 WRONG_ENDPOINT: typing.Final = 421
 ANY_MODEL: typing.Final = b"*"
 BEARER: typing.Final = b"bearer "
-# The requests a second that an endpoint takes: plain decimal digits, no longer than
-# any number that means something.  It goes on to the caller with the other headers.
-LIMIT_HEADER: typing.Final = b"server-limit"
-LIMIT_NUMBER: typing.Final = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?\Z")
-# What is shown of a header that is none, characters.
-MAX_ODD: typing.Final = 40
 MAX_URGENCY: typing.Final = 9
 
 Lowered = dict[bytes, bytes]
@@ -119,7 +112,8 @@
             by_name.get(b"x-request-id", b"").decode("latin-1"),
             _float(by_name.get(b"x-confidence")),
             by_name.get(b"content-encoding", b"identity").lower() != b"identity",
-            _limit([v for n, v in headers if n.lower() == LIMIT_HEADER]),
+            by_name.get(b"x-instance-id", b"").decode("latin-1"),
+            notices.read_notice(status, headers),
         )
 
     def refusal_headers(self, retry_s: float | None) -> gateway_api.Headers:
@@ -186,16 +180,6 @@
         return None
 
 
-def _limit(values: list[bytes]) -> gateway_api.LimitNotice:
-    """Read a rate limit; two of them are none."""
-    if not values:
-        return gateway_api.NO_LIMIT
-    text = b", ".join(values).strip()
-    if LIMIT_NUMBER.match(text):
-        return gateway_api.LimitNotice(float(text))
-    return gateway_api.LimitNotice(odd=text[:MAX_ODD].decode("latin-1") or "empty")
-
-
 def _wait(value: bytes | None) -> float | None:
     number = _float(value)
     if value is not None and number is None:
--- a/gaprock/test/testlimits.py
+++ b/gaprock/test/testlimits.py
@@ -35,7 +35,7 @@
     rate_limits,
     rate_pacing,
 )
-from gaprock.platform import wire
+from gaprock.platform import notices, wire
 from gaprock.test import fleetcase, limitcase
 
 NO_LIMIT: typing.Final = gateway_api.NO_LIMIT
@@ -55,7 +55,7 @@
 
 def read(*values: bytes) -> gateway_api.LimitNotice:
     headers = [(b"Server-Limit", value) for value in values]
-    return wire.PlatformDialect().read_answer(200, headers).limit
+    return wire.PlatformDialect().read_answer(200, headers).notice.limit
 
 
 @pytest.mark.parametrize(
@@ -72,7 +72,7 @@
 def test_what_is_no_number_is_no_limit(text: bytes) -> None:
     notice = read(text)
     assert notice.per_s is None
-    assert 0 < len(notice.odd) <= wire.MAX_ODD
+    assert 0 < len(notice.odd) <= notices.MAX_ODD
 
 
 def test_two_limits_are_none() -> None:
