--- a/gaprock/test/limitcase.py
+++ b/gaprock/test/limitcase.py
@@ -1,4 +1,4 @@
-"""Endpoints that name a rate limit, behind several gateways, and what they get."""
+"""Endpoints that say something of themselves, behind several gateways."""
 
 import contextlib
 import threading
@@ -17,7 +17,7 @@
 
 
 class Endpoint:
-    """An endpoint, one in each hall, that names a limit once it is told to."""
+    """An endpoint, one in each hall, that says of itself what it is told to."""
 
     def __init__(
         self, site: gatewaysite.GatewaySite, name: str, service: str, hall: str
@@ -25,6 +25,11 @@
         self.arrivals: list[float] = []
         # What it says of its limit; empty for nothing.
         self.limit = ""
+        self.is_leaving = False
+        # Seconds of the backoff with which it sheds all load; empty while it does not.
+        self.backoff = ""
+        # When it first said so in an answer.
+        self.said_at = float("inf")
         self.confidence = "90"
         self.fake = site.backends[name] = backend.Backend(name)
         self.fake.usual = self._answer
@@ -33,20 +38,35 @@
     def _answer(
         self, fake: backend.Backend, seen: backend.Seen, conn: typing.Any
     ) -> None:
-        self.arrivals.append(time.monotonic())
+        now = time.monotonic()
+        self.arrivals.append(now)
+        says: dict[str, typing.Any] = {
+            "Server_Limit": self.limit,
+            "Server_Leaving": "1" if self.is_leaving else "",
+        }
+        if self.is_leaving or self.backoff:
+            self.said_at = min(self.said_at, now)
+        if self.backoff:
+            says |= {"Retry_After": self.backoff, "X_Not_Run": "1"}
+            conn.sendall(backend.head(seen, 503, b"", X_Server_Stamp="", **says))
+            return
         if not seen.target.startswith(backend.STREAM_PATH):
             body = fake.name.encode()
-            conn.sendall(backend.head(seen, body=body, Server_Limit=self.limit) + body)
+            conn.sendall(backend.head(seen, body=body, **says) + body)
             return
         start = backend.head(
             seen,
             Content_Type="text/event-stream",
             Transfer_Encoding="chunked",
             X_Confidence=self.confidence,
-            Server_Limit=self.limit,
+            **says,
         )
         conn.sendall(start + backend.chunk(backend.event(1)) + b"0\r\n\r\n")
 
+    def between(self, since: float, until: float) -> int:
+        """Give the arrivals between two moments."""
+        return sum(since <= at < until for at in self.arrivals)
+
     def most_since(self, since: float) -> int:
         """Give the most arrivals in a window that begins after a moment."""
         counted = [at for at in self.arrivals if at >= since]
