Stop using an endpoint in time after its answers said that it leaves

What callers saw: nothing; requests went to an endpoint up to ten seconds after it had said that it leaves, and would have failed with its end.

Cause: leaving was believed from the endpoint's row alone, which the silent store did not take for 13 s.

Fix: the departure is kept by the endpoint's life beside what its row says, and the earlier of both ends its use (half of the drain time). The last look before a request leaves holds every way of sending to it; before, it did not look at leaving at all, so that what was chosen just before the end went out after it. A row that says nothing of it takes nothing back, since it may be older; another life does, a row that said draining and stops, and an answer without the word to a request sent after it. It is told in beats at once with its age, so that a peer stops no later, and one that starts while the store is silent knows it. One that leaves is used where no other fits, where it was not whenever any endpoint of the service stayed (a session's version, a region).

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -10,6 +10,7 @@
 
 from gaprock import (
     clock,
+    departures,
     endpoint_index,
     endpoint_notices,
     endpoint_state,
@@ -123,7 +124,7 @@
         with self._lock:
             for name, endpoint in list(self._endpoints.items()):
                 idle = endpoint.row_gone and not endpoint.running
-                if idle and now > endpoint.leave_at + self._drain_s:
+                if idle and now > endpoint.row_leave_at + self._drain_s:
                     del self._endpoints[name], self._lives[endpoint.life]
                     self._forget(endpoint)
             self.notices.forget_old(self._lives)
@@ -139,6 +140,8 @@
             self._lives[endpoint.life] = endpoint
             self._index.add(endpoint)
             self._log_new(name, row)
+            self._apply_departure(endpoint)
+        was_draining = endpoint.row.draining
         if is_new or endpoint.row != row:
             # One that is merely read again tells nothing new of its start.
             self._index.remove(endpoint)
@@ -148,10 +151,13 @@
         endpoint.row_gone = endpoint.lapsed = False
         if row.draining:
             self._leave(endpoint, "draining")
-        elif endpoint.leave_at != clock.NEVER:
-            # A row that lapsed while the store was away is back.
-            endpoint.leave_at = clock.NEVER
+        elif endpoint.row_leave_at != clock.NEVER:
+            # A row that lapsed while the store was away is back, or stays after all.
+            endpoint.leave_by_row(clock.NEVER)
             eventlog.info("endpoint-back", endpoint=name)
+            if was_draining:
+                self.notices.departures.note_row_back(endpoint.life)
+                self._apply_departure(endpoint)
 
     def _log_new(self, name: str, row: gateway_api.EndpointRow) -> None:
         if not self._is_told:
@@ -193,7 +199,7 @@
         if endpoint.row_gone:
             return
         endpoint.row_gone = True
-        is_new = endpoint.leave_at == clock.NEVER
+        is_new = endpoint.row_leave_at == clock.NEVER
         endpoint.lapsed = is_new and self._clock.now() < self._lapses_until
         if endpoint.lapsed:
             self._leave(endpoint, "row-lapsed", LAPSED_SHARE)
@@ -206,13 +212,60 @@
         reason: str,
         share: float = LEAVING_SHARE,
     ) -> None:
-        if endpoint.leave_at != clock.NEVER:
+        if endpoint.row_leave_at != clock.NEVER:
             return
-        endpoint.leave_at = self._clock.now() + share * self._drain_s
+        endpoint.leave_by_row(self._clock.now() + share * self._drain_s)
         eventlog.info(
             "endpoint-leaving", endpoint=endpoint.name, source="row", reason=reason
         )
 
+    # -- What answers say --
+
+    def note_answer(
+        self,
+        endpoint: endpoint_state.Endpoint,
+        head: gateway_api.AnswerHead,
+        sent_at: float,
+    ) -> None:
+        """Take what an answer says of its endpoint.
+
+        :param sent_at: when the request was sent that it answers.
+        """
+        self.notices.note_answer(endpoint, head, sent_at)
+        if head.notice.is_leaving or endpoint.told_leave_at != clock.NEVER:
+            with self._lock:
+                self._apply_departure(endpoint)
+
+    def _apply_departure(self, endpoint: endpoint_state.Endpoint) -> None:
+        """Stop using an endpoint in time after it first said that it leaves."""
+        since = self.notices.departures.since(endpoint.life)
+        endpoint.leave_by_answer(since + LEAVING_SHARE * self._drain_s)
+
+    def departure_news(self) -> list[departures.DepartureNews]:
+        """Give the endpoints that say they leave, but for those whose rows do too."""
+
+        def is_wanted(life: str) -> bool:
+            endpoint = self._lives.get(life)
+            return endpoint is not None and endpoint.row_leave_at == clock.NEVER
+
+        return self.notices.departures.news(is_wanted)
+
+    def take_departures(
+        self, sender: str, news: list[departures.DepartureNews], age_s: float = 0.0
+    ) -> None:
+        """Take the endpoints that others were told leave.
+
+        :param age_s: how long the news were on their way, seconds.
+        """
+        if not news:
+            return
+        self.notices.departures.take_news(sender, news, age_s)
+        with self._lock:
+            for one in news:
+                endpoint = self._lives.get(one.endpoint)
+                if endpoint is not None:
+                    self._apply_departure(endpoint)
+
     # -- Halls that are emptied --
 
     def set_emptied(self, halls: frozenset[str]) -> None:
@@ -250,10 +303,12 @@
 
         The last look before the request leaves: since it was chosen, another thread may
         have had our next send to an endpoint that warms up or names a rate limit, or
-        its hall was emptied.
+        its hall was emptied, or its time to leave has come.
 
         :returns: why it must not go out; empty if it may.
         """
+        if self._clock.now() >= endpoint.leave_at:
+            return "leaving"
         if endpoint.row.hall in self._emptied:
             return "hall emptied"
         if not self._slow_starts.take(endpoint):
@@ -267,14 +322,16 @@
         service: str,
         excluded: set[str],
         around: Around | None = None,
+        test: endpoint_index.Test = lambda endpoint: True,
     ) -> list[endpoint_state.Endpoint]:
         """Give the endpoints of a service that may get a request now.
 
-        Those that are leaving come in only when there is no other; one whose row
-        lapsed is likely to come back and is used as before for a while.  One that warms
-        up, or names a rate limit, is left out until our next send to it is due.
+        Those that are leaving come in only when no other is fit; one whose row lapsed
+        is likely to come back and is used as before for a while.  One that warms up, or
+        names a rate limit, is left out until our next send to it is due.
 
         :param around: where to look in a service with many endpoints; ``None`` for all.
+        :param test: what an endpoint has to be to be fit.
         """
         now = self._clock.now()
         slow_starts, pacer = self._slow_starts, self.pacer
@@ -294,8 +351,8 @@
                 live = self._around(service, around, is_live)
             if not live:
                 live = [e for e in all_of if is_live(e)]
-        staying = [e for e in live if e.leave_at == clock.NEVER or e.lapsed]
-        return staying or live
+        staying = [e for e in live if e.stays]
+        return staying if any(test(e) for e in staying) else live
 
     def paced(self, service: str, excluded: set[str]) -> list[endpoint_state.Endpoint]:
         """Give the endpoints that are usable but for the rate limits that they name."""
@@ -365,9 +422,8 @@
         now = self._clock.now()
 
         def stays(e: endpoint_state.Endpoint) -> bool:
-            is_staying = e.leave_at == clock.NEVER or e.lapsed
             is_well = now >= e.paused_until and not e.on_trial and not e.is_doubted
-            return is_staying and is_well and is_live(e)
+            return e.stays and is_well and is_live(e)
 
         def follow(hall: str) -> list[endpoint_state.Endpoint]:
             test = around.test
--- a/gaprock/endpoint_state.py
+++ b/gaprock/endpoint_state.py
@@ -51,6 +51,8 @@
         "row",
         "is_over",
         "leave_at",
+        "row_leave_at",
+        "told_leave_at",
         "row_gone",
         "lapsed",
         "running",
@@ -80,8 +82,11 @@
         self.row = row
         # Whether it has started again since.
         self.is_over = False
-        # When it stops being used; ``NEVER`` while it is not leaving.
+        # When it stops being used, ``NEVER`` while it is not leaving: the earlier of
+        # what its row and its answers say.
         self.leave_at = clock.NEVER
+        self.row_leave_at = clock.NEVER
+        self.told_leave_at = clock.NEVER
         # Whether its row is missing from the store.
         self.row_gone = False
         # Whether its row likely lapsed while the store was away.
@@ -118,6 +123,22 @@
         """IP number and port."""
         return self.row.host, self.row.port
 
+    def leave_by_row(self, at: float) -> None:
+        """Take from its row when to stop using it; ``NEVER`` if it stays."""
+        self.row_leave_at = at
+        self.leave_at = min(at, self.told_leave_at)
+
+    def leave_by_answer(self, at: float) -> None:
+        """Take from its answers when to stop using it; ``NEVER`` if it stays."""
+        self.told_leave_at = at
+        self.leave_at = min(at, self.row_leave_at)
+
+    @property
+    def stays(self) -> bool:
+        """Whether it is not leaving, so far as is known; a row may have lapsed."""
+        is_back_soon = self.lapsed and self.told_leave_at == clock.NEVER
+        return self.leave_at == clock.NEVER or is_back_soon
+
     @property
     def load(self) -> int:
         """Requests that all gateways together have there."""
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -155,7 +155,7 @@
         is_unproved = side is not None and self._rollouts.is_narrow(side)
         around = directory_rows.Around(self._hall, call.place, fits)
         usable = self._directory.usable(
-            call.service, call.excluded, None if is_unproved else around
+            call.service, call.excluded, None if is_unproved else around, fits
         )
         fitting = [e for e in usable if fits(e)]
         narrowed = self._rollouts.narrow(
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -318,8 +318,7 @@
         head, name = attempt.head, attempt.endpoint.name
         is_stray = bool(head.echo) and head.echo != call.info.request
         if not is_stray and head.instance in ("", name):
-            notices = self._directory.notices
-            notices.note_answer(attempt.endpoint, head, attempt.sent_at)
+            self._directory.note_answer(attempt.endpoint, head, attempt.sent_at)
 
     def _check_head(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -335,6 +335,7 @@
             self._directory.take_loads(beat.sender, beat.loads)
             self._directory.take_dark(beat.sender, beat.dark)
             self._directory.pacer.take_news(beat.sender, 1, beat.limits)
+            self._directory.take_departures(beat.sender, beat.departing)
         self._directory.take_prompts(beat.prompts)
         self._quarantine.take(beat.suspects, self._is_far(peer))
         self._told_most.note(beat.fleet, now)
--- a/gaprock/mesh_beats.py
+++ b/gaprock/mesh_beats.py
@@ -79,7 +79,11 @@
         dark = self._directory.dark(), self._directory.doubted()
         held = list(self._quarantine.ticks.values())
         limits = sorted(one.urgent for one in self._directory.pacer.news())
-        return halts, self._has_store(), self.leaving, dark, held, limits
+        departures = self._urgent_departures()
+        return halts, self._has_store(), self.leaving, dark, held, limits, departures
+
+    def _urgent_departures(self) -> list[tuple[str, bool]]:
+        return sorted(one.urgent for one in self._directory.departure_news())
 
     def _near_news(self) -> mesh_peers.News:
         """Give what is worth a beat to the own hall before the idle one is due."""
@@ -101,7 +105,10 @@
         # In a large hall each finds for itself what is dark, and all tell all of it.
         is_urgent = not self._is_crowded()
         return mesh_peers.News(
-            (halts, told, state, held, named, dark if is_urgent else ()),
+            (
+                (halts, told, state, held, named, dark if is_urgent else ()),
+                self._urgent_departures(),
+            ),
             (
                 self._near_loads(),
                 moving,
@@ -170,6 +177,7 @@
             mesh_halls.sum_wanted(
                 self._directory.pacer.news(), [beat.limits for beat in beats]
             ),
+            self._directory.departure_news(),
         )
 
     def _proofs(self) -> list[float]:
@@ -216,6 +224,7 @@
             self.leaving,
             passing,
             limits=self._directory.pacer.news(),
+            departing=self._directory.departure_news(),
         )
 
     def _far_beat(self, now: float) -> mesh_messages.Beat:
--- a/gaprock/mesh_halls.py
+++ b/gaprock/mesh_halls.py
@@ -86,6 +86,7 @@
         self._directory.take_dark(name, news.dark)
         pacer = self._directory.pacer
         pacer.take_news(name, news.members, news.limits, news.age_s)
+        self._directory.take_departures(name, news.departing, news.age_s)
         for told in news.rollouts:
             self._rollouts.take_told(told, now, name)
 
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from gaprock import endpoint_state, messages, prefix_cache, quarantine, rate_limits
+from gaprock import (
+    departures,
+    endpoint_state,
+    messages,
+    prefix_cache,
+    quarantine,
+    rate_limits,
+)
 
 # Row tables that a beat gives versions of, in this order.
 TABLES: typing.Final = ("orders", "endpoints", "outcomes")
@@ -57,6 +64,7 @@
     :param loads: what all of them have at each endpoint, together.
     :param dark: endpoints that take no connection from one of them.
     :param limits: rate limits that endpoints name, and what all of them want to send.
+    :param departing: endpoints that say that they leave.
     """
 
     hall: str
@@ -68,12 +76,14 @@
     dark: list[str]
     rollouts: list[RolloutNews]
     limits: list[rate_limits.LimitNews] = []
+    departing: list[departures.DepartureNews] = []
 
     @property
     def urgent(self) -> object:
         """What everybody must know at once."""
         limits = sorted(one.urgent for one in self.limits)
-        return self.carriers, self.dark, halts(self.rollouts), limits
+        leaving = sorted(one.urgent for one in self.departing)
+        return self.carriers, self.dark, halts(self.rollouts), limits, leaving
 
     def aged(self, age_s: float) -> "HallNews":
         """Give it with its age now."""
@@ -99,6 +109,7 @@
     :param suspects: requests that something speaks against, or no more.
     :param fleet: the most gateways that the sender counted lately; 0 for none.
     :param limits: rate limits that endpoints name, and what the sender wants to send.
+    :param departing: endpoints that say that they leave.
     """
 
     sender: str
@@ -117,6 +128,7 @@
     suspects: list[quarantine.SuspectNews] = []
     fleet: int = 0
     limits: list[rate_limits.LimitNews] = []
+    departing: list[departures.DepartureNews] = []
 
 
 def halts(news: list[RolloutNews]) -> list[tuple[str, int, bool]]:
