Send nothing to an endpoint in its backoff, and bring its load back slowly

What callers saw: requests refused as overloaded 15 ms after they came, all their sends turned away by endpoints that had asked for 3 s, while six of nine took requests; the allowance of repeats used up by such sends; an answer of a smaller model dropped for a climb that was turned away.

Cause: the time that a refusal asks for was read nowhere. A refusal excluded the endpoint for that one request; what is turned away is over at once, so the endpoint had the least to do and drew the next request.

It is held against every send where the endpoint is chosen and at the last look, so clearing what a request has excluded asks nobody again. Where all that fit back off, requests wait in line if the end comes in time, or are refused at once as not run (code 1032) with that end as time to come back; models are not climbed then, so a ready answer is delivered. Other gateways are not told.

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -302,13 +302,15 @@
         """Claim a send that goes out now.
 
         The last look before the request leaves: since it was chosen, another thread may
-        have had our next send to an endpoint that warms up or names a rate limit, or
-        its hall was emptied, or its time to leave has come.
+        have had our next send to an endpoint that warms up or names a rate limit, its
+        hall may be emptied, its time to leave come, or a backoff have begun.
 
         :returns: why it must not go out; empty if it may.
         """
         if self._clock.now() >= endpoint.leave_at:
             return "leaving"
+        if not self.notices.backoffs.take(endpoint):
+            return "backing off"
         if endpoint.row.hall in self._emptied:
             return "hall emptied"
         if not self._slow_starts.take(endpoint):
@@ -327,8 +329,9 @@
         """Give the endpoints of a service that may get a request now.
 
         Those that are leaving come in only when no other is fit; one whose row lapsed
-        is likely to come back and is used as before for a while.  One that warms up, or
-        names a rate limit, is left out until our next send to it is due.
+        is likely to come back and is used as before for a while.  One that warms up,
+        names a rate limit or asked for a backoff is left out until our next send to it
+        is due.
 
         :param around: where to look in a service with many endpoints; ``None`` for all.
         :param test: what an endpoint has to be to be fit.
@@ -336,12 +339,15 @@
         now = self._clock.now()
         slow_starts, pacer = self._slow_starts, self.pacer
         is_paced = not pacer.limits.is_empty
+        backoffs = self.notices.backoffs
+        is_backed_off = not backoffs.is_empty
 
         def is_live(e: endpoint_state.Endpoint) -> bool:
             return (
                 self._is_open(e, excluded, now)
                 and (now >= e.warm_at or slow_starts.may_send(e, now))
                 and (not is_paced or pacer.may_send(e, now))
+                and (not is_backed_off or backoffs.may_send(e, now))
             )
 
         with self._lock:
@@ -384,10 +390,14 @@
             ]
 
     def _turn(self, endpoint: endpoint_state.Endpoint) -> rate_pacing.Turn:
-        """Give when an endpoint takes our next sends: the later and fewer of both."""
-        warm, limited = self._slow_starts.turn(endpoint), self.pacer.turn(endpoint)
-        next_at = max(warm.next_at, limited.next_at)
-        return rate_pacing.Turn(next_at, min(warm.per_s, limited.per_s))
+        """Give when an endpoint takes our next sends: the latest and fewest of all."""
+        turns = (
+            self._slow_starts.turn(endpoint),
+            self.pacer.turn(endpoint),
+            self.notices.backoffs.turn(endpoint),
+        )
+        next_at = max(turn.next_at for turn in turns)
+        return rate_pacing.Turn(next_at, min(turn.per_s for turn in turns))
 
     def _is_open(
         self, endpoint: endpoint_state.Endpoint, excluded: set[str], now: float
--- a/gaprock/gateway_find.py
+++ b/gaprock/gateway_find.py
@@ -174,6 +174,9 @@
             return self.unknown(call, detail)
         if self._clock.now() >= call.deadline:
             return gateway_call.GivenUp(errorcodes.DEADLINE_PAST, detail, 0.0)
+        turn = self._chooser.turn(call)
+        if turn is not None and turn.next_at > self._clock.now():
+            return self._paced_out(call, turn)
         return self.overloaded(detail, call.wait_until - self._clock.now())
 
     def _gone(self, call: gateway_call.Call) -> gateway_call.GivenUp:
--- a/gaprock/gateway_models.py
+++ b/gaprock/gateway_models.py
@@ -9,6 +9,7 @@
     clock,
     directory,
     directory_rows,
+    endpoint_state,
     eventlog,
     gateway_attempt,
     gateway_call,
@@ -133,8 +134,11 @@
         budget_left = int(self._budget.left(call.service, now) - reserve)
         # Before the first send, that send itself is not a climb.
         sends_left = call.sends_left if call.sends else call.sends_left - 1
-        if not self._line.is_empty(call.service):
-            # A climb would take the send that another request waits for.
+        around = directory_rows.Around(self._hall, call.place, lambda e: True)
+        usable = self._directory.usable(call.service, call.excluded, around)
+        if not self._line.is_empty(call.service) or call.sends and not usable:
+            # A climb would take the send that another request waits for, or drop an
+            # answer for one that nobody can make now.
             sends_left = 0
         return policy_api.ModelAsk(
             models,
@@ -142,18 +146,23 @@
             call.info.tokens_out,
             call.goal_at - now,
             max(0, min(sends_left, budget_left)),
-            [self._first_s(call, service, m.name) if service else 0.0 for m in models],
+            [
+                self._first_s(call, service, m.name, usable) if service else 0.0
+                for m in models
+            ],
         )
 
     def _first_s(
-        self, call: gateway_call.Call, service: routes.Service, model: str
+        self,
+        call: gateway_call.Call,
+        service: routes.Service,
+        model: str,
+        usable: list[endpoint_state.Endpoint],
     ) -> float:
         """Give the seconds that a model's first event would take where it is least."""
         weight = self._directory.pace.weight(service, model)
         marks = prefix_cache.marks_of(model, call.info.parts)
         tokens_in = call.info.tokens_in
-        around = directory_rows.Around(self._hall, call.place, lambda e: True)
-        usable = self._directory.usable(call.service, call.excluded, around)
         tokens = min(
             (
                 self._directory.unread(e) + e.prompt(marks, tokens_in, weight).reading
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -326,7 +326,8 @@
         """Sort out answers that are refusals, or not answers to this call."""
         head, endpoint = attempt.head, attempt.endpoint
         if head.not_run:
-            call.excluded.add(endpoint.life)
+            if not head.notice.backoff_s:
+                call.excluded.add(endpoint.life)
             # A model that the caller named may be what the endpoint refuses.
             ours = bool(attempt.model) or not call.route.models
             if head.wrong_endpoint and ours:
--- a/gaprock/paced_line.py
+++ b/gaprock/paced_line.py
@@ -1,10 +1,11 @@
 """Requests that wait until endpoints which take only so many a second take them.
 
-The load that this answers: all endpoints that may run a request name a rate limit or
-warm up, and more comes than they take.  What is due in time waits, the most urgent
-first; what would not be sent in time is refused at once, with a time to come back at
-the pace at which sends fall due.  Without a line each waits a while for nothing, and
-whoever looks in the right moment is sent, however little it is worth.
+The load that this answers: all endpoints that may run a request name a rate limit,
+warm up or asked for a backoff, and more comes than they take.  What is due in time
+waits, the most urgent first; what would not be sent in time is refused at once, with a
+time to come back at the pace at which sends fall due.  Without a line each waits a
+while for nothing, and whoever looks in the right moment is sent, however little it is
+worth.
 """
 
 import bisect
@@ -81,4 +82,4 @@
         """
         with self._lock:
             returns = self._returns.setdefault(call.service, return_times.ReturnTimes())
-        return returns.next_s(now, caller_s, turn.pause_s)
+        return returns.next_s(now, caller_s, turn.pause_s, turn.next_at)
--- a/gaprock/return_times.py
+++ b/gaprock/return_times.py
@@ -11,6 +11,8 @@
 import threading
 import typing
 
+from gaprock import clock
+
 # The ends of requests over this time tell how many callers can come back, seconds.
 RATE_WINDOW_S: typing.Final = 4.0
 # Before that many requests have ended, their pace says nothing.
@@ -41,19 +43,26 @@
             self._ends.append(now)
             self._expire(now)
 
-    def next_s(self, now: float, caller_s: float, pace_s: float | None = None) -> float:
+    def next_s(
+        self,
+        now: float,
+        caller_s: float,
+        pace_s: float | None = None,
+        room_at: float = -clock.NEVER,
+    ) -> float:
         """Give the seconds after which the next refused caller is to come back.
 
         :param caller_s: for which the caller still waits.
         :param pace_s: between two that find room; ``None`` takes it from the ends.
+        :param room_at: before which there is none.
         """
         with self._lock:
             self._expire(now)
-            first_at = now + SHORTEST_S
+            first_at = max(now + SHORTEST_S, room_at)
             pace_s = self._pace_s() if pace_s is None else pace_s
             self._last_at = max(self._last_at + pace_s, first_at)
             # Whoever cannot wait for its place comes while it still can.
-            latest_at = max(first_at, now + CALLER_SHARE * caller_s)
+            latest_at = max(now + SHORTEST_S, now + CALLER_SHARE * caller_s)
             self._last_at = min(self._last_at, latest_at)
             return self._last_at - now
 
