Have agents keep to an engine's backoff, and read its time as gateways do

What callers saw (own mode): an engine that sheds load with Retry-After got every request that came; where the time was a word or empty, callers got *outcome unknown* for a request that surely did not run.

The agent handed the time on to the caller and sent the next request all the same; it read the header by float(), whose error ended the run as an agent's fault.

Fix: the agent keeps the end by its endpoint, refuses what comes and what waits until then, and tells entries meanwhile that the endpoint answers for no version.

--- a/gaprock/agent_endpoint.py
+++ b/gaprock/agent_endpoint.py
@@ -14,7 +14,7 @@
 import msgspec
 import urllib3
 
-from gaprock import clock, errorcodes, errors, options
+from gaprock import backoffs, clock, errorcodes, errors, eventlog, options, retry_after
 
 EVENT_END: typing.Final = b"\n\n"
 DONE_EVENT: typing.Final = b"data: [DONE]"
@@ -24,6 +24,8 @@
 LOAD_WAIT_S: typing.Final = 1.0
 DEFAULT_PORT: typing.Final = 80
 MAX_ERROR_CHARS: typing.Final = 200
+# When to come back after a refusal that names no time, seconds.
+REFUSED_RETRY_S: typing.Final = 1.0
 
 
 class EngineLoad(msgspec.Struct):
@@ -82,7 +84,7 @@
 class Endpoint:
     """One endpoint; safe for all threads."""
 
-    __slots__ = ("option", "_pool", "_cfg", "_clock")
+    __slots__ = ("option", "_pool", "_cfg", "_clock", "_backoff_until")
 
     def __init__(
         self, option: options.EndpointOption, cfg: options.Options, clock_: clock.Clock
@@ -91,6 +93,8 @@
         self._cfg = cfg
         self._clock = clock_
         self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
+        # Until when the endpoint wants no new requests.
+        self._backoff_until = -clock.NEVER
 
     def call(
         self, path: str, body: bytes, request: str, deadline: float, repeatable: bool
@@ -104,6 +108,7 @@
         :raises errors.GaprockError: *not run* when no connection was made or the
             endpoint refused, *outcome unknown* when its answer did not come.
         """
+        self.check_backoff()
         resp = self._open("POST", path, body, request, deadline, keep=repeatable)
         try:
             data = resp.read()
@@ -121,6 +126,7 @@
         :raises errors.GaprockError: as ``call``; ``ENDPOINT_ERROR`` when the
             endpoint answered with an error.
         """
+        self.check_backoff()
         resp = self._open("POST", path, body, request, deadline, keep=True)
         self._check_stream(resp)
         return EndpointStream(resp)
@@ -224,14 +230,42 @@
             raise self._unknown(exc) from exc
         if self._was_refused(resp.status):
             resp.close()
-            seconds = float(resp.headers.get("Retry-After", 1))
-            raise errors.GaprockError(
-                errorcodes.ENDPOINT_REFUSED,
-                self.option.name,
-                self._clock.now() + seconds,
-            )
+            raise self._refused(resp)
         return resp
 
+    def _refused(self, resp: urllib3.BaseHTTPResponse) -> errors.GaprockError:
+        """Take a refusal, and how long the endpoint wants nothing more."""
+        now = self._clock.now()
+        named_s = retry_after.seconds(
+            resp.headers.get("Retry-After", ""), resp.headers.get("Date", "")
+        )
+        if not named_s:
+            return self._refusal(now + REFUSED_RETRY_S)
+        until = now + min(named_s, backoffs.LONGEST_S)
+        if now >= self._backoff_until:
+            eventlog.info(
+                "endpoint-backoff", endpoint=self.option.name, for_s=until - now
+            )
+        self._backoff_until = max(self._backoff_until, until)
+        return self._refusal(self._backoff_until)
+
+    def _refusal(self, retry_at: float) -> errors.GaprockError:
+        name = self.option.name
+        return errors.GaprockError(errorcodes.ENDPOINT_REFUSED, name, retry_at)
+
+    @property
+    def is_backing_off(self) -> bool:
+        """Whether it turned a request away and wants nothing more for now."""
+        return self._clock.now() < self._backoff_until
+
+    def check_backoff(self) -> None:
+        """Refuse a request that the endpoint does not want now.
+
+        :raises errors.GaprockError: ``ENDPOINT_REFUSED``.
+        """
+        if self.is_backing_off:
+            raise self._refusal(self._backoff_until)
+
     def _was_refused(self, status: int) -> bool:
         """Whether a status says that the request was surely not run.
 
--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -87,6 +87,8 @@
         """The versions that the endpoint answers for now."""
         if self.failures >= MAX_LOAD_FAILURES:
             return []
+        if self.endpoint.is_backing_off:
+            return []
         return self.endpoint.option.versions or self.load.versions
 
     def refresh(self) -> None:
@@ -219,6 +221,8 @@
         if self._bills.full:
             raise errors.GaprockError(errorcodes.BILLS_FULL, self._cfg.vm)
         slot = self.slots.get(start.endpoint)
+        if slot is not None:
+            slot.endpoint.check_backoff()
         if slot is None or start.version not in slot.versions:
             raise errors.GaprockError(
                 errorcodes.NO_ENDPOINT, f"{start.version} on {start.endpoint}"
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -12,7 +12,7 @@
 import urllib3.connection
 import urllib3.util.wait
 
-from gaprock import gateway_api, plugin
+from gaprock import gateway_api, plugin, retry_after
 
 # Longest wait for a connection and for an ordinary answer, seconds; the store's usual
 # answer takes 4 ms.
@@ -219,7 +219,9 @@
     if answer.status == 410:
         raise gateway_api.HistoryGone
     if answer.status in RETRY_STATUSES:
-        retry_s = _seconds(answer.headers.get("Retry-After", ""))
+        # None leaves the pause to the caller.
+        wait, date = (answer.headers.get(n, "") for n in ("Retry-After", "Date"))
+        retry_s = retry_after.seconds(wait, date) or 0.0
         raise gateway_api.StoreError(f"status {answer.status}", retry_s)
     if answer.status != 200:
         raise gateway_api.StoreError(f"status {answer.status}")
@@ -263,11 +265,3 @@
     if not item.get("Tombstone"):
         value = base64.b64decode(item.get("Value") or "")
     return gateway_api.Row(item["Key"], value, item["Ver"])
-
-
-def _seconds(text: str) -> float:
-    """Read a Retry-After; 0 for none, which leaves the pause to the caller."""
-    try:
-        return max(0.0, float(text))
-    except ValueError:
-        return 0.0
--- a/gaprock/services_http.py
+++ b/gaprock/services_http.py
@@ -7,7 +7,7 @@
 import pybreaker
 import urllib3
 
-from gaprock import options, plugin, services_api
+from gaprock import options, plugin, retry_after, services_api
 
 DEFAULT_RETRY_S: typing.Final = 1.0
 POOL_SIZE: typing.Final = 16
@@ -52,7 +52,10 @@
             raise services_api.PlatformError(str(exc)) from exc
         except urllib3.exceptions.HTTPError as exc:
             raise services_api.AnswerLost(str(exc)) from exc
-        seconds = float(resp.headers.get("Retry-After", DEFAULT_RETRY_S))
+        named_s = retry_after.seconds(
+            resp.headers.get("Retry-After", ""), resp.headers.get("Date", "")
+        )
+        seconds = DEFAULT_RETRY_S if named_s is None else named_s
         if resp.status == 429:
             raise services_api.RateLimited("status 429", time.time() + seconds)
         if resp.status == 503:
--- a/gaprock/test/fakes/engine.py
+++ b/gaprock/test/fakes/engine.py
@@ -6,9 +6,9 @@
 and takes orders; ``checks_orders`` makes it refuse those with an old epoch.
 
 Faults: ``cut_after``: cut each new stream after so many parts (once a stream);
-``fail``: answer 500; ``refuse``: answer 503; ``stall_after``: go silent after so
-many parts; ``slow``: times all delays; ``bad``: versions that answer with errors;
-``pace_s``: seconds between parts.
+``fail``: answer 500; ``refuse``: answer 503, ``retry_after``: with that time to come
+back; ``stall_after``: go silent after so many parts; ``slow``: times all delays;
+``bad``: versions that answer with errors; ``pace_s``: seconds between parts.
 """
 
 import collections
@@ -61,6 +61,7 @@
         self.ran: collections.Counter[str] = collections.Counter()
         self.ran_versions: collections.Counter[str] = collections.Counter()
         self.running = 0
+        self.refused = 0
         self.load_s = 0.0
         self._history: collections.deque[tuple[float, int]] = collections.deque(
             maxlen=10_000
@@ -115,7 +116,9 @@
 
     def _run(self, exchange: httpfake.Exchange, body: bytes) -> httpfake.Reply | None:
         if self.faults.get("refuse"):
-            return httpfake.Reply(503, headers={"Retry-After": "1"})
+            self.refused += 1
+            wait = str(self.faults.get("retry_after", "1"))
+            return httpfake.Reply(503, headers={"Retry-After": wait})
         asked = json.loads(body or b"{}")
         version = str(asked.get("model", ""))
         request = exchange.headers.get("X-Request-Id", "")
