--- a/gaprock/report.py
+++ b/gaprock/report.py
@@ -26,6 +26,11 @@
 ORDER_S: typing.Final = 8.0
 HALL_EVENTS: typing.Final = ("hall-emptied", "hall-back")
 LIMIT_EVENTS: typing.Final = ("endpoint-limited", "endpoint-unlimited")
+LEAVING_EVENTS: typing.Final = ("endpoint-leaving", "endpoint-stays")
+BACKOFF_EVENTS: typing.Final = ("endpoint-backoff", "endpoint-backoff-over")
+CHANGE_EVENTS: typing.Final = frozenset(
+    HALL_EVENTS + LIMIT_EVENTS + LEAVING_EVENTS + BACKOFF_EVENTS
+)
 
 
 class Ended(enum.Enum):
@@ -88,8 +93,7 @@
     __slots__ = (
         "by_request",
         "store_calls",
-        "halls",
-        "limits",
+        "changes",
         "down",
         "lines",
         "unread",
@@ -101,10 +105,8 @@
         self.by_request: dict[str, list[logs.LogLine]] = collections.defaultdict(list)
         # Calls to the shared store.
         self.store_calls: list[logs.LogLine] = []
-        # Halls that were emptied or taken back, a line for each gateway.
-        self.halls: list[logs.LogLine] = []
-        # Endpoints that named a rate limit or none any more, in the same way.
-        self.limits: list[logs.LogLine] = []
+        # Changes of what is believed of halls and endpoints, a line for each gateway.
+        self.changes: list[logs.LogLine] = []
         self.down: list[Down] = []
         self.lines = 0
         # Texts that are no lines of ours: how many, and some of them.
@@ -130,10 +132,8 @@
         self._last[line.process] = line
         if line.event == "store-call":
             self.store_calls.append(line)
-        if line.event in HALL_EVENTS:
-            self.halls.append(line)
-        if line.event in LIMIT_EVENTS:
-            self.limits.append(line)
+        if line.event in CHANGE_EVENTS:
+            self.changes.append(line)
         if "request" in line.fields:
             self.by_request[line.fields["request"]].append(line)
 
@@ -288,14 +288,22 @@
 
     def halls(self) -> list[Change]:
         """Give when halls were emptied and taken back, over all gateways."""
-        return self._changes(self.found.halls, "hall")
+        return self._changes(HALL_EVENTS, "hall")
 
     def limits(self) -> list[Change]:
         """Give when endpoints named rate limits, over all gateways."""
-        return self._changes(self.found.limits, "endpoint", "per_s")
+        return self._changes(LIMIT_EVENTS, "endpoint", "per_s")
+
+    def departures(self) -> list[Change]:
+        """Give when endpoints were found to leave, by which word, over all gateways."""
+        return self._changes(LEAVING_EVENTS, "endpoint")
+
+    def backoffs(self) -> list[Change]:
+        """Give when endpoints asked for backoffs, over all gateways."""
+        return self._changes(BACKOFF_EVENTS, "endpoint", "for_s")
 
     def _changes(
-        self, lines: list[logs.LogLine], name: str, detail: str = ""
+        self, events: tuple[str, ...], name: str, detail: str = ""
     ) -> list[Change]:
         """Put together what several gateways tell of the same change.
 
@@ -303,6 +311,7 @@
         """
         found: list[Change] = []
         latest: dict[tuple[str, str, str], int] = {}
+        lines = [line for line in self.found.changes if line.event in events]
         for line in sorted(lines, key=lambda one: one.at):
             text = line.fields.get(detail, "")
             key = line.fields.get(name, NONE), line.event, text
--- a/gaprock/report_text.py
+++ b/gaprock/report_text.py
@@ -18,6 +18,8 @@
         _longest(found),
         _halls(found),
         _limits(found),
+        _departures(found),
+        _backoffs(found),
         _down(found),
     ]
     return "\n\n".join(part for part in parts if part) + "\n"
@@ -108,6 +110,25 @@
     return _spread("rate limits", found.limits(), word)
 
 
+def _departures(found: report.Report) -> str:
+    """List when endpoints were found to leave."""
+
+    def word(change: report.Change) -> str:
+        return "leaves" if change.event == "endpoint-leaving" else "stays after all"
+
+    return _spread("endpoints that leave", found.departures(), word)
+
+
+def _backoffs(found: report.Report) -> str:
+    """List when endpoints shed load and asked for backoffs."""
+
+    def word(change: report.Change) -> str:
+        is_over = change.event == "endpoint-backoff-over"
+        return "takes load again" if is_over else f"backs off for {change.detail} s"
+
+    return _spread("backoffs", found.backoffs(), word)
+
+
 def _spread(
     title: str,
     changes: list[report.Change],
--- a/gaprock/test/testreport.py
+++ b/gaprock/test/testreport.py
@@ -260,3 +260,16 @@
     ]
     text = report_text.render(found)
     assert "takes 2.4 a second, on 3 gateways within 0.2 s" in text
+
+
+def test_departures_and_backoffs_are_listed_as_they_spread() -> None:
+    lines = [
+        line(5.0, "endpoint-leaving", "gateway-0", endpoint="e", source="answer"),
+        line(5.3, "endpoint-leaving", "gateway-1", endpoint="e", source="gateway-0"),
+        line(6.0, "endpoint-backoff", "gateway-0", endpoint="f", for_s=3),
+        line(9.5, "endpoint-backoff-over", "gateway-0", endpoint="f"),
+    ]
+    text = report_text.render(report.Report(report.collect(lines)))
+    assert "e  leaves, on 2 gateways within 0.3 s" in text
+    assert "f  backs off for 3 s, on 1 gateways" in text
+    assert "f  takes load again, on 1 gateways" in text
