Call the store no sooner than it asks for, and no later than ten seconds

What callers saw: nothing; the store was called at half of the time that it asked for.

A follower drew its pause from half to all of the time; the writer of outcomes and the task of our own rows did not look at it; a time of an hour would have stopped a table for an hour.

Fix: the time is added to the pause that is drawn, so that gateways which were turned away together do not come back together; writer and own rows keep to it; the adapter cuts it to ten seconds, after which rows are older than anything that is promised.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -208,7 +208,7 @@
                 self._is_read = False
             except gateway_api.StoreError as exc:
                 self._note_lost(exc)
-                self._rest_from_store(max(exc.retry_s, pause_s))
+                self._rest_from_store(pause_s, exc.retry_s)
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
                 continue
             except Exception as exc:
@@ -219,9 +219,12 @@
                 self._stopped.wait(LONGEST_PAUSE_S)
             pause_s = FIRST_PAUSE_S
 
-    def _rest_from_store(self, pause_s: float) -> None:
-        """Wait before the next try, longer for as long as others try for us."""
-        began = self._clock.now()
+    def _rest_from_store(self, pause_s: float, retry_s: float = 0.0) -> None:
+        """Wait before the next try, longer for as long as others try for us.
+
+        :param retry_s: for which the store wants no calls.
+        """
+        began = self._clock.now() + retry_s
         share = self._rng.uniform(0.5, 1.0)
         try_at, left_at = began + share * pause_s, began + share * LEFT_PAUSE_S
         while not self._stopped.is_set():
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -52,6 +52,7 @@
         "_is_first_start",
         "_is_announced",
         "_stopped",
+        "_retry_s",
     )
 
     def __init__(
@@ -82,6 +83,8 @@
         # Whether the store was seen to have our row as it should be.
         self._is_announced = not mesh_.address
         self._stopped = threading.Event()
+        # Pause after the last call that failed.
+        self._retry_s = RETRY_S
 
     def run(self) -> None:
         """Read the rows, and follow the tables.
@@ -109,7 +112,7 @@
     def _until_done(self, call: typing.Callable[[], bool]) -> None:
         """Make a call again until it is done."""
         while not self._stopped.is_set() and not call():
-            self._stopped.wait(RETRY_S)
+            self._stopped.wait(self._retry_s)
 
     def _read(self) -> bool:
         """Read the rows and take them; give whether the store answered."""
@@ -117,6 +120,7 @@
         try:
             page = self._store.read(self._table)
         except gateway_api.StoreError as exc:
+            self._retry_s = max(RETRY_S, exc.retry_s)
             eventlog.warning("own-rows", error=exc)
             return False
         self._store_clock.note(page.store_now, asked_at, self._clock.now())
@@ -150,6 +154,7 @@
         try:
             self._store.commit([gateway_api.Write(self._table, key, value)])
         except gateway_api.StoreError as exc:
+            self._retry_s = max(RETRY_S, exc.retry_s)
             eventlog.warning("announce", error=exc)
             return False
         return True
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -35,6 +35,9 @@
 ]
 MAX_WAIT_MS: typing.Final = 30_000
 RETRY_STATUSES: typing.Final = (429, 503)
+# A longer time to wait is cut to so many seconds: rows would be older than anything
+# that is promised of them.
+LONGEST_RETRY_S: typing.Final = 10.0
 CALL_ERRORS: typing.Final = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -221,7 +224,7 @@
     if answer.status in RETRY_STATUSES:
         # None leaves the pause to the caller.
         wait, date = (answer.headers.get(n, "") for n in ("Retry-After", "Date"))
-        retry_s = retry_after.seconds(wait, date) or 0.0
+        retry_s = min(LONGEST_RETRY_S, retry_after.seconds(wait, date) or 0.0)
         raise gateway_api.StoreError(f"status {answer.status}", retry_s)
     if answer.status != 200:
         raise gateway_api.StoreError(f"status {answer.status}")
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -128,7 +128,8 @@
         try:
             done = self._store.commit(writes)
         except gateway_api.StoreError as exc:
-            self._quiet_until = self._clock.now() + AFTER_ERROR_S
+            pause_s = max(AFTER_ERROR_S, exc.retry_s)
+            self._quiet_until = self._clock.now() + pause_s
             eventlog.warning("rollout-write", service=service, error=exc)
             return
         # A condition that failed means that another wrote; its row is on its way.
