--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -98,7 +98,7 @@
         "a write whose outcome is not known is made again",
         "testrollouts.py::test_a_halt_is_written_again_until_the_store_takes_it",
         "rollout_writer.py",
-        "self._quiet_until = self._clock.now() + AFTER_ERROR_S\n            eventlog",
+        "self._quiet_until = self._clock.now() + pause_s\n            eventlog",
         "self._quiet_until = clock.NEVER\n            eventlog",
     ),
     proofs.gateway(
