--- /dev/null
+++ b/gaprock/test/testwords.py
@@ -0,0 +1,76 @@
+"""Each word of the platform that the adapter reads stands in its page's table."""
+
+import pathlib
+import re
+import typing
+
+import msgspec
+import pytest
+
+from gaprock.platform import documents, notices, wire
+
+PAGE: typing.Final = pathlib.Path(__file__).parents[2] / "docs" / "PLATFORM.md"
+TITLE: typing.Final = "## What the platform says, and who heeds it"
+WORD: typing.Final = re.compile(r"`([A-Za-z][A-Za-z-]*)`")
+# Headers that the platform's pages show in requests, answers and rows.
+SHOWN: typing.Final = (
+    """
+    host x-request-id last-event-id x-model x-token-counts x-prompt-prefix x-deadline-ms
+    authorization connection keep-alive transfer-encoding content-length retry-after
+    content-encoding session x-server-stamp x-not-run x-instance-id x-server-load
+    x-confidence x-expect-instance x-expect-version x-tenant x-request-urgency x-hold
+    x-pin-ms x-kv-backup kv-from kv-fetch x-weight-versions server-limit server-leaving
+    service addr zone version slots state coldms born seq stage models
+""".split()
+)
+# What the adapter reads by names that stand in its code alone.
+READ: typing.Final = (
+    """
+    host x-request-id x-model x-token-counts x-prompt-prefix session x-server-stamp
+    x-confidence content-encoding
+""".split()
+)
+
+
+def rows() -> list[list[str]]:
+    """Give the table's rows as cells."""
+    section = PAGE.read_text().split(TITLE)[1].split("\n## ")[0]
+    lines = [line for line in section.splitlines() if line.startswith("| ")]
+    return [[cell.strip() for cell in line.split("|")[1:-1]] for line in lines[1:]]
+
+
+def known() -> set[str]:
+    """Give the words that the table has, in small letters."""
+    return {word.lower() for row in rows() for word in WORD.findall(row[1])}
+
+
+def read_by_adapter() -> set[str]:
+    """Give the headers and fields of endpoints' rows that the adapter has names for."""
+    headers = wire.CONNECTION_HEADERS | wire.SYSTEM_HEADERS | wire.INNER_ANSWER_HEADERS
+    words = (notices.LIMIT, notices.LEAVING, notices.RETRY_AFTER, notices.DATE)
+    fields = {field.name for field in msgspec.structs.fields(documents.ServerDoc)}
+    named = {name.decode() for name in headers | set(words)}
+    return {name.lower() for name in named | fields | set(READ)}
+
+
+def test_every_word_that_the_adapter_reads_stands_in_the_table() -> None:
+    assert read_by_adapter() <= known()
+
+
+@pytest.mark.parametrize("word", SHOWN)
+def test_every_word_that_the_platform_shows_stands_in_the_table(word: str) -> None:
+    assert word in known()
+
+
+def test_every_row_says_who_heeds_its_words() -> None:
+    assert all(len(row) == 5 and row[4] for row in rows())
+
+
+def test_no_row_claims_a_word_that_the_adapter_does_not_read() -> None:
+    claimed = {
+        word.lower()
+        for row in rows()
+        if row[2] and row[2] != "not decoded" and "mesh" not in row[2]
+        for word in WORD.findall(row[1])
+    }
+    assert claimed <= read_by_adapter()
