Have endpoints of the soak leave in their answers alone, and shed load

An endpoint is replaced whose row never says so, or turns all requests away for half a second to four and asks for backoffs of 0.25 to 3 s; both with chances of their own, so that kept seeds stay what they were. The judgement holds each gateway's requests against each word that it was told, in touch or not: only a paused gateway, a new process or a relay that holds requests up excuses it. A test shows that it finds both.

--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -94,6 +94,10 @@
         # The rate limit that it names, empty for none; held while it does.
         self.limit = ""
         self.limit_lock = threading.Lock()
+        # Whether its answers say that it leaves, and the seconds of the backoff with
+        # which it sheds all load; 0 while it does not.
+        self.says_leaving = False
+        self.backoff_s = 0.0
         self._ledger = ledger
         self.fake = backend.Backend(name)
         self.fake.usual = self._answer
@@ -127,12 +131,20 @@
         if seen.headers.get("x-expect-instance") != self.name:
             backend.refuse(421)(fake, seen, conn)
             return
-        self._ledger.note_arrival(self.name)
         request = seen.headers.get("x-request-id", "")
+        self._ledger.note_arrival(self.name, request)
         if seen.body == POISON:
             self._ledger.poisoned.append((self._ledger.now(), request))
             self.on_poison()
             return
+        if self.says_leaving or self.backoff_s:
+            now, backoff_s = self._ledger.now(), self.backoff_s
+            self._ledger.words.append(
+                soak_ledger.Word(self.name, request, now, backoff_s)
+            )
+            if backoff_s:
+                self._shed(seen, conn, backoff_s)
+                return
         kind = seen.target.split("/")[1]
         mark = hashlib.sha256(f"{request}{self.name}".encode()).digest()
         if mark[0] < 256 * self.refusing:
@@ -155,9 +167,19 @@
             self._stream(seen, conn, request, events_of(request), whole=True)
         else:
             body = answer_of(request)
-            head = backend.head(seen, body=body, Server_Limit=self.limit)
+            head = backend.head(seen, body=body, **self._says())
             conn.sendall(head + body)
 
+    def _says(self) -> dict[str, typing.Any]:
+        """Give what its answers say of it."""
+        leaving = "1" if self.says_leaving else ""
+        return {"Server_Limit": self.limit, "Server_Leaving": leaving}
+
+    def _shed(self, seen: backend.Seen, conn: socket.socket, backoff_s: float) -> None:
+        refused = {"X_Not_Run": "1", "X_Server_Stamp": ""}
+        wait = f"{backoff_s:.3f}"
+        conn.sendall(backend.head(seen, 503, b"", Retry_After=wait, **refused))
+
     def _fail(self, seen: backend.Seen, conn: socket.socket, mark: int) -> None:
         if mark < 100:
             backend.fail()(self.fake, seen, conn)
@@ -180,7 +202,7 @@
             Content_Type="text/event-stream",
             Transfer_Encoding="chunked",
             X_Confidence=str(mark.digest()[0] % 101),
-            Server_Limit=self.limit,
+            **self._says(),
         )
         conn.sendall(start)
         for number in range(int(seen.headers.get("last-event-id", "0")) + 1, last + 1):
--- a/gaprock/test/soak_ledger.py
+++ b/gaprock/test/soak_ledger.py
@@ -33,6 +33,10 @@
 LIMIT_KNOWN_S: typing.Final = 3.0
 LIMIT_WINDOW_S: typing.Final = 4.0
 LIMIT_SLACK: typing.Final = 5
+# In a backoff so many requests of a gateway may come, but for those that were on their
+# way, which come within this time, seconds.
+BACKOFF_MOST: typing.Final = 2
+ON_WAY_S: typing.Final = 0.5
 
 
 class Try(typing.NamedTuple):
@@ -108,6 +112,26 @@
     until: float
 
 
+class Word(typing.NamedTuple):
+    """An endpoint's answer that says something of it.
+
+    :param request: that it answers.
+    :param backoff_s: for which the endpoint wants nothing more; 0 where it leaves.
+    """
+
+    endpoint: str
+    request: str
+    at: float
+    backoff_s: float
+
+
+class Arrival(typing.NamedTuple):
+    """A request that came to an endpoint."""
+
+    request: str
+    at: float
+
+
 class Ledger:
     """The record; safe for all threads."""
 
@@ -130,16 +154,20 @@
         self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.emptied: list[Emptied] = []
         self.limited: list[Limited] = []
+        # What endpoints said of themselves, and what came there, by name.
+        self.words: list[Word] = []
+        self.requests: dict[str, list[Arrival]] = collections.defaultdict(list)
 
     def add_endpoint(self, name: str, hall: str, at: float, warm_at: float) -> None:
         """Write down that an endpoint starts."""
         with self._lock:
             self.starts[name] = Start(hall, at, warm_at)
 
-    def note_arrival(self, endpoint: str) -> None:
+    def note_arrival(self, endpoint: str, request: str) -> None:
         """Write down that a request came to an endpoint."""
         with self._lock:
             self.arrivals[endpoint].append(self.now())
+            self.requests[endpoint].append(Arrival(request, self.now()))
 
     def now(self) -> float:
         """The soak's clock."""
@@ -171,6 +199,15 @@
             f"{len(self.runs)} runs; {faults}"
         )
 
+    def is_held_up(self, gateway: str, start: float, end: float) -> bool:
+        """Whether a gateway stood still, or the way to endpoints held requests up."""
+        name = gateway.partition("#")[0]
+        return any(
+            d.start <= end and d.end >= start
+            for d in self.disturbances
+            if (d.what == "pause" and d.target == name) or d.what.startswith("relay")
+        )
+
     def replace(self, old: Disturbance, new: Disturbance) -> None:
         """Write down the end of a disturbance."""
         with self._lock:
@@ -232,6 +269,7 @@
             self._emptied_halls,
             self._not_warm,
             self._rate_limits,
+            self._words,
         )
         return [line for check in checks for line in check()]
 
@@ -368,6 +406,31 @@
                     yield f"rate limit: {name} got {got} at {per_s} a second"
                     break
 
+    def _words(self) -> typing.Iterator[str]:
+        """No gateway sends where an endpoint told it not to, whatever else happens."""
+        for word in self._ledger.words:
+            told = self._tries.get(word.request)
+            if told is None:
+                continue
+            first_at, until = word.at + self._drain_s, math.inf
+            most = 0
+            if word.backoff_s:
+                first_at, until = word.at + ON_WAY_S, word.at + word.backoff_s
+                most = BACKOFF_MOST
+            late = [
+                came
+                for came in self._ledger.requests[word.endpoint]
+                if first_at < came.at < until
+                and self._gateway_of(came.request) == told.gateway
+                and not self._ledger.is_held_up(told.gateway, word.at, came.at)
+            ]
+            if len(late) > most:
+                yield f"not heeded: {word} told {told.gateway}, which sent {late}"
+
+    def _gateway_of(self, request: str) -> str:
+        made = self._tries.get(request)
+        return made.gateway if made is not None else ""
+
     def _is_in_force(self, made: Try, changed_at: float) -> bool:
         """Whether a request has to be handled as a change says.
 
--- a/gaprock/test/soak_run.py
+++ b/gaprock/test/soak_run.py
@@ -43,6 +43,9 @@
 # Endpoints that name a rate limit, with chances of their own.
 LIMIT_SHARE: typing.Final = 0.15
 LIMIT_WORK: typing.Final[list[Step]] = []
+# Endpoints that say something else of themselves, with chances of their own.
+WORD_SHARE: typing.Final = 0.15
+WORD_WORK: typing.Final[list[Step]] = []
 # What an endpoint that is not warm may get in a second, by the settings' defaults.
 BEARS: typing.Final = int(1.5 * soak_fleet.BEARS_PER_S + 5)
 
@@ -96,6 +99,12 @@
     return function
 
 
+def word_work(function: Step) -> Step:
+    """Register what makes endpoints shed load, or say that they leave."""
+    WORD_WORK.append(function)
+    return function
+
+
 class Soak:
     """One seed's run."""
 
@@ -106,6 +115,7 @@
         self.rng_rows = random.Random(f"rows {seed}")
         self.rng_halls = random.Random(f"halls {seed}")
         self.rng_limits = random.Random(f"limits {seed}")
+        self.rng_words = random.Random(f"words {seed}")
         self.ledger = soak_ledger.Ledger()
         self.fleet = soak_fleet.Fleet(self.ledger, logs, gateways)
         # Held while a hall is emptied.
@@ -193,6 +203,8 @@
                 self.rng_halls.choice(HALL_WORK)(self)
             if self.rng_limits.random() < LIMIT_SHARE:
                 self.rng_limits.choice(LIMIT_WORK)(self)
+            if self.rng_words.random() < WORD_SHARE:
+                self.rng_words.choice(WORD_WORK)(self)
             time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
         for thread in self._threads:
             thread.join(soak_fleet.STOP_WAIT_S)
--- a/gaprock/test/soak_steps.py
+++ b/gaprock/test/soak_steps.py
@@ -16,6 +16,11 @@
 LIMITS: typing.Final = (0.0, 1.0, 2.5, 4.0)
 
 
+# How long an endpoint sheds load, and the backoffs that it asks for, seconds.
+SHEDS_FOR_S: typing.Final = (0.5, 4.0)
+BACKOFFS_S: typing.Final = (0.25, 1.0, 3.0)
+
+
 # -- Faults of processes --
 
 
@@ -319,3 +324,38 @@
         soak.ledger.limited.append(soak_ledger.Limited(endpoint.name, per_s, at, until))
 
     soak.later(work)
+
+
+# -- Endpoints that leave in their answers alone, or shed load --
+
+
+@soak_run.word_work
+def endpoint_says_that_it_leaves(soak: soak_run.Soak) -> None:
+    """An endpoint is replaced, and its row never says so."""
+    endpoint = soak.rng_words.choice(list(soak.fleet.endpoints.values()))
+    if soak.fleet.endpoints.pop(endpoint.name, None) is None:
+        return
+    soak.fleet.add_endpoint(endpoint.service)
+
+    def work() -> None:
+        endpoint.says_leaving = True
+        time.sleep(soak_fleet.DRAIN_S + 2 * soak_ledger.SLACK_S)
+        soak.fleet.store.remove("servers", endpoint.name)
+        endpoint.stop()
+
+    soak.later(work)
+
+
+@soak_run.word_work
+def endpoint_sheds(soak: soak_run.Soak) -> None:
+    """An endpoint turns all requests away for a while, and asks for a backoff."""
+    endpoint = soak.rng_words.choice(list(soak.fleet.endpoints.values()))
+    lasts_s = soak.rng_words.uniform(*SHEDS_FOR_S)
+    backoff_s = soak.rng_words.choice(BACKOFFS_S)
+
+    def work() -> None:
+        endpoint.backoff_s = backoff_s
+        time.sleep(lasts_s)
+        endpoint.backoff_s = 0.0
+
+    soak.later(work)
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -132,3 +132,33 @@
     assert list(soak_ledger.Judge(ledger, 2.0, 2.0, 2.0, 9)._not_warm())
     ledger.arrivals["e1"] += [12.1] * 50
     assert not list(soak_ledger.Judge(ledger, 2.0, 2.0, 2.0, 10)._not_warm())
+
+
+@pytest.mark.parametrize(
+    "backoff_s, came_at, count, is_broken",
+    [
+        (0.0, 12.4, 1, False),
+        (0.0, 12.6, 1, True),
+        (3.0, 10.9, 9, False),
+        (3.0, 11.1, 2, False),
+        (3.0, 11.1, 3, True),
+        (3.0, 13.6, 9, False),
+    ],
+)
+def test_the_judgement_finds_words_that_were_not_heeded(
+    backoff_s: float, came_at: float, count: int, is_broken: bool
+) -> None:
+    ledger = soak_ledger.Ledger()
+    names = ["told", *(f"r{number}" for number in range(count))]
+    for name in names:
+        ledger.add(made(name, "safe", 200))
+    ledger.words.append(soak_ledger.Word("e1", "told", 10.5, backoff_s))
+    came = [soak_ledger.Arrival(name, came_at) for name in names[1:]]
+    ledger.requests["e1"] += came
+
+    def judge() -> str:
+        return " ".join(soak_ledger.Judge(ledger, 2.0, 2.0)._words())
+
+    assert ("not heeded" in judge()) is is_broken
+    ledger.add(soak_ledger.Disturbance("pause", "g1", False, 10.6, 10.7))
+    assert not judge()
