--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -1,23 +1,4 @@
-"""What a gateway knows of the store is proved anew again and again.
-
-The story.  Callers with new keys were refused for seconds, and requests ran at services
-that their routes had left: all gateways kept an old configuration for half a minute
-after an outage of the store that lasted six seconds.
-
-The order of events.  A change of the configuration answered every gateway's poll, and
-all polled again 0.1 s later.  In between the store had gone silent.  It came back and
-answered new calls, but never those polls, and each was waited for 30 s.  No gateway was
-ahead of the others, so none had a copy to give.
-
-The cause.  A poll that is not answered was taken for "nothing new", for as long as a
-poll may last.
-
-The evidence.  Logged polls: asked at 5.13 s, no answer, a read time-out at 35.13 s and
-the newest configuration 0.1 s after it, on all gateways.  The store's own figures: one
-call without an answer for each gateway in that second, and no other before the end of
-the outage.  The endpoints' table went the same way when an endpoint's change came just
-before the outage: requests reached endpoints that had left.
-"""
+"""What a gateway knows of the store is proved anew again and again."""
 
 import time
 import typing
--- a/gaprock/test/testgone.py
+++ b/gaprock/test/testgone.py
@@ -1,19 +1,4 @@
-"""Services of which all endpoints, or all but one, are gone.
-
-The story.  Three endpoints of a plain service ended within a third of a second, and the
-service was away for seconds.  A request that came meanwhile was held for two seconds
-and got 504 though it had never been sent.
-
-The order of events.  Each endpoint takes no connection, one after the other; when the
-request has tried all of them it waits a moment, forgets whom it has tried and begins
-anew, until its time is over.
-
-The cause.  The wait for an endpoint began anew at each look, and what one look had
-shown was forgotten by the next.
-
-The evidence.  On such a day one request tried three dead endpoints nine times each
-within a second; 31 of 32 requests whose time went by had never been sent.
-"""
+"""Services of which all endpoints, or all but one, are gone."""
 
 import random
 import typing
--- a/gaprock/test/testlimits.py
+++ b/gaprock/test/testlimits.py
@@ -1,22 +1,4 @@
-"""Rate limits that endpoints name: who knows of them, and what gateways send.
-
-The story.  A model endpoint in need named the requests a second that it takes from all
-gateways together, and for as long as it did so it got two to three times as many, in
-spans of four seconds, while others of its service had room.
-
-The order of events.  Two of nine endpoints name limits of 3.2 and 2.4 a second in their
-answers; three seconds later their halls' gateways still send what they did before, and
-when callers come in a burst more than ever, since an endpoint with little to do is the
-emptiest one.
-
-The cause.  The limit was read nowhere, and each gateway chose by slots alone: a bound
-that many share, of which each knows neither the bound nor what the others do.
-
-The evidence.  With the limit read and logged, ``endpoint-limited`` stood in the log of
-the gateway that went on to send some 600 requests in four seconds at a limit of 10; in
-the recorded day's play one gateway alone sent 31 of an endpoint's 31 requests in two
-seconds (13 and 14 s) at a limit of 3.2 a second, a sixth of them climbs.
-"""
+"""Rate limits that endpoints name: who knows of them, and what gateways send."""
 
 import functools
 import time
--- a/gaprock/test/testmovedsessions.py
+++ b/gaprock/test/testmovedsessions.py
@@ -1,24 +1,4 @@
-"""A session keeps its version while a rollout is in its first half.
-
-The story.  Callers in the middle of a session got answers of two versions of a service,
-one after the other, while a new version was being brought in.
-
-The order of events.  A session's requests run on the old version at one gateway.  An
-operator orders the new one.  The session's next request comes through another gateway,
-which has never seen it, and the session's hash is in the share that the new version
-gets first.  Or: a gateway starts beside a rollout and reads when it began through a
-store that answers late; it takes the rollout for older than it is, tells all others,
-and all of them begin to move sessions while the first half still lasts.
-
-The cause.  What one process knew was used as if all knew it, and a time was handed on
-without its error.  Each gateway remembered what its own sessions ran on.  The store's
-clock was compared with ours by the moment at which a call was asked, as if the store
-had answered in that moment.
-
-The evidence.  On a calm day of four gateways 99 of 677 sessions came through more than
-one; one that ran on the old version at 0.93 s and came elsewhere at 4.87 s, with an
-order in between, was sent to the new one (``route`` lines, which name both since).
-"""
+"""A session keeps its version while a rollout is in its first half."""
 
 import typing
 
--- a/gaprock/test/testunstopped.py
+++ b/gaprock/test/testunstopped.py
@@ -1,24 +1,4 @@
-"""A bad version is stopped, also when its answers do not come.
-
-The story.  A version that an operator knew to be bad went on getting requests until the
-end, more than a thousand of them, and was made the only version.
-
-The order of events.  The new version's answers come too late: callers leave or their
-time is over before the first part is there.  Or they are late beside old endpoints that
-are late as well.  Or the version turns bad just before the rollout is over.  In each
-case the rollout goes its way, is *completed*, and then nothing can stop the version.
-
-The cause.  No answer was taken for no evidence: an answer counted when it was there, so
-one that never comes spoke for nobody.  Slowness was a multiple of a mean which the same
-trouble had raised.  And whether the version's last answers were bad was not asked when
-the outcome was written.
-
-The evidence.  With callers that leave after half a second and a version that takes
-eight times as long, 384 of 881 requests of the rollout's time got it where 162 were
-allowed; 447 broke a bound.  With half of the endpoints six times slower, 89 did.  A
-version that fails from the 15th of 24 seconds on: 14 answers had failed within a second
-(``version-bad-answer``) when *completed* was written half a second later; 63.
-"""
+"""A bad version is stopped, also when its answers do not come."""
 
 import threading
 import time as steady
