Have two simulations share their clock of events, and two soak steps one replacement

bench.shed wrote the loop of bench.limits again, and the soak's endpoint that leaves in its answers alone was its twin that leaves by its row but for the word. bench.events and _replace hold them once; chances are drawn in the same order.

--- /dev/null
+++ b/bench/events.py
@@ -0,0 +1,29 @@
+"""A clock of events: what is planned happens in its order, without any waiting."""
+
+import heapq
+import typing
+
+from gaprock import clock
+
+
+class Events:
+    """What is planned, and the clock that it moves."""
+
+    def __init__(self) -> None:
+        self.time = clock.ManualClock(0.0)
+        self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
+        self._count = 0
+
+    def at(self, moment: float, act: typing.Callable[[], None]) -> None:
+        """Plan something."""
+        self._count += 1
+        heapq.heappush(self._events, (moment, self._count, act))
+
+    def run_until(self, end_at: float) -> None:
+        """Play what is planned up to a moment."""
+        while self._events:
+            moment, _, act = heapq.heappop(self._events)
+            if moment > end_at:
+                return
+            self.time.advance(max(0.0, moment - self.time.now()))
+            act()
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -18,14 +18,12 @@
 
 import argparse
 import functools
-import heapq
 import random
 import typing
 import zlib
 
-from bench import spans
+from bench import events, spans
 from gaprock import (
-    clock,
     endpoint_state,
     gateway_api,
     mesh_halls,
@@ -79,18 +77,18 @@
         return not (self.is_cut or self.is_frozen or self.is_dead)
 
 
-class Play:
+class Play(events.Events):
     """One play; afterwards ``sends`` has the moments of the sends."""
 
     def __init__(
         self, gateways: int, per_s: float, way: str, load: str, seed: int = 0
     ) -> None:
+        super().__init__()
         self.per_s = per_s
         self.way = way
         self.load = load
         self.seed = seed
         self.rng = random.Random(seed)
-        self.time = clock.ManualClock(0.0)
         self.halls = 1 if gateways < 3 else 5 if gateways == 68 else 3
         # The gateways that everybody knows of.
         self.known = gateways
@@ -98,13 +96,6 @@
         row = gateway_api.EndpointRow("s", "10.0.0.1", 1, "h", "v1", 8, False, 1)
         self.endpoint = endpoint_state.Endpoint("e", row)
         self.sends: list[float] = []
-        self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
-        self._count = 0
-
-    def at(self, moment: float, act: typing.Callable[[], None]) -> None:
-        """Plan something."""
-        self._count += 1
-        heapq.heappush(self._events, (moment, self._count, act))
 
     def run(self) -> None:
         """Play to the end."""
@@ -115,12 +106,7 @@
             first_at = self.rng.uniform(0.0, 1.0)
             self.at(first_at, functools.partial(self._tell_far, hall))
         self.at(0.0, self._ask)
-        while self._events:
-            moment, _, act = heapq.heappop(self._events)
-            if moment > END_AT:
-                return
-            self.time.advance(max(0.0, moment - self.time.now()))
-            act()
+        self.run_until(END_AT)
 
     def join(self, gateway: Gateway) -> None:
         """Take a gateway in that starts late, of which nobody else knows."""
--- a/bench/shed.py
+++ b/bench/shed.py
@@ -23,11 +23,11 @@
 
 import argparse
 import functools
-import heapq
 import random
 import typing
 
-from gaprock import clock, directory, endpoint_state, gateway_api
+from bench import events
+from gaprock import directory, endpoint_state, gateway_api
 
 SERVICE: typing.Final = "s"
 SLOTS: typing.Final = 8
@@ -93,7 +93,7 @@
         self.known = self.directory.usable(SERVICE, set())
 
 
-class Play:
+class Play(events.Events):
     """One play; afterwards its counts are there."""
 
     def __init__(
@@ -105,35 +105,23 @@
         backoff_s: float = 3.0,
         seed: int = 0,
     ) -> None:
+        super().__init__()
         self.load = load
         self.way = way
         self.backoff_s = backoff_s
         self.seed = seed
         self.rng = random.Random(seed)
-        self.time = clock.ManualClock(0.0)
         self.endpoints = {f"e{n}": Endpoint(f"e{n}") for n in range(endpoints)}
         self.gateways = [Gateway(n, self) for n in range(gateways)]
         self.bears_per_s = endpoints * SLOTS / (sum(RUN_S) / 2)
         self.served = self.sends = self.at_once = self.late = self.unheeded = 0
         self.last_refusal = 0.0
-        self._events: list[tuple[float, int, typing.Callable[[], None]]] = []
-        self._count = 0
-
-    def at(self, moment: float, act: typing.Callable[[], None]) -> None:
-        """Plan something."""
-        self._count += 1
-        heapq.heappush(self._events, (moment, self._count, act))
 
     def run(self) -> None:
         """Play to the end."""
         self.at(0.0, self._ask)
         self.at(0.0, self._tell)
-        while self._events:
-            moment, _, act = heapq.heappop(self._events)
-            if moment > END_AT:
-                return
-            self.time.advance(max(0.0, moment - self.time.now()))
-            act()
+        self.run_until(END_AT)
 
     # -- What comes out --
 
--- a/gaprock/test/soak_steps.py
+++ b/gaprock/test/soak_steps.py
@@ -1,5 +1,6 @@
 """What a soak does to its processes, store, endpoints, rows, and as the operator."""
 
+import random
 import signal
 import time
 import typing
@@ -209,15 +210,31 @@
 @soak_run.planned
 def endpoint_leaves(soak: soak_run.Soak) -> None:
     """An endpoint is replaced: the new one first, then the old one drains."""
-    endpoint = soak.rng.choice(list(soak.fleet.endpoints.values()))
+
+    def leave(endpoint: soak_fleet.Endpoint) -> None:
+        endpoint.row_s = "draining"
+        soak.fleet.write_row(endpoint)
+        soak.ledger.leaving[endpoint.name] = soak.ledger.now()
+
+    _replace(soak, soak.rng, leave)
+
+
+def _replace(
+    soak: soak_run.Soak,
+    rng: random.Random,
+    leave: typing.Callable[[soak_fleet.Endpoint], None],
+) -> None:
+    """Replace an endpoint.
+
+    :param leave: has it say that it leaves.
+    """
+    endpoint = rng.choice(list(soak.fleet.endpoints.values()))
     if soak.fleet.endpoints.pop(endpoint.name, None) is None:
         return
     soak.fleet.add_endpoint(endpoint.service)
 
     def work() -> None:
-        endpoint.row_s = "draining"
-        soak.fleet.write_row(endpoint)
-        soak.ledger.leaving[endpoint.name] = soak.ledger.now()
+        leave(endpoint)
         # It serves on longer than it says, as some do.
         time.sleep(soak_fleet.DRAIN_S + 2 * soak_ledger.SLACK_S)
         soak.fleet.store.remove("servers", endpoint.name)
@@ -332,18 +349,11 @@
 @soak_run.word_work
 def endpoint_says_that_it_leaves(soak: soak_run.Soak) -> None:
     """An endpoint is replaced, and its row never says so."""
-    endpoint = soak.rng_words.choice(list(soak.fleet.endpoints.values()))
-    if soak.fleet.endpoints.pop(endpoint.name, None) is None:
-        return
-    soak.fleet.add_endpoint(endpoint.service)
 
-    def work() -> None:
+    def leave(endpoint: soak_fleet.Endpoint) -> None:
         endpoint.says_leaving = True
-        time.sleep(soak_fleet.DRAIN_S + 2 * soak_ledger.SLACK_S)
-        soak.fleet.store.remove("servers", endpoint.name)
-        endpoint.stop()
 
-    soak.later(work)
+    _replace(soak, soak.rng_words, leave)
 
 
 @soak_run.word_work
