Read the store's epoch in all its answers, and log what is believed of it

The logs could not tell a reading that is dropped from one that changes nothing, nor a restored store from one that forgot its history. Odd values have one line each.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -261,6 +261,14 @@
                 newest = min(newest, page.version)
                 self._take_whole(page, max(self.changed, newest))
                 self.fresh.prove_by_answer(page.store_now, asked_at)
+            else:
+                eventlog.warning(
+                    "reading-dropped",
+                    table=self.table,
+                    version=page.version,
+                    known=self.version,
+                    epoch=page.epoch,
+                )
         self._is_read = True
 
     def _ask(self, since: int) -> bool:
--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -28,11 +28,13 @@
 
     :param version: the store's version that the rows show.
     :param store_now: the store's own steady clock, seconds.
+    :param epoch: the store's epoch (``store_epochs``), in which the versions hold.
     """
 
     rows: list[Row]
     version: int
     store_now: float
+    epoch: int = 0
 
 
 class Write(typing.NamedTuple):
@@ -90,6 +92,9 @@
 
     __slots__ = ()
 
+    def watch_epoch(self, listener: typing.Callable[[int], None]) -> None:
+        """Have a listener told the epoch in each of the store's answers."""
+
     def read(self, table: str) -> Page:
         """Read a whole table.
 
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -26,6 +26,8 @@
         "config_number",
         "store_connected",
         "store_proof_age",
+        "store_epoch",
+        "store_restores",
         "store_calls",
         "odd_rows",
         "requests_held",
@@ -102,6 +104,16 @@
             ["kind", "table"],
             registry=registry,
         )
+        self.store_epoch = prometheus_client.Gauge(
+            "gaprock_store_epoch",
+            "The shared store's epoch, -1 before it is known",
+            registry=registry,
+        )
+        self.store_restores = prometheus_client.Gauge(
+            "gaprock_store_restores",
+            "Times that the shared store was restored from a backup since the start",
+            registry=registry,
+        )
         self.clock_gaps = prometheus_client.Counter(
             "gaprock_clock_gap_seconds",
             "Time in which this process did nothing, by kind",
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -47,6 +47,7 @@
     rollouts,
     routes,
     row_exchange,
+    store_epochs,
     warm_up,
 )
 
@@ -100,6 +101,8 @@
         self.dialect = dialect
         self.metrics = gateway_metrics.GatewayMetrics()
         self.store = store = gateway_store.CountedStore(store, self.metrics)
+        self.epochs = store_epochs.EpochBook(clock_)
+        store.watch_epoch(lambda epoch: self.epochs.note(epoch, "store"))
         bounds = cfg.bounds
         evidence_ = evidence.EvidenceBook(f"{cfg.vm}/{ids.new_token()}")
         self.directory = directory.Directory(
@@ -429,6 +432,8 @@
         self.metrics.log_lines_dropped.set(eventlog.dropped_lines())
         for odd in self._odd:
             self.metrics.odd_rows.labels(odd.table).set(odd.count)
+        self.metrics.store_epoch.set(self.epochs.newest)
+        self.metrics.store_restores.set(self.epochs.restores)
         self.metrics.requests_held.set(self.quarantine.held_count)
         self._set_notice_metrics(self.directory.notices)
         for follower in self.followers:
--- a/gaprock/gateway_store.py
+++ b/gaprock/gateway_store.py
@@ -26,6 +26,9 @@
         self._store = store
         self._metrics = metrics
 
+    def watch_epoch(self, listener: typing.Callable[[int], None]) -> None:
+        self._store.watch_epoch(listener)
+
     def read(self, table: str) -> gateway_api.Page:
         return self._count("read", table, lambda: self._store.read(table))
 
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -12,7 +12,7 @@
 import urllib3.connection
 import urllib3.util.wait
 
-from gaprock import gateway_api, plugin, retry_after
+from gaprock import eventlog, gateway_api, plugin, retry_after
 
 # Longest wait for a connection and for an ordinary answer, seconds; the store's usual
 # answer takes 4 ms.
@@ -43,25 +43,66 @@
     http.client.HTTPException,
     OSError,
 )
+EPOCH_HEADER: typing.Final = "Store-Era"
+# Longest text of an epoch, characters.
+LONGEST_EPOCH: typing.Final = 15
 # Idle connections that are kept for the next polls; a table needs one.
 IDLE_POLLS: typing.Final = 4
 
 
+class EpochReader:
+    """Reads the epoch in the store's answers; safe for all threads."""
+
+    __slots__ = ("listener", "_newest", "_odd")
+
+    def __init__(self) -> None:
+        self.listener: typing.Callable[[int], None] = lambda epoch: None
+        self._newest = 0
+        # What stood in the epoch's place last and was none.
+        self._odd: list[str] | None = None
+
+    def read(self, answer: urllib3.BaseHTTPResponse) -> int:
+        """Give an answer's epoch; the newest one known where it names none."""
+        texts = answer.headers.getlist(EPOCH_HEADER)
+        epoch = _epoch(texts)
+        if epoch is None:
+            is_expected = not texts and not self._newest
+            if not is_expected and texts != self._odd:
+                self._odd = texts
+                eventlog.warning("store-epoch-odd", value=",".join(texts))
+            return self._newest
+        if epoch < self._newest:
+            eventlog.warning("store-epoch-lower", epoch=epoch, newest=self._newest)
+        self._newest = max(self._newest, epoch)
+        self.listener(epoch)
+        return epoch
+
+
+def _epoch(texts: list[str]) -> int | None:
+    """Decode the values of the epoch's header; ``None`` where they name no epoch."""
+    if len(texts) != 1 or len(texts[0]) > LONGEST_EPOCH:
+        return None
+    text = texts[0].strip()
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 class PlatformPoll(gateway_api.Poll):
     """A call to the feed on a connection of its own.
 
     :param keep: takes the connection when the answer was read whole.
     """
 
-    __slots__ = ("_conn", "_keep")
+    __slots__ = ("_conn", "_keep", "_epochs")
 
     def __init__(
         self,
         conn: urllib3.connection.HTTPConnection,
         keep: typing.Callable[[urllib3.connection.HTTPConnection], None],
+        epochs: EpochReader,
     ) -> None:
         self._conn: urllib3.connection.HTTPConnection | None = conn
         self._keep = keep
+        self._epochs = epochs
 
     def wait(self, wait_s: float) -> bool:
         assert self._conn is not None and self._conn.sock is not None
@@ -74,7 +115,8 @@
             answer = self._conn.getresponse()
         except CALL_ERRORS as exc:
             raise gateway_api.StoreError(type(exc).__name__) from exc
-        page = _page(_checked(answer))
+        epoch = self._epochs.read(answer)
+        page = _page(_checked(answer), epoch)
         self._keep(self._conn)
         self._conn = None
         return page
@@ -92,7 +134,7 @@
     :param address: ``IP:PORT`` of the store.
     """
 
-    __slots__ = ("_pool", "_address", "_idle", "_lock")
+    __slots__ = ("_pool", "_address", "_idle", "_lock", "_epochs")
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -107,22 +149,28 @@
         )
         self._idle: list[urllib3.connection.HTTPConnection] = []
         self._lock = threading.Lock()
+        self._epochs = EpochReader()
+
+    def watch_epoch(self, listener: typing.Callable[[int], None]) -> None:
+        self._epochs.listener = listener
 
     def read(self, table: str) -> gateway_api.Page:
         query = {"Table": table, "part": ""}
-        first = body = self._get("/-/rows-get", query, ANSWER_WAIT_S)
-        rows = _rows(body)
+        first, epoch = self._get("/-/rows-get", query, ANSWER_WAIT_S)
+        body, rows = first, _rows(first)
         while body.get("HasMore"):
             # The next page begins at the smallest key after the last one.
             query["From"] = rows[-1].key + "\0"
-            body = self._get("/-/rows-get", query, ANSWER_WAIT_S)
+            body, later = self._get("/-/rows-get", query, ANSWER_WAIT_S)
+            if later != epoch:
+                raise gateway_api.StoreError("restored while it was read")
             rows += _rows(body)
         # A later page may be newer; a change of an earlier one in between is told by
         # the feed only from the first page's version on.
-        return gateway_api.Page(rows, _number(first, "Ver"), _now(first))
+        return gateway_api.Page(rows, _number(first, "Ver"), _now(first), epoch)
 
     def changes(self, table: str, since: int) -> gateway_api.Page:
-        return _page(self._get(*_feed(table, since, 0.0), CHANGES_WAIT_S))
+        return _page(*self._get(*_feed(table, since, 0.0), CHANGES_WAIT_S))
 
     def poll(self, table: str, since: int, wait_s: float) -> PlatformPoll:
         path, query = _feed(table, since, wait_s)
@@ -133,7 +181,7 @@
         except CALL_ERRORS as exc:
             conn.close()
             raise gateway_api.StoreError(type(exc).__name__) from exc
-        return PlatformPoll(conn, self._keep)
+        return PlatformPoll(conn, self._keep, self._epochs)
 
     def _poll_connection(self) -> urllib3.connection.HTTPConnection:
         """Give a connection for a poll, an idle one if it is still open."""
@@ -173,15 +221,19 @@
         answer = self._call(
             "POST", "/-/rows-tx", ANSWER_WAIT_S, json.dumps(body).encode()
         )
+        self._epochs.read(answer)
         if answer.status == 412:
             return 0
         return _number(_checked(answer), "Ver")
 
     def _get(
         self, path: str, query: dict[str, str], wait_s: float
-    ) -> dict[str, typing.Any]:
+    ) -> tuple[dict[str, typing.Any], int]:
+        """Give an answer's document and epoch."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        return _checked(self._call("GET", target, wait_s))
+        answer = self._call("GET", target, wait_s)
+        epoch = self._epochs.read(answer)
+        return _checked(answer), epoch
 
     def _call(
         self, method: str, target: str, wait_s: float, body: bytes | None = None
@@ -237,12 +289,12 @@
     return body
 
 
-def _page(body: dict[str, typing.Any]) -> gateway_api.Page:
+def _page(body: dict[str, typing.Any], epoch: int) -> gateway_api.Page:
     """Decode a page of rows.
 
     :raises gateway_api.StoreError: when it is none.
     """
-    return gateway_api.Page(_rows(body), _number(body, "Ver"), _now(body))
+    return gateway_api.Page(_rows(body), _number(body, "Ver"), _now(body), epoch)
 
 
 def _rows(body: dict[str, typing.Any]) -> list[gateway_api.Row]:
--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -3,8 +3,9 @@
 Faults are set by a test: ``refuse`` (a status for each call), ``lose`` (writes are done
 and not answered), ``delay`` (seconds before each call is looked at), ``swallow`` (what
 comes is never answered, also when the store is back), ``refuse_tx`` (so many writes are
-refused), ``odd`` (answers are JSON, but none of the store's); ``compact`` makes the
-history go.
+refused), ``odd`` (answers are JSON, but none of the store's), ``epoch`` (what stands in
+the epoch's place); ``compact`` makes the history go, ``restore`` brings an older copy
+back.
 """
 
 import base64
@@ -31,6 +32,8 @@
         self._history: list[tuple[Name, bytes | None, int]] = []
         self.version = 0
         self.forgotten_until = 0
+        # Rises with each restore.
+        self.epoch = 1
         self.calls: list[str] = []
         # The tables of the polls that wait now.
         self.waiting: list[str] = []
@@ -63,6 +66,20 @@
         with self._changed:
             self.forgotten_until = self.version
 
+    def restore(self, version: int) -> None:
+        """Come back from a copy of an earlier version; calls that wait are cut."""
+        with self._changed:
+            self._history = [h for h in self._history if h[2] <= version]
+            self._rows = {}
+            for name, value, changed in self._history:
+                self._rows.pop(name, None)
+                if value is not None:
+                    self._rows[name] = value, changed
+            self.version = version
+            self.forgotten_until = min(self.forgotten_until, version)
+            self.epoch += 1
+            self._changed.notify_all()
+
     def stop(self) -> None:
         self._stopping.set()
         super().stop()
@@ -72,6 +89,13 @@
     def handle(
         self, exchange: httpfake.Exchange, method: str, path: str, body: bytes
     ) -> httpfake.Reply | None:
+        reply = self._reply(path, body)
+        epoch = self.faults.get("epoch", str(self.epoch))
+        if epoch is not None:
+            reply.headers["Store-Era"] = epoch
+        return reply
+
+    def _reply(self, path: str, body: bytes) -> httpfake.Reply:
         call, _, text = path.partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
         self.calls.append(call)
@@ -107,11 +131,16 @@
         table, since = query["Table"], int(query["SinceRev"])
         wait_s = int(query["WaitMs"]) / 1000
         with self._changed:
-            if since < self.forgotten_until:
+            if not self.forgotten_until <= since <= self.version:
                 return httpfake.Reply(410)
+            epoch = self.epoch
             self.waiting.append(table)
-            self._changed.wait_for(lambda: self._newer(table, since), wait_s)
+            self._changed.wait_for(
+                lambda: self.epoch != epoch or self._newer(table, since), wait_s
+            )
             self.waiting.remove(table)
+            if self.epoch != epoch:
+                return httpfake.Reply(0, drop=True)
             rows = [
                 self._row(name, value, version)
                 for name, value, version in self._newer(table, since)
--- a/gaprock/test/testwords.py
+++ b/gaprock/test/testwords.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from gaprock.platform import documents, notices, wire
+from gaprock.platform import documents, notices, store, wire
 
 PAGE: typing.Final = pathlib.Path(__file__).parents[2] / "docs" / "PLATFORM.md"
 TITLE: typing.Final = "## What the platform says, and who heeds it"
@@ -20,6 +20,7 @@
     content-encoding session x-server-stamp x-not-run x-instance-id x-server-load
     x-confidence x-expect-instance x-expect-version x-tenant x-request-urgency x-hold
     x-pin-ms x-kv-backup kv-from kv-fetch x-weight-versions server-limit server-leaving
+    store-era
     service addr zone version slots state coldms born seq stage models
 """.split()
 )
@@ -50,6 +51,7 @@
     words = (notices.LIMIT, notices.LEAVING, notices.RETRY_AFTER, notices.DATE)
     fields = {field.name for field in msgspec.structs.fields(documents.ServerDoc)}
     named = {name.decode() for name in headers | set(words)}
+    named.add(store.EPOCH_HEADER)
     return {name.lower() for name in named | fields | set(READ)}
 
 
