Add failing tests: changes under reused versions are never taken after a restore

The stand-in of the store comes back from an older copy, names its epoch, and answers 410 to versions that it does not have. Then a configuration, and an endpoint that leaves, are written under reused numbers; in one half of the cases later versions have passed the known ones before the gateway's next call.

--- a/gaprock/test/gatewaysite.py
+++ b/gaprock/test/gatewaysite.py
@@ -117,7 +117,7 @@
             plugin.find(gateway_api.Dialect, "platform")(),
         )
 
-    def __enter__(self) -> "GatewaySite":
+    def __enter__(self) -> typing.Self:
         self.store.put("op", "config", config(1))
         self.gateway.start()
         return self
--- /dev/null
+++ b/gaprock/test/testrestored.py
@@ -0,0 +1,96 @@
+"""A store that is restored from a backup: versions go back and are given out again."""
+
+import typing
+
+import pytest
+
+from gaprock.test import gatewaysite
+
+# Whether the versions have passed the known ones before the gateway's next call.
+PASSED = pytest.mark.parametrize("passed", [True, False])
+
+
+class RestoredSite(gatewaysite.GatewaySite):
+    """A gateway whose store loses its latest writes while it is away."""
+
+    def lose(
+        self, lost: typing.Callable[[], object], since: typing.Callable[[], object]
+    ) -> None:
+        """Have the store lose writes.
+
+        :param lost: makes the writes that it loses.
+        :param since: makes the writes after its restore, before it answers again.
+        """
+        version = self.store.version
+        lost()
+        gatewaysite.wait_until(
+            lambda: all(
+                follower.version >= self.store.version
+                or follower.changed >= self.newest(follower.table)
+                for follower in self.gateway.followers
+            ),
+            "what is lost is known",
+        )
+        self.store.faults["refuse"] = 503
+        self.store.restore(version)
+        since()
+        del self.store.faults["refuse"]
+
+    def newest(self, table: str) -> int:
+        """Give the version of a table's newest change."""
+        return max((h[2] for h in self.store._history if h[0][0] == table), default=0)
+
+    def put_config(self, number: int) -> None:
+        self.store.put("op", "config", gatewaysite.config(number))
+
+    def let_pass(self, passed: bool) -> None:
+        """Write elsewhere until all versions that were known are behind."""
+        while passed and self.store.version < 60:
+            self.store.put("status", "other", 1)
+
+    @property
+    def in_force(self) -> int:
+        """The number of the configuration in force."""
+        table = self.gateway.orders.table
+        return table.number if table else 0
+
+
+@PASSED
+def test_a_configuration_under_a_reused_version_is_in_force(passed: bool) -> None:
+    with RestoredSite() as one:
+        gatewaysite.wait_until(lambda: one.gateway.is_ready, "ready")
+
+        def lost() -> None:
+            for number in range(2, 30):
+                one.put_config(number)
+
+        def since() -> None:
+            one.put_config(31)
+            one.let_pass(passed)
+
+        one.lose(lost, since)
+        gatewaysite.wait_until(lambda: one.in_force == 31, "the change is in force")
+
+
+@PASSED
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_an_endpoint_that_leaves_under_a_reused_version_gets_nothing_new(
+    state: str, passed: bool
+) -> None:
+    with RestoredSite() as one:
+        one.add("e1", "app")
+        one.add("e2", "app")
+
+        def lost() -> None:
+            for slots in range(9, 30):
+                one.write_row("e1", "app", Slots=slots)
+
+        def since() -> None:
+            if state == "gone":
+                one.store.remove("servers", "e2")
+            else:
+                one.write_row("e2", "app", State="draining")
+            one.let_pass(passed)
+
+        one.lose(lost, since)
+        gatewaysite.wait_until(lambda: one.known("app") == {"e1"}, "it has left")
