Read tables whole in each new epoch of the store, and compare versions within one

What callers saw: after the store came back from an older copy, gateways kept an old configuration, and sent to an endpoint 2.8 s after its word that it leaves. Cause: a version number was taken for a point in the store's history. Followers dropped whole readings below their version, skipped rows at numbers that they knew, and called without a pause while the store answered 410; peers' copies and proofs were compared by number alone.

Now a page, a table's news, a copy and a request for one carry the store's epoch; (epoch, version) is what is compared. The adapter reads the epoch of every answer, and one book of it has every table read anew, also where a poll hangs or a peer was the first to see it. Answers of an earlier epoch are dropped, a copy or proof of another epoch counts for nothing, and calls that meet 410 again and again pause.

Why it works: within one epoch numbers are not given out twice, so all that the followers did by number holds there; between epochs a table is always read whole. Gateways of the version before tell no epoch: theirs is 0, and they compare numbers as before.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -4,6 +4,9 @@
 take the reader's copies, and the next one polls as soon as the reader falls silent or
 loses the store (``mesh.Mesh.has_readers`` decides who rests).
 
+Versions hold within one epoch of the store (``store_epochs``): a table is read whole in
+each new epoch, and what tells of an earlier one is dropped.
+
 A follower reads its table whole, then waits for changes with a long poll.  While it
 waits it asks the store now and then what the poll should have told: a poll may never
 be answered though the store answers other calls (``freshness``).  When the store forgot
@@ -17,7 +20,14 @@
 import threading
 import typing
 
-from gaprock import clock, eventlog, freshness, gateway_api, mesh_messages
+from gaprock import (
+    clock,
+    eventlog,
+    freshness,
+    gateway_api,
+    mesh_messages,
+    store_epochs,
+)
 
 # Longest poll, seconds; each poll is a priced call.
 POLL_S: typing.Final = 28.0
@@ -63,6 +73,7 @@
         on_back: typing.Callable[[], None] = lambda: None,
         awaits_copy: typing.Callable[[], bool] = lambda: False,
         is_left: typing.Callable[[], bool] = lambda: False,
+        epochs: store_epochs.EpochBook | None = None,
     ) -> None:
         self.table = table
         self._store = store
@@ -80,12 +91,15 @@
         self._awaits_copy = awaits_copy
         # Whether a store that does not answer us is left to others for a while.
         self._is_left = is_left
+        self._epochs = epochs or store_epochs.EpochBook(clock_)
         self._lock = threading.RLock()
         self._rows: dict[str, gateway_api.Row] = {}
         # Whether the table was read whole, so that its changes can be asked for.
         self._is_read = False
         # Whether a poll waits at the store.
         self._is_polling = False
+        # The store's epoch in which the rows were read; all versions are of it.
+        self.epoch = 0
         # What the rows are up to date with; -1 before the first reading.
         self.version = -1
         # The version of the newest change in the table itself; -1 before any reading.
@@ -98,6 +112,8 @@
         self._changes_from = 0
         # Since when the store has not answered; ``NEVER`` while it does.
         self.lost_at = 0.0
+        # How often the history was gone since the last changes that the store told.
+        self._times_gone = 0
         self._rng = random.Random()
         self._stopped = threading.Event()
 
@@ -120,14 +136,14 @@
         with self._lock:
             return list(self._rows.values())
 
-    def changes_after(self, since: int) -> list[gateway_api.Row] | None:
+    def changes_after(self, epoch: int, since: int) -> list[gateway_api.Row] | None:
         """Give the changes after a version; ``None`` if some may not be known.
 
         The rows of 3,000 endpoints, some 180 bytes each, would be handed on whole at
         each change of one of them.
         """
         with self._lock:
-            if since < self._changes_from:
+            if epoch != self.epoch or since < self._changes_from:
                 return None
             found = [row for row in self._rows.values() if row.version > since]
             gone = [(k, v) for k, v in self._removed.items() if v > since]
@@ -138,12 +154,14 @@
     def news(self) -> mesh_messages.TableNews:
         """Give the newest change and the newest proof."""
         with self._lock:
-            return mesh_messages.TableNews(self.changed, self._digest, self.fresh.stamp)
+            return mesh_messages.TableNews(
+                self.changed, self._digest, self.fresh.stamp, self.epoch
+            )
 
     def prove(self, news: mesh_messages.TableNews) -> None:
         """Take a peer's proof, if it is of the table as we know it."""
         with self._lock:
-            if news.digest == self._digest:
+            if news.digest == self._digest and news.epoch == self.epoch:
                 self.fresh.prove(news.proved)
 
     def expect_change(self) -> None:
@@ -159,10 +177,14 @@
         is gone would come back.
         """
         with self._lock:
-            if page.version <= self.version:
+            if (page.epoch, page.version) <= (self.epoch, self.version):
                 return
             eventlog.info(
-                "rows-copied", table=self.table, old=self.changed, new=page.version
+                "rows-copied",
+                table=self.table,
+                old=self.changed,
+                new=page.version,
+                epoch=page.epoch,
             )
             self._take_whole(page, page.version)
             if not self._is_read and self.lost_at == 0.0:
@@ -178,6 +200,7 @@
         """
         with self._lock:
             known = self._is_read and since <= self.version
+            known = known and page.epoch == self.epoch
             if not known or page.version <= self.version:
                 return
             old = self.changed
@@ -206,6 +229,12 @@
             except gateway_api.HistoryGone:
                 eventlog.warning("history-gone", table=self.table, version=self.version)
                 self._is_read = False
+                self._times_gone += 1
+                if self._times_gone > 1:
+                    # What was read whole did not help.
+                    self._rest_from_store(pause_s)
+                    pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+                    continue
             except gateway_api.StoreError as exc:
                 self._note_lost(exc)
                 self._rest_from_store(pause_s, exc.retry_s)
@@ -217,7 +246,8 @@
                 eventlog.warning("follow-failed", table=self.table, error=repr(exc))
                 self._is_read = False
                 self._stopped.wait(LONGEST_PAUSE_S)
-            pause_s = FIRST_PAUSE_S
+            if not self._times_gone:
+                pause_s = FIRST_PAUSE_S
 
     def _rest_from_store(self, pause_s: float, retry_s: float = 0.0) -> None:
         """Wait before the next try, longer for as long as others try for us.
@@ -239,7 +269,7 @@
         self._set_resting(self._is_read and self.connected and self._may_rest())
         if not self._is_read and self._awaits_copy():
             self._stopped.wait(COPY_LOOK_S)
-        elif not self._is_read:
+        elif not self._is_read or (self._is_outdated and not self.resting):
             self._read()
         elif not self.connected or self.fresh.is_check_due:
             # After a failure, a call without a wait shows whether the store answers.
@@ -249,17 +279,37 @@
         elif self._poll():
             self._stopped.wait(self._gather_s)
 
+    @property
+    def _is_outdated(self) -> bool:
+        """Whether the rows are of an earlier epoch of the store."""
+        return self._epochs.newest > self.epoch
+
+    def _check_epoch(self, page: gateway_api.Page) -> None:
+        """See that an answer is of the epoch of our rows.
+
+        :raises gateway_api.HistoryGone: when the store was restored since.
+        :raises gateway_api.StoreError: when the answer is of an earlier epoch.
+        """
+        if page.epoch > self.epoch:
+            raise gateway_api.HistoryGone
+        if page.epoch < self.epoch:
+            raise gateway_api.StoreError("an answer of an earlier epoch")
+
     def _read(self) -> None:
         """Read the table whole."""
         asked_at = self._clock.now()
         page = self._store.read(self.table)
+        if page.epoch < max(self.epoch, self._epochs.newest):
+            raise gateway_api.StoreError("an answer of an earlier epoch")
         self._note_answer()
         with self._lock:
-            if page.version >= self.version:
+            if (page.epoch, page.version) >= (self.epoch, self.version):
                 newest = max((row.version for row in page.rows), default=0)
                 # Rows of a later page may be newer than the page's version.
                 newest = min(newest, page.version)
-                self._take_whole(page, max(self.changed, newest))
+                if page.epoch == self.epoch:
+                    newest = max(self.changed, newest)
+                self._take_whole(page, newest)
                 self.fresh.prove_by_answer(page.store_now, asked_at)
             else:
                 eventlog.warning(
@@ -297,7 +347,7 @@
         self._is_polling = True
         try:
             while not poll.wait(LOOK_S):
-                if self._stopped.is_set():
+                if self._stopped.is_set() or self._is_outdated:
                     return False
                 if self._clock.now() > give_up_at:
                     raise gateway_api.StoreError("a poll without an answer")
@@ -315,9 +365,13 @@
         """Take changes.
 
         :param asked_at: when they were asked for; ``None`` if the store held the call.
+        :raises gateway_api.HistoryGone: when the store was restored since.
+        :raises gateway_api.StoreError: when the answer is of an earlier epoch.
         """
         self._note_answer()
         with self._lock:
+            self._check_epoch(page)
+            self._times_gone = 0
             fresh = self._take_changes(page)
             if page.version >= self.version:
                 self.fresh.prove_by_answer(page.store_now, asked_at)
@@ -327,8 +381,17 @@
             )
 
     def _take_whole(self, page: gateway_api.Page, changed: int) -> None:
+        if page.epoch > self.epoch and self.version >= 0:
+            eventlog.info(
+                "rows-restored",
+                table=self.table,
+                epoch=page.epoch,
+                old=self.epoch,
+                version=page.version,
+                known=self.version,
+            )
         self._rows = {row.key: row for row in page.rows}
-        self.version = max(self.version, page.version)
+        self.epoch, self.version = page.epoch, page.version
         self.changed = changed
         self._removed.clear()
         self._changes_from = page.version
@@ -355,7 +418,7 @@
             self.changed = max(self.changed, row.version)
         self.version = max(self.version, page.version)
         if fresh:
-            changed = gateway_api.Page(fresh, page.version, page.store_now)
+            changed = page._replace(rows=fresh)
             self._sink.take_page(changed, whole=False)
         return len(fresh)
 
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -152,7 +152,7 @@
             clock_, dialect, self.rollouts, self.directory.set_emptied
         )
         self.followers = self._make_followers()
-        self.mesh.source = row_exchange.RowExchange(self.followers, clock_)
+        self.mesh.source = row_exchange.RowExchange(self.followers, clock_, self.epochs)
         self.own_rows = gateway_own.OwnRowsTask(
             cfg.vm,
             clock_,
@@ -314,6 +314,7 @@
             lambda: self.directory.store_returned(self.mesh.store_back_at()),
             lambda: self.cfg.first_start and self.mesh.awaits_readers(),
             self.mesh.tries_for_us,
+            self.epochs,
         )
 
     def _make_server(self) -> gateway_serve.Server:
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -359,8 +359,9 @@
             helps = self.source.take_news(table, news, is_other)
             if helps and may_ask and self._claim_ask(table, now):
                 peer.asked_at = now
-                since = self.source.copied_to(table)
-                self._send(peer, mesh_messages.RowsWanted(self.address, table, since))
+                epoch, since = self.source.copied_to(table)
+                wanted = mesh_messages.RowsWanted(self.address, table, since, epoch)
+                self._send(peer, wanted)
 
     def _claim_ask(self, table: int, now: float) -> bool:
         """Whether one more peer may be asked for a table now."""
@@ -374,7 +375,8 @@
     def _on_wanted(self, wanted: mesh_messages.RowsWanted) -> None:
         peer = self._peers.get(wanted.address)
         if peer is not None and peer.sock is not None and self.source is not None:
-            self._send(peer, self.source.copy(wanted.table, wanted.since))
+            rows = self.source.copy(wanted.table, wanted.since, wanted.epoch)
+            self._send(peer, rows)
 
     def _on_rows(self, rows: mesh_messages.Rows) -> None:
         if self.source is not None:
--- a/gaprock/mesh_beats.py
+++ b/gaprock/mesh_beats.py
@@ -33,15 +33,15 @@
     def reads(self) -> bool:
         """Whether we read the store ourselves, and it answers."""
 
-    def copied_to(self, table: int) -> int:
-        """Give the version after which a table's changes help us; -1 for all of it."""
+    def copied_to(self, table: int) -> tuple[int, int]:
+        """Give the epoch and version after which a table's changes help us."""
 
     def take_news(
         self, table: int, news: mesh_messages.TableNews, is_far: bool
     ) -> bool:
         """Take what a peer knows; give whether its copy would help."""
 
-    def copy(self, table: int, since: int) -> mesh_messages.Rows:
+    def copy(self, table: int, since: int, epoch: int) -> mesh_messages.Rows:
         """Give a table, or what has changed in it after a version."""
 
     def take_copy(self, rows: mesh_messages.Rows) -> None:
@@ -90,7 +90,7 @@
         rolls = self._rollout_news()
         moving = [(n.on_old, n.kept) for n in rolls]
         tick, _ = self._evidence.since(1 << 60)
-        versions = [table.changed for table in self._tables()]
+        versions = [table.point for table in self._tables()]
         # Who has a change from the store tells it at once; who has it from a peer need
         # not, or each change would set all gateways of a hall talking.
         told = versions if self.source is not None and self.source.reads() else []
@@ -139,7 +139,7 @@
             return mesh_peers.News((), ())
         hall = self._hall_news(now)
         tables = self._tables()
-        orders = tables[0].changed if tables else 0
+        orders = tables[0].point if tables else (0, 0)
         moving = [(roll.on_old, roll.kept) for roll in hall.rollouts]
         tick, _ = self._evidence.since(1 << 60)
         proofs = self._proofs()
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -41,11 +41,18 @@
     :param digest: of all rows; a table that was read whole shows nothing of a row that
         was removed before, so the newest change alone does not tell two tables apart.
     :param proved: the store's time at which it had just these rows; 0 for never.
+    :param epoch: the store's epoch, in which the version holds.
     """
 
     changed: int
     digest: int
     proved: float
+    epoch: int = 0
+
+    @property
+    def point(self) -> tuple[int, int]:
+        """The epoch and the newest change; a greater one is later."""
+        return self.epoch, self.changed
 
 
 class Carrier(msgspec.Struct, array_like=True, frozen=True):
@@ -140,11 +147,13 @@
     """Asks for a table, because the store does not answer or others read it for us.
 
     :param since: the version after which changes are wanted; -1 for the whole table.
+    :param epoch: of that version.
     """
 
     address: str
     table: int
     since: int = -1
+    epoch: int = 0
 
 
 class RowCopy(msgspec.Struct, array_like=True, frozen=True):
@@ -159,12 +168,14 @@
     """A table as of a version of the store.
 
     :param since: the version after which these rows changed; -1 for the whole table.
+    :param epoch: of all versions here.
     """
 
     table: int
     version: int
     rows: list[RowCopy]
     since: int = -1
+    epoch: int = 0
 
 
 Message = Beat | RowsWanted | Rows
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -44,8 +44,10 @@
     OSError,
 )
 EPOCH_HEADER: typing.Final = "Store-Era"
-# Longest text of an epoch, characters.
+# Longest text of an epoch, characters, and the largest rise between two answers: one
+# that is too large would have every later answer taken for an earlier one.
 LONGEST_EPOCH: typing.Final = 15
+LARGEST_RISE: typing.Final = 1000
 # Idle connections that are kept for the next polls; a table needs one.
 IDLE_POLLS: typing.Final = 4
 
@@ -57,26 +59,31 @@
 
     def __init__(self) -> None:
         self.listener: typing.Callable[[int], None] = lambda epoch: None
-        self._newest = 0
-        # What stood in the epoch's place last and was none.
-        self._odd: list[str] | None = None
+        # ``None`` before an answer named one.
+        self._newest: int | None = None
+        # What stood last in the epoch's place and was of no use.
+        self._odd: list[str] = []
 
     def read(self, answer: urllib3.BaseHTTPResponse) -> int:
         """Give an answer's epoch; the newest one known where it names none."""
         texts = answer.headers.getlist(EPOCH_HEADER)
-        epoch = _epoch(texts)
-        if epoch is None:
-            is_expected = not texts and not self._newest
-            if not is_expected and texts != self._odd:
-                self._odd = texts
-                eventlog.warning("store-epoch-odd", value=",".join(texts))
-            return self._newest
-        if epoch < self._newest:
-            eventlog.warning("store-epoch-lower", epoch=epoch, newest=self._newest)
-        self._newest = max(self._newest, epoch)
+        epoch, newest = _epoch(texts), self._newest
+        if epoch is None or newest is not None and epoch > newest + LARGEST_RISE:
+            self._note_odd(texts or ["none"])
+            return newest or 0
+        if newest is not None and epoch < newest:
+            eventlog.warning("store-epoch-lower", epoch=epoch, newest=newest)
+            return epoch
+        self._newest = epoch
         self.listener(epoch)
         return epoch
 
+    def _note_odd(self, texts: list[str]) -> None:
+        """Log what is no epoch, once until it is another text."""
+        if texts != self._odd:
+            self._odd = texts
+            eventlog.warning("store-epoch-odd", value=",".join(texts))
+
 
 def _epoch(texts: list[str]) -> int | None:
     """Decode the values of the epoch's header; ``None`` where they name no epoch."""
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -1,21 +1,35 @@
 """Rows and proofs of the followed tables, given to and taken from other gateways."""
 
-from gaprock import clock, followers, gateway_api, mechanisms, mesh_messages
+from gaprock import (
+    clock,
+    followers,
+    gateway_api,
+    mechanisms,
+    mesh_messages,
+    store_epochs,
+)
 
 
 class RowExchange:
     """Copies of followed tables, and how fresh they are.
 
     :param tables: in the order of ``mesh_messages.TABLES``.
+    :param epochs: learns of a new epoch from peers.
     """
 
-    __slots__ = ("_followers", "_clock", "_missed", "_told")
+    __slots__ = ("_followers", "_clock", "_epochs", "_missed", "_told")
 
-    def __init__(self, tables: list[followers.Follower], clock_: clock.Clock) -> None:
+    def __init__(
+        self,
+        tables: list[followers.Follower],
+        clock_: clock.Clock,
+        epochs: store_epochs.EpochBook | None = None,
+    ) -> None:
         self._followers = tables
         self._clock = clock_
+        self._epochs = epochs or store_epochs.EpochBook(clock_)
         # The newest change that a peer told of and we lack, and since when, by table.
-        self._missed: dict[int, tuple[int, float]] = {}
+        self._missed: dict[int, tuple[tuple[int, int], float]] = {}
         # The newest proof that a peer told of each table.
         self._told: dict[int, mesh_messages.TableNews] = {}
 
@@ -49,47 +63,55 @@
         if not 0 <= table < len(self._followers):
             return False
         follower = self._followers[table]
+        self._epochs.note(news.epoch, "peer")
         # Saves more than a third of what four gateways call the store for, 0.0035 of a
         # day's worth (six days).
         if mechanisms.TOLD_PROOFS.on:
             follower.prove(news)
             self._told[table] = news
         now = self._clock.now()
-        newest, since = self._missed.get(table, (0, now))
-        newest = max(newest, news.changed)
-        if newest <= follower.version:
+        known = follower.epoch, follower.version
+        newest, since = self._missed.get(table, (news.point, now))
+        newest = max(newest, news.point)
+        if newest <= known:
             self._missed.pop(table, None)
             return False
         if table not in self._missed:
             follower.expect_change()
         # A peer that is as far behind as we are does not end the wait.
         self._missed[table] = newest, since
-        if news.changed <= follower.version:
+        if news.point <= known:
             return False
         if follower.resting and not is_far:
             return True
         return not follower.connected or now >= since + followers.BEHIND_S
 
-    def copied_to(self, table: int) -> int:
-        """Give the version after which a table's changes help us; -1 for all of it."""
-        return self._followers[table].copied_to
+    def copied_to(self, table: int) -> tuple[int, int]:
+        """Give the epoch and version after which a table's changes help us.
 
-    def copy(self, table: int, since: int = -1) -> mesh_messages.Rows:
+        :returns: a version of -1 where all of it is needed.
+        """
+        follower = self._followers[table]
+        return follower.epoch, follower.copied_to
+
+    def copy(self, table: int, since: int = -1, epoch: int = 0) -> mesh_messages.Rows:
         """Give a table, or what has changed in it after a version if that is known."""
         follower = self._followers[table]
-        rows = follower.changes_after(since) if since >= 0 else None
+        rows = follower.changes_after(epoch, since) if since >= 0 else None
         if rows is None:
             rows, since = follower.rows(), -1
         copies = [
             mesh_messages.RowCopy(row.key, row.value, row.version) for row in rows
         ]
-        return mesh_messages.Rows(table, follower.changed, copies, since)
+        return mesh_messages.Rows(
+            table, follower.changed, copies, since, follower.epoch
+        )
 
     def take_copy(self, rows: mesh_messages.Rows) -> None:
         """Take a table, or its changes, from a peer."""
         found = [gateway_api.Row(r.key, r.value, r.version) for r in rows.rows]
         # A copy tells nothing of the store's clock.
-        page = gateway_api.Page(found, rows.version, 0.0)
+        page = gateway_api.Page(found, rows.version, 0.0, rows.epoch)
         follower = self._followers[rows.table]
         if rows.since < 0:
             follower.take_copy(page)
--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -33,7 +33,7 @@
         self.version = 0
         self.forgotten_until = 0
         # Rises with each restore.
-        self.epoch = 1
+        self.epoch = 0
         self.calls: list[str] = []
         # The tables of the polls that wait now.
         self.waiting: list[str] = []
--- a/gaprock/test/fleetcase.py
+++ b/gaprock/test/fleetcase.py
@@ -61,8 +61,8 @@
         """Whether a peer's copy would help."""
         return False
 
-    def copied_to(self, table: int) -> int:
-        return -1
+    def copied_to(self, table: int) -> tuple[int, int]:
+        return 0, -1
 
 
 class Member:
--- a/gaprock/test/testscale.py
+++ b/gaprock/test/testscale.py
@@ -203,7 +203,8 @@
 
     def hand_on(self) -> mesh_messages.Rows:
         """Have the one who rests ask for what it lacks; give what it got."""
-        rows = self.tell.copy(0, self.hear.copied_to(0))
+        epoch, since = self.hear.copied_to(0)
+        rows = self.tell.copy(0, since, epoch)
         decoded = mesh_messages.decode(mesh_messages.encode(rows))
         assert isinstance(decoded, mesh_messages.Rows)
         self.hear.take_copy(decoded)
