Keep a hall emptied while a restored store lacks the order for it

What callers would see: requests in a hall that the operator has emptied. Cause: an order stood as long as its row, and an older copy has no row of the latest order.

--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -415,6 +415,7 @@
         if not self.port.is_accepting:
             eventlog.warning("not-accepting", open=self.server.open_calls)
         self.directory.forget_gone()
+        self.orders.believe_rows()
         self._sender.settle_breaks()
         self.quarantine.forget_old()
         table = self.orders.table
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -38,6 +38,10 @@
         # Told the halls that are to be empty, as often as that changes.
         self._on_emptied = on_emptied
         self._emptied: frozenset[str] = frozenset()
+        # Those whose orders a restored store lacks, and until when these may be
+        # written again.
+        self._doubted: set[str] = set()
+        self._doubted_until = -clock.NEVER
         # The store's epoch of the rows that were taken.
         self._epoch = 0
         self.odd = odd_rows.OddRows("orders", clock_)
@@ -48,8 +52,9 @@
 
     def take_page(self, page: gateway_api.Page, whole: bool) -> None:
         """Take changed rows, or the whole table."""
+        is_restored = page.epoch > self._epoch
         self._epoch = page.epoch
-        self._take_emptied(page.rows, whole)
+        self._take_emptied(page.rows, whole, is_restored)
         for row in page.rows:
             if row.value is None:
                 continue
@@ -58,20 +63,36 @@
             except gateway_api.InvalidDocument as exc:
                 self.odd.note(row, exc)
 
-    def _take_emptied(self, rows: list[gateway_api.Row], whole: bool) -> None:
-        """Take the halls that are to be empty: an order stands as long as its row."""
-        halls = set() if whole else set(self._emptied)
-        for row in rows:
-            hall = self._dialect.emptied_hall(row.key)
-            if hall is None:
-                continue
-            if row.value is None:
-                halls.discard(hall)
-            else:
-                halls.add(hall)
+    def _take_emptied(
+        self, rows: list[gateway_api.Row], whole: bool, is_restored: bool
+    ) -> None:
+        """Take the halls that are to be empty: an order stands as long as its row.
+
+        One that a restored store lacks stands until the operator has had time to write
+        it again.
+        """
+        named = [(self._dialect.emptied_hall(row.key), row.value) for row in rows]
+        ordered = {hall for hall, value in named if hall and value is not None}
+        ended = {hall for hall, value in named if hall and value is None}
+        if is_restored:
+            self._doubted = set(self._emptied)
+            self._doubted_until = self._clock.now() + store_epochs.REWRITTEN_S
+        self._doubted -= ordered | ended
+        before = self._doubted if whole else self._emptied - ended
+        self._set_emptied(before | ordered)
+
+    def believe_rows(self) -> None:
+        """End what a restored store lacks and nobody has written again."""
+        if self._doubted and self._clock.now() > self._doubted_until:
+            doubted, self._doubted = self._doubted, set()
+            eventlog.warning("hall-orders-lost", halls=",".join(sorted(doubted)))
+            self._set_emptied(self._emptied - doubted)
+
+    def _set_emptied(self, halls: typing.Collection[str]) -> None:
+        halls = frozenset(halls)
         if halls != self._emptied:
-            self._emptied = frozenset(halls)
-            self._on_emptied(self._emptied)
+            self._emptied = halls
+            self._on_emptied(halls)
 
     def _take(self, row: gateway_api.Row, value: bytes) -> None:
         table = self._dialect.route_table(row.key, value)
--- a/gaprock/test/testrestoredrollouts.py
+++ b/gaprock/test/testrestoredrollouts.py
@@ -1,4 +1,4 @@
-"""Rollouts over a restore of the store, which loses orders and outcomes."""
+"""Rollouts and halls over a restore of the store, which loses orders and outcomes."""
 
 import typing
 
@@ -8,7 +8,14 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from gaprock import clock, gateway_api, gateway_rows, mesh_messages, rollout_state
+from gaprock import (
+    clock,
+    gateway_api,
+    gateway_rows,
+    mesh_messages,
+    rollout_state,
+    store_epochs,
+)
 from gaprock.platform import wire
 from gaprock.test import rolloutcase, testtakeover
 
@@ -31,9 +38,13 @@
         self.case = rolloutcase.WriterCase(time)
         self.book, self.writer = self.case.book, self.case.writer
         dialect = wire.PlatformDialect()
-        self.orders = gateway_rows.OrderRows(time, dialect, self.book)
+        self.halls: frozenset[str] = frozenset()
+        self.orders = gateway_rows.OrderRows(time, dialect, self.book, self._empty)
         self.outcomes = gateway_rows.OutcomeRows(time, dialect, self.book, self.writer)
 
+    def _empty(self, halls: frozenset[str]) -> None:
+        self.halls = halls
+
     def order(self, epoch: int, number: int, version: str, whole: bool = False) -> None:
         """Read an order."""
         row = gateway_api.Row(ORDER_KEY, order_value(version), number)
@@ -174,6 +185,44 @@
     assert one.write() == ["rolled_back"]
 
 
+# -- Halls --
+
+
+def hall(name: str, number: int, is_ordered: bool = True) -> gateway_api.Row:
+    return gateway_api.Row(f"evacuate/{name}", b"{}" if is_ordered else None, number)
+
+
+def page(epoch: int, *rows: gateway_api.Row) -> gateway_api.Page:
+    return gateway_api.Page(list(rows), 50, 0.0, epoch)
+
+
+def test_a_hall_stays_emptied_while_a_restored_store_lacks_its_order(
+    one: Gateway,
+) -> None:
+    one.orders.take_page(page(1, hall("h1", 7)), whole=False)
+    one.orders.take_page(page(2), whole=True)
+    one.time.advance(store_epochs.REWRITTEN_S - 0.1)
+    one.orders.believe_rows()
+    assert one.halls == {"h1"}
+    # Read whole once more in the same epoch.
+    one.orders.take_page(page(2), whole=True)
+    assert one.halls == {"h1"}
+    one.time.advance(0.2)
+    one.orders.believe_rows()
+    assert one.halls == frozenset()
+
+
+def test_a_hall_whose_order_is_written_again_stays_emptied(one: Gateway) -> None:
+    one.orders.take_page(page(1, hall("h1", 7)), whole=False)
+    one.orders.take_page(page(2), whole=True)
+    one.orders.take_page(page(2, hall("h1", 5)), whole=False)
+    one.time.advance(2 * store_epochs.REWRITTEN_S)
+    one.orders.believe_rows()
+    assert one.halls == {"h1"}
+    one.orders.take_page(page(2, hall("h1", 6, False)), whole=False)
+    assert one.halls == frozenset()
+
+
 # -- Who writes, under chance --
 
 
