Write a gateway's own row again after a restore of the store lost it

What callers would see: gateways that start later do not find those whose rows are gone, so that each counts a part of the fleet (LIMIT, BUDGET). Cause: the row was written once, at the start. Now a row that was written less than a minute before a restore is written again, spread over two seconds, without a condition; older ones are in every copy and cost no call. Evidence: the new test in testrestored, which fails with the look switched off.

--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -166,6 +166,7 @@
             self.writer,
             self.followers,
             cfg.first_start,
+            self.epochs,
         )
         self.budget = retry_window.RetryWindow(
             bounds.budget_ratio,
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -1,4 +1,4 @@
-"""What a gateway does with its own rows at its start.
+"""What a gateway does with its own rows at its start, and after the store lost them.
 
 It reads where the others take messages and when rollouts began, begins to follow the
 tables, and writes where it takes messages itself.
@@ -7,8 +7,12 @@
 reads once after its own row is written, so the later of the two readings comes after
 both writings.  A gateway whose row still stands from an earlier life need not write it
 nor read again, which is a third of the calls of a restart.
+
+A store that is restored from a backup may lack a row that was written just before, so
+it is written again.
 """
 
+import random
 import threading
 import typing
 
@@ -25,14 +29,22 @@
     mesh_members,
     rollout_writer,
     rollouts,
+    store_epochs,
 )
 
 # Pause before a call that the store did not answer is made again, seconds.
 RETRY_S: typing.Final = 0.5
+# A row that is older than this is in every copy that a store may be restored from,
+# seconds.
+COPIED_S: typing.Final = 60.0
+# Pause between two looks at the store's epoch, seconds, and how far the writings of
+# many gateways are spread after a restore.
+EPOCH_LOOK_S: typing.Final = 0.5
+SPREAD_S: typing.Final = 2.0
 
 
 class OwnRowsTask:
-    """Runs once, on a thread of its own.
+    """Runs on a thread of its own.
 
     :param name: this gateway's name.
     :param table: the table of our own rows.
@@ -51,6 +63,9 @@
         "_followers",
         "_is_first_start",
         "_is_announced",
+        "_announced_at",
+        "_epochs",
+        "_epoch",
         "_stopped",
         "_retry_s",
     )
@@ -68,6 +83,7 @@
         writer: rollout_writer.RolloutWriter,
         followers_: list[followers.Follower],
         is_first_start: bool = False,
+        epochs: store_epochs.EpochBook | None = None,
     ) -> None:
         self._name = name
         self._clock = clock_
@@ -82,12 +98,17 @@
         self._is_first_start = is_first_start
         # Whether the store was seen to have our row as it should be.
         self._is_announced = not mesh_.address
+        # When our row was last written, or seen at a start soon after an earlier life.
+        self._announced_at = clock_.now()
+        self._epochs = epochs or store_epochs.EpochBook(clock_)
+        # The store's epoch in which the row was written.
+        self._epoch = -1
         self._stopped = threading.Event()
         # Pause after the last call that failed.
         self._retry_s = RETRY_S
 
     def run(self) -> None:
-        """Read the rows, and follow the tables.
+        """Read the rows, follow the tables, and see that our row stays written.
 
         The tables are followed at once when the store does not answer: peers' copies
         may come before it does.
@@ -104,6 +125,19 @@
         if not self._is_announced:
             self._until_done(self._announce)
             self._until_done(self._read)
+        while self._mesh.address and not self._stopped.wait(EPOCH_LOOK_S):
+            self.look()
+
+    def look(self) -> None:
+        """Write our row again if a restore of the store may have lost it."""
+        if self._epochs.newest <= self._epoch:
+            return
+        old, self._epoch = self._epoch, self._epochs.newest
+        if self._clock.now() > self._announced_at + COPIED_S:
+            return
+        eventlog.info("rows-written-again", rows="peer", epoch=self._epoch, old=old)
+        self._stopped.wait(random.uniform(0.0, SPREAD_S))
+        self._until_done(self._announce)
 
     def stop(self) -> None:
         """End after the call under way."""
@@ -130,6 +164,8 @@
         )
         found = [mesh_members.Found(r.address, r.hall, n) for n, r in own.peers.items()]
         self._mesh.found(found)
+        if self._epoch < 0:
+            self._epoch = self._epochs.newest
         self._orders.starts.update(own.starts)
         for (service, revision), started_at in own.starts.items():
             self._rollouts.backdate(service, revision, started_at, "own row")
@@ -149,6 +185,8 @@
         """
         if not self._mesh.address:
             return True
+        # A restore while the answer is under way may lose the row.
+        epoch = self._epochs.newest
         key = gateway_rows.PEER_PREFIX + self._name
         value = msgspec.json.encode(self._row)
         try:
@@ -157,4 +195,6 @@
             self._retry_s = max(RETRY_S, exc.retry_s)
             eventlog.warning("announce", error=exc)
             return False
+        self._announced_at = self._clock.now()
+        self._epoch = epoch if epoch >= 0 else self._epochs.newest
         return True
--- a/gaprock/test/gatewayfleet.py
+++ b/gaprock/test/gatewayfleet.py
@@ -22,7 +22,7 @@
         self.kind = kind
         self.service_name = "llm" if kind == "gen" else "app"
         self._stack = contextlib.ExitStack()
-        self.site = gatewaysite.GatewaySite(_with_mesh)
+        self.site = gatewaysite.GatewaySite(with_mesh)
         self.gateways = [self.site.gateway]
         for number in range(2, count + 1):
             self.gateways.append(self._make(number))
@@ -35,7 +35,7 @@
         cfg.store_address = self.site.cfg.store_address
         cfg.metrics_port, cfg.max_calls = 0, 32
         cfg.bounds.budget_allowance = 50
-        _with_mesh(cfg)
+        with_mesh(cfg)
         first = self.site.gateway
         return gateway_node.Gateway(cfg, first.clock, first.store, first.dialect)
 
@@ -105,5 +105,6 @@
         return {peer.name: peer.spoke_at for peer in peers}
 
 
-def _with_mesh(cfg: options.Options) -> None:
+def with_mesh(cfg: options.Options) -> None:
+    """Have a gateway talk to others."""
     cfg.mesh_port = gatewaysite.free_port()
--- a/gaprock/test/testrestored.py
+++ b/gaprock/test/testrestored.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gaprock.test import gatewaysite
+from gaprock.test import gatewayfleet, gatewaysite
 
 # Whether the versions have passed the known ones before the gateway's next call.
 PASSED = pytest.mark.parametrize("passed", [True, False])
@@ -94,3 +94,18 @@
 
         one.lose(lost, since)
         gatewaysite.wait_until(lambda: one.known("app") == {"e1"}, "it has left")
+
+
+def test_a_gateways_own_row_is_written_again_after_a_restore_lost_it() -> None:
+    with RestoredSite(gatewayfleet.with_mesh) as one:
+        key = "peer/gateway-1"
+
+        def row() -> object:
+            return one.store.value("gaprock", key)
+
+        gatewaysite.wait_until(lambda: row() is not None, "the row is written")
+        gatewaysite.wait_until(lambda: one.gateway.is_ready, "ready")
+        written = row()
+        one.store.restore(1)
+        assert row() is None
+        gatewaysite.wait_until(lambda: row() == written, "it is written again")
