Have a gateway that starts after a restore take its peers' configuration

What callers would see: refusals and routes of a configuration that was replaced before the store lost it, at gateways that start before the operator has written it again. Cause: such a gateway knows nothing but the copy, and its peers' rows are the copy's too; what they keep in force is in no table. Now beats tell the number in force, and a gateway that lags though its rows do not asks for the configuration's row; an older one is never taken. The epoch's listeners are a list, since gateways of one test share a store. Evidence: test_a_gateway_that_starts_after_a_restore_has_its_peers_configuration was red until the exchange was given the orders; testscale, testhalls and testfleet as before.

--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -153,7 +153,9 @@
             clock_, dialect, self.rollouts, self.directory.set_emptied
         )
         self.followers = self._make_followers()
-        self.mesh.source = row_exchange.RowExchange(self.followers, clock_, self.epochs)
+        self.mesh.source = row_exchange.RowExchange(
+            self.followers, clock_, self.epochs, self.orders
+        )
         self.own_rows = gateway_own.OwnRowsTask(
             cfg.vm,
             clock_,
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -3,6 +3,7 @@
 A row that cannot be decoded names nothing (``odd_rows``).
 """
 
+import threading
 import typing
 
 import msgspec
@@ -45,8 +46,11 @@
         # The store's epoch of the rows that were taken.
         self._epoch = 0
         self.odd = odd_rows.OddRows("orders", clock_)
-        # The configuration in force; ``None`` before the first one.
+        # The configuration in force, and its row; ``None`` before the first one.
         self.table: routes.RouteTable | None = None
+        self.config_row: gateway_api.Row | None = None
+        # Rows come from the store, and a configuration from peers too.
+        self._lock = threading.Lock()
         # Starts of rollouts that were found in the store, by (service, revision).
         self.starts: dict[tuple[str, int], float] = {}
 
@@ -94,10 +98,25 @@
             self._emptied = halls
             self._on_emptied(halls)
 
+    @property
+    def config_number(self) -> int:
+        """The number of the configuration in force; 0 before the first one."""
+        return self.table.number if self.table is not None else 0
+
+    def take_config(self, row: gateway_api.Row) -> None:
+        """Take the row of a configuration from a peer; an older one is not taken."""
+        try:
+            table = self._dialect.route_table(row.key, row.value or b"")
+        except gateway_api.InvalidDocument as exc:
+            self.odd.note(row, exc)
+            return
+        if table is not None:
+            self._take_table(table, row)
+
     def _take(self, row: gateway_api.Row, value: bytes) -> None:
         table = self._dialect.route_table(row.key, value)
         if table is not None:
-            self._take_table(table, row.version)
+            self._take_table(table, row)
             return
         order = self._dialect.order(row.key, value)
         if order is not None:
@@ -106,19 +125,21 @@
             started_at = now if found is None else min(found, now)
             self._rollouts.take_order(order, row.version, started_at, self._epoch)
 
-    def _take_table(self, table: routes.RouteTable, revision: int) -> None:
-        old = self.table
-        if old is not None and table.number <= old.number:
-            if table.number < old.number:
-                eventlog.warning(
-                    "config-older", number=table.number, in_force=old.number
-                )
-            return
-        self.table = table
+    def _take_table(self, table: routes.RouteTable, row: gateway_api.Row) -> None:
+        with self._lock:
+            old = self.table
+            if old is not None and table.number <= old.number:
+                if table.number < old.number:
+                    eventlog.warning(
+                        "config-older", number=table.number, in_force=old.number
+                    )
+                return
+            self.table, self.config_row = table, row
         eventlog.info(
             "config-in-force",
             number=table.number,
-            revision=revision,
+            revision=row.version,
+            epoch=self._epoch,
             old="none" if old is None else old.number,
         )
 
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -55,6 +55,8 @@
 # same table within it: all peers' copies of large tables at once would hold up a start.
 ASK_PAUSE_S: typing.Final = 0.5
 ASKED_AT_ONCE: typing.Final = 2
+# Stands for the configuration among the numbers of tables that are asked for.
+CONFIG: typing.Final = -1
 
 
 class Mesh(mesh_beats.BeatWriter):
@@ -84,6 +86,8 @@
             mesh_messages.Beat: self._on_beat,
             mesh_messages.RowsWanted: self._on_wanted,
             mesh_messages.Rows: self._on_rows,
+            mesh_messages.ConfigWanted: self._on_config_wanted,
+            mesh_messages.ConfigCopy: self._on_config,
         }
 
     # -- For other threads --
@@ -363,6 +367,13 @@
                 epoch, since = self.source.copied_to(table)
                 wanted = mesh_messages.RowsWanted(self.address, table, since, epoch)
                 self._send(peer, wanted)
+        tables = peer.beat.tables
+        if not tables or not may_ask:
+            return
+        orders = tables[mesh_messages.ORDERS]
+        if self.source.lacks_config(peer.beat.config, orders):
+            if self._claim_ask(CONFIG, now):
+                self._send(peer, mesh_messages.ConfigWanted(self.address))
 
     def _claim_ask(self, table: int, now: float) -> bool:
         """Whether one more peer may be asked for a table now."""
@@ -383,6 +394,16 @@
         if self.source is not None:
             self.source.take_copy(rows)
 
+    def _on_config_wanted(self, wanted: mesh_messages.ConfigWanted) -> None:
+        peer = self._peers.get(wanted.address)
+        copy = self.source.config_copy() if self.source is not None else None
+        if peer is not None and peer.sock is not None and copy is not None:
+            self._send(peer, copy)
+
+    def _on_config(self, copy: mesh_messages.ConfigCopy) -> None:
+        if self.source is not None:
+            self.source.take_config(copy)
+
     def _forget_silent(self) -> None:
         now = self._clock.now()
         for peer in list(self._peers.values()):
--- a/gaprock/mesh_beats.py
+++ b/gaprock/mesh_beats.py
@@ -36,6 +36,18 @@
     def reads(self) -> bool:
         """Whether we read the store ourselves, and it answers."""
 
+    def config_number(self) -> int:
+        """Give the number of the configuration in force."""
+
+    def lacks_config(self, number: int, orders: mesh_messages.TableNews) -> bool:
+        """Whether a peer has a newer configuration that its rows do not bring us."""
+
+    def config_copy(self) -> mesh_messages.ConfigCopy | None:
+        """Give the configuration in force."""
+
+    def take_config(self, copy: mesh_messages.ConfigCopy) -> None:
+        """Take a peer's configuration."""
+
     def copied_to(self, table: int) -> tuple[int, int]:
         """Give the epoch and version after which a table's changes help us."""
 
@@ -201,6 +213,9 @@
     def _epoch_age_s(self) -> int:
         return self.source.epoch_age_s() if self.source is not None else 0
 
+    def _config_number(self) -> int:
+        return self.source.config_number() if self.source is not None else 0
+
     def _has_store(self) -> bool:
         return self.source is not None and self.source.has_store()
 
@@ -237,6 +252,7 @@
             limits=self._directory.pacer.news(),
             departing=self._directory.departure_news(),
             epoch_age_s=self._epoch_age_s(),
+            config=self._config_number(),
         )
 
     def _far_beat(self, now: float) -> mesh_messages.Beat:
@@ -255,6 +271,7 @@
             self.leaving,
             [self._hall_news(now)],
             epoch_age_s=self._epoch_age_s(),
+            config=self._config_number(),
         )
 
     def _suspects_for(
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -15,6 +15,7 @@
 
 # Row tables that a beat gives versions of, in this order.
 TABLES: typing.Final = ("orders", "endpoints", "outcomes")
+ORDERS: typing.Final = 0
 
 
 class RolloutNews(msgspec.Struct, array_like=True, frozen=True):
@@ -125,6 +126,7 @@
     :param limits: rate limits that endpoints name, and what the sender wants to send.
     :param departing: endpoints that say that they leave.
     :param epoch_age_s: whole seconds since the sender heard of the store's epoch.
+    :param config: the number of the configuration in force there.
     """
 
     sender: str
@@ -145,6 +147,7 @@
     limits: list[rate_limits.LimitNews] = []
     departing: list[departures.DepartureNews] = []
     epoch_age_s: int = 0
+    config: int = 0
 
 
 def halts(news: list[RolloutNews]) -> list[tuple[str, int, bool]]:
@@ -187,7 +190,19 @@
     epoch: int = 0
 
 
-Message = Beat | RowsWanted | Rows
+class ConfigWanted(msgspec.Struct, tag="cw", array_like=True, frozen=True):
+    """Asks for the configuration in force, because the store's is an older one."""
+
+    address: str
+
+
+class ConfigCopy(msgspec.Struct, tag="c", array_like=True, frozen=True):
+    """The row of the configuration in force, which a restored store may lack."""
+
+    row: RowCopy
+
+
+Message = Beat | RowsWanted | Rows | ConfigWanted | ConfigCopy
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -55,10 +55,10 @@
 class EpochReader:
     """Reads the epoch in the store's answers; safe for all threads."""
 
-    __slots__ = ("listener", "_newest", "_odd")
+    __slots__ = ("listeners", "_newest", "_odd")
 
     def __init__(self) -> None:
-        self.listener: typing.Callable[[int], None] = lambda epoch: None
+        self.listeners: list[typing.Callable[[int], None]] = []
         # ``None`` before an answer named one.
         self._newest: int | None = None
         # What stood last in the epoch's place and was of no use.
@@ -75,7 +75,8 @@
             eventlog.warning("store-epoch-lower", epoch=epoch, newest=newest)
             return epoch
         self._newest = epoch
-        self.listener(epoch)
+        for listener in self.listeners:
+            listener(epoch)
         return epoch
 
     def _note_odd(self, texts: list[str]) -> None:
@@ -159,7 +160,7 @@
         self._epochs = EpochReader()
 
     def watch_epoch(self, listener: typing.Callable[[int], None]) -> None:
-        self._epochs.listener = listener
+        self._epochs.listeners.append(listener)
 
     def read(self, table: str) -> gateway_api.Page:
         query = {"Table": table, "part": ""}
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -15,24 +15,40 @@
 OLDEST_EPOCH_S: typing.Final = 120.0
 
 
+class ConfigSink(typing.Protocol):
+    """Has the configuration in force."""
+
+    config_row: gateway_api.Row | None
+
+    @property
+    def config_number(self) -> int:
+        """The number of the configuration in force; 0 before the first one."""
+
+    def take_config(self, row: gateway_api.Row) -> None:
+        """Take the row of a configuration from a peer."""
+
+
 class RowExchange:
     """Copies of followed tables, and how fresh they are.
 
     :param tables: in the order of ``mesh_messages.TABLES``.
     :param epochs: learns of a new epoch from peers.
+    :param config: the configuration in force, which a restored store may lack.
     """
 
-    __slots__ = ("_followers", "_clock", "_epochs", "_missed", "_told")
+    __slots__ = ("_followers", "_clock", "_epochs", "_config", "_missed", "_told")
 
     def __init__(
         self,
         tables: list[followers.Follower],
         clock_: clock.Clock,
         epochs: store_epochs.EpochBook | None = None,
+        config: ConfigSink | None = None,
     ) -> None:
         self._followers = tables
         self._clock = clock_
         self._epochs = epochs or store_epochs.EpochBook(clock_)
+        self._config = config
         # The newest change that a peer told of and we lack, and since when, by table.
         self._missed: dict[int, tuple[tuple[int, int], float]] = {}
         # The newest proof that a peer told of each table.
@@ -99,6 +115,38 @@
             return True
         return not follower.connected or now >= since + followers.BEHIND_S
 
+    # -- The configuration --
+
+    def config_number(self) -> int:
+        """Give the number of the configuration in force here."""
+        return self._config.config_number if self._config is not None else 0
+
+    def lacks_config(self, number: int, orders: mesh_messages.TableNews) -> bool:
+        """Whether a peer has a newer configuration that its rows do not bring us.
+
+        :param orders: what the peer knows of the table of orders.
+        """
+        if self._config is None or number <= self._config.config_number:
+            return False
+        follower = self._followers[mesh_messages.ORDERS]
+        return orders.point <= (follower.epoch, follower.version)
+
+    def config_copy(self) -> mesh_messages.ConfigCopy | None:
+        """Give the configuration in force; ``None`` before the first one."""
+        row = self._config.config_row if self._config is not None else None
+        if row is None:
+            return None
+        copy = mesh_messages.RowCopy(row.key, row.value, row.version)
+        return mesh_messages.ConfigCopy(copy)
+
+    def take_config(self, copy: mesh_messages.ConfigCopy) -> None:
+        """Take a peer's configuration."""
+        if self._config is not None:
+            row = gateway_api.Row(copy.row.key, copy.row.value, copy.row.version)
+            self._config.take_config(row)
+
+    # -- Rows --
+
     def copied_to(self, table: int) -> tuple[int, int]:
         """Give the epoch and version after which a table's changes help us.
 
--- a/gaprock/test/fleetcase.py
+++ b/gaprock/test/fleetcase.py
@@ -51,6 +51,12 @@
     def epoch_age_s(self) -> int:
         return 0
 
+    def config_number(self) -> int:
+        return 0
+
+    def lacks_config(self, number: int, orders: object) -> bool:
+        return False
+
     def own_proofs(self) -> list[float]:
         return []
 
--- a/gaprock/test/testrestored.py
+++ b/gaprock/test/testrestored.py
@@ -1,9 +1,11 @@
 """A store that is restored from a backup: versions go back and are given out again."""
 
+import contextlib
 import typing
 
 import pytest
 
+from gaprock import gateway_node
 from gaprock.test import gatewayfleet, gatewaysite
 
 # Whether the versions have passed the known ones before the gateway's next call.
@@ -109,3 +111,43 @@
         one.store.restore(1)
         assert row() is None
         gatewaysite.wait_until(lambda: row() == written, "it is written again")
+
+
+class Pair(gatewayfleet.Fleet):
+    """Two gateways without endpoints; the second one starts after a restore."""
+
+    def start_endpoints(self, stack: contextlib.ExitStack) -> int:
+        return 0
+
+    def _start(self, stack: contextlib.ExitStack) -> None:
+        stack.enter_context(self.site)
+        gatewaysite.wait_until(lambda: self.site.gateway.is_ready, "ready")
+
+    def start_second(self) -> None:
+        """Start the second gateway."""
+        second = self.gateways[1]
+        self._stack.callback(second.close)
+        second.start()
+
+
+def in_force(gateway: gateway_node.Gateway) -> int:
+    """Give the number of the configuration in force at a gateway."""
+    return gateway.orders.config_number
+
+
+def test_a_gateway_that_starts_after_a_restore_has_its_peers_configuration() -> None:
+    with Pair(2, "safe") as pair:
+        store = pair.site.store
+        first, second = pair.gateways
+        gatewaysite.wait_until(
+            lambda: store.value("gaprock", "peer/gateway-1") is not None, "a row"
+        )
+        version = store.version
+        store.put("op", "config", gatewaysite.config(2))
+        gatewaysite.wait_until(lambda: in_force(first) == 2, "it is in force")
+        store.restore(version)
+        pair.start_second()
+        gatewaysite.wait_until(lambda: in_force(second) == 2, "it is told")
+        store.put("op", "config", gatewaysite.config(3))
+        for one in (first, second):
+            gatewaysite.wait_until(lambda: in_force(one) == 3, "the next one")
