Move followers of a restored store by chance, and prove each mechanism of it

A property test over three gateways: writes, restores, polls whose answers come late, beats, copies, starts; each shows the store's states in their order, a proof is true, and who asks at the end knows all. Beside it the odd values of the epoch's header, the statuses that it is read from, pauses before a store that answers 410 for long, and 18 rows of proofs. Seven older rows named lines that have moved.

--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -34,6 +34,8 @@
         self.forgotten_until = 0
         # Rises with each restore.
         self.epoch = 0
+        # Whether polls that wait go on over a restore without an answer.
+        self.is_silent_on_restore = False
         self.calls: list[str] = []
         # The tables of the polls that wait now.
         self.waiting: list[str] = []
@@ -140,6 +142,8 @@
             )
             self.waiting.remove(table)
             if self.epoch != epoch:
+                if self.is_silent_on_restore:
+                    self._changed.wait_for(self._stopping.is_set, wait_s)
                 return httpfake.Reply(0, drop=True)
             rows = [
                 self._row(name, value, version)
--- /dev/null
+++ b/gaprock/test/testepochs.py
@@ -0,0 +1,416 @@
+"""Followers of a store that is restored from a backup, under chance and one by one.
+
+A store, gateways' followers of one table and the messages between them are moved step
+by step.  Answers, beats and copies may be lost, come late and overtake each other;
+gateways start anew, and the store comes back from an older copy of itself.
+"""
+
+import typing
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from gaprock import (
+    clock,
+    followers,
+    freshness,
+    gateway_api,
+    mesh_messages,
+    row_exchange,
+    store_epochs,
+)
+from gaprock.platform import store as platform_store
+from gaprock.test import gatewaysite, rowcase
+from gaprock.test.fakes import metastore
+
+# The store's clock is this far behind ours, seconds.
+BEHIND_S: typing.Final = 70.0
+KEYS: typing.Final = ("a", "b")
+COUNT: typing.Final = 3
+MEMBERS: typing.Final = st.integers(0, COUNT - 1)
+
+
+class Change(typing.NamedTuple):
+    """A row that was written or removed."""
+
+    version: int
+    key: str
+    value: bytes | None
+
+
+class ModelStore(gateway_api.SharedStore):
+    """A store that answers at once; what becomes of an answer is the machine's."""
+
+    __slots__ = ("_clock", "_serial", "epoch", "version", "history", "shown", "times")
+
+    def __init__(self, clock_: clock.Clock) -> None:
+        self._clock = clock_
+        self._serial = 0
+        self.epoch = self.version = 0
+        self.history: list[Change] = []
+        # The values that the table has had, one state after the other, and since when.
+        self.shown: list[dict[str, bytes]] = [{}]
+        self.times = [self.now()]
+
+    def now(self) -> float:
+        """The store's clock."""
+        return self._clock.now() - BEHIND_S
+
+    def rows(self) -> dict[str, gateway_api.Row]:
+        """The table now."""
+        found: dict[str, gateway_api.Row] = {}
+        for version, key, value in self.history:
+            found.pop(key, None)
+            if value is not None:
+                found[key] = gateway_api.Row(key, value, version)
+        return found
+
+    def change(self, key: str, is_there: bool) -> None:
+        """Write or remove a row; each value is written once."""
+        self.version += 1
+        self._serial += 1
+        value = str(self._serial).encode() if is_there else None
+        self.history.append(Change(self.version, key, value))
+        self._show()
+
+    def restore(self, back: int) -> None:
+        """Come back from a copy that lacks the latest versions."""
+        self.epoch += 1
+        self.version = max(0, self.version - back)
+        self.history = [one for one in self.history if one.version <= self.version]
+        self._show()
+
+    def _show(self) -> None:
+        rows = self.rows().values()
+        self.shown.append({row.key: row.value or b"" for row in rows})
+        self.times.append(self.now())
+
+    def read(self, table: str) -> gateway_api.Page:
+        rows = list(self.rows().values())
+        return gateway_api.Page(rows, self.version, self.now(), self.epoch)
+
+    def changes(self, table: str, since: int) -> gateway_api.Page:
+        if since > self.version:
+            raise gateway_api.HistoryGone
+        newest = {one.key: one for one in self.history if one.version > since}
+        rows = sorted(newest.values(), key=lambda one: one.version)
+        found = [gateway_api.Row(one.key, one.value, one.version) for one in rows]
+        return gateway_api.Page(found, self.version, self.now(), self.epoch)
+
+
+class Member:
+    """One gateway's side."""
+
+    def __init__(self, store: ModelStore, clock_: clock.Clock) -> None:
+        self.store = store
+        self.told = rowcase.Kept()
+        self.epochs = store_epochs.EpochBook(clock_)
+        self.fresh = freshness.Freshness(
+            clock_, freshness.StoreClock(), lambda: rowcase.BOUND_S
+        )
+        self.follower = followers.Follower(
+            "t", store, clock_, self.told, self.fresh, epochs=self.epochs
+        )
+        self.exchange = row_exchange.RowExchange([self.follower], clock_, self.epochs)
+        # Answers of the store, beats and copies that are under way to it.
+        self.answers: list[gateway_api.Page] = []
+        self.beats: list[mesh_messages.TableNews] = []
+        self.copies: list[mesh_messages.Rows] = []
+        # The state of the store that it showed last.
+        self.shown = 0
+
+    def ask(self) -> None:
+        """Make the next call, as the follower's thread does."""
+        follower = self.follower
+        self.epochs.note(self.store.epoch, "store")
+        if follower.version < 0 or follower._is_outdated:
+            follower._read()
+            return
+        try:
+            follower._ask(follower.version)
+        except gateway_api.HistoryGone:
+            follower._read()
+
+    def take_answer(self, page: gateway_api.Page) -> None:
+        """Read the answer of a poll, which may be of an earlier epoch."""
+        self.epochs.note(page.epoch, "store")
+        try:
+            self.follower._take_answer(page, None)
+        except (gateway_api.HistoryGone, gateway_api.StoreError):
+            # The next call reads the table whole.
+            return
+
+
+class Restoring(stateful.RuleBasedStateMachine):
+    """The machine."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = clock.ManualClock(100.0)
+        self.store = ModelStore(self.clock)
+        self.members = [Member(self.store, self.clock) for _ in range(COUNT)]
+
+    def teardown(self) -> None:
+        """A member that asks at the end knows all."""
+        for member in self.members:
+            member.ask()
+            assert member.told.values == self.store.shown[-1]
+
+    # -- The world --
+
+    @stateful.rule(key=st.sampled_from(KEYS), is_there=st.booleans())
+    def change(self, key: str, is_there: bool) -> None:
+        self.store.change(key, is_there)
+        self.clock.advance(0.1)
+
+    @stateful.rule(
+        back=st.integers(0, 4), since=st.lists(st.sampled_from(KEYS), max_size=5)
+    )
+    def restore(self, back: int, since: list[str]) -> None:
+        """The store is restored, and rows are written before anybody calls."""
+        self.store.restore(back)
+        self.clock.advance(0.1)
+        for key in since:
+            self.change(key, True)
+
+    @stateful.rule()
+    def time_passes(self) -> None:
+        self.clock.advance(0.5)
+
+    @stateful.rule(which=MEMBERS)
+    def start_anew(self, which: int) -> None:
+        """A gateway is another process now, and has read the table."""
+        self.members[which] = Member(self.store, self.clock)
+        self.members[which].ask()
+
+    # -- Calls --
+
+    @stateful.rule(which=MEMBERS)
+    def ask(self, which: int) -> None:
+        self.members[which].ask()
+
+    @stateful.rule(which=MEMBERS)
+    def poll_is_answered(self, which: int) -> None:
+        """The store answers a poll; the answer is under way."""
+        member = self.members[which]
+        since = member.follower.version
+        if 0 <= since <= self.store.version:
+            member.answers.append(self.store.changes("t", since))
+
+    @stateful.rule(which=MEMBERS)
+    def answer_comes(self, which: int) -> None:
+        member = self.members[which]
+        if member.answers:
+            member.take_answer(member.answers.pop(0))
+
+    # -- Messages --
+
+    @stateful.rule(sender=MEMBERS, to=MEMBERS)
+    def beat(self, sender: int, to: int) -> None:
+        self.members[to].beats += self.members[sender].exchange.news()
+
+    @stateful.rule(which=MEMBERS, peer=MEMBERS, last=st.booleans())
+    def beat_comes(self, which: int, peer: int, last: bool) -> None:
+        """A beat comes, and a copy is asked for where that helps."""
+        member, other = self.members[which], self.members[peer]
+        if not member.beats:
+            return
+        news = member.beats.pop(-1 if last else 0)
+        if member.exchange.take_news(0, news):
+            epoch, since = member.exchange.copied_to(0)
+            member.copies.append(other.exchange.copy(0, since, epoch))
+
+    @stateful.rule(which=MEMBERS, peer=MEMBERS)
+    def told_at_once(self, which: int, peer: int) -> None:
+        """Two beats come without delay, and the copy that they bring about."""
+        for _ in range(2):
+            self.beat(peer, which)
+            self.beat_comes(which, peer, last=True)
+            self.clock.advance(followers.BEHIND_S)
+        self.copy_comes(which)
+
+    @stateful.rule(which=MEMBERS)
+    def copy_comes(self, which: int) -> None:
+        member = self.members[which]
+        if member.copies:
+            member.exchange.take_copy(member.copies.pop(0))
+
+    # -- What holds --
+
+    @stateful.invariant()
+    def a_proof_is_true(self) -> None:
+        """What is proved for a moment shows the store of that moment or a later one."""
+        for member in self.members:
+            stamp = member.fresh.stamp
+            if not stamp:
+                continue
+            known = sum(at <= stamp for at in self.store.times) - 1
+            # Changes at the very moment of the proof may be on either side of it.
+            while known > 0 and self.store.times[known] == stamp:
+                known -= 1
+            assert member.told.values in self.store.shown[known:]
+
+    @stateful.invariant()
+    def nothing_goes_back(self) -> None:
+        """Each member shows states of the store in their order."""
+        for member in self.members:
+            later = self.store.shown[member.shown :]
+            if not member.told.values and not member.shown:
+                continue
+            assert member.told.values in later
+            shows = [values == member.told.values for values in later]
+            member.shown += shows.index(True)
+
+
+TestRestoring = Restoring.TestCase
+TestRestoring.settings = hypothesis.settings(
+    derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
+)
+
+
+# -- One by one --
+
+
+class Lone(Member):
+    """A member without peers, before a store of its own."""
+
+    def __init__(self) -> None:
+        self.time = clock.ManualClock(100.0)
+        super().__init__(ModelStore(self.time), self.time)
+        self.store.change("a", True)
+        self.ask()
+
+
+def test_a_proof_of_another_epoch_proves_nothing() -> None:
+    one = Lone()
+    proved_at = one.fresh.proved_at
+    one.time.advance(1.0)
+    news = one.follower.news()
+    other = mesh_messages.TableNews(
+        news.changed, news.digest, one.store.now(), news.epoch + 1
+    )
+    one.follower.prove(other)
+    assert one.fresh.proved_at == proved_at
+
+
+def test_an_answer_of_an_earlier_epoch_is_dropped() -> None:
+    one = Lone()
+    late = one.store.read("t")
+    one.store.restore(0)
+    one.store.change("a", True)
+    one.ask()
+    told = dict(one.told.values)
+    with pytest.raises(gateway_api.StoreError):
+        one.follower._take_answer(late, None)
+    assert one.told.values == told
+
+
+def test_a_peer_of_an_earlier_epoch_gets_the_whole_table() -> None:
+    one = Lone()
+    for _ in range(3):
+        one.store.change("b", True)
+    epoch, since = one.exchange.copied_to(0)
+    one.store.restore(2)
+    one.ask()
+    assert one.exchange.copy(0, since, epoch).since == -1
+
+
+def test_a_table_is_read_anew_when_a_peer_tells_of_a_restore() -> None:
+    with rowcase.FollowedStore(metastore.MetaStoreFake()) as one:
+        store, follower = one.store, one.follower
+        for number in range(2, 30):
+            store.put(rowcase.TABLE, "a", number)
+        gatewaysite.wait_until(
+            lambda: one.kept.values == {"a": b"29"}, "the table is known"
+        )
+        gatewaysite.wait_until(lambda: rowcase.TABLE in store.waiting, "a poll waits")
+        exchange = row_exchange.RowExchange(
+            [follower], follower._clock, follower._epochs
+        )
+        # No call of ours is due: only the word of a peer can bring the reading about.
+        one.fresh.proved_at = clock.NEVER
+        store.is_silent_on_restore = True
+        store.restore(3)
+        store.put(rowcase.TABLE, "b", 1)
+        exchange.take_news(0, mesh_messages.TableNews(4, 0, 0.0, store.epoch))
+        gatewaysite.wait_until(lambda: "b" in one.kept.keys, "it is read anew")
+
+
+class Forgetful(ModelStore):
+    """Answers readings, and knows no changes."""
+
+    __slots__ = ()
+
+    def changes(self, table: str, since: int) -> gateway_api.Page:
+        raise gateway_api.HistoryGone
+
+
+class Pausing(followers.Follower):
+    """Notes its pauses, and ends after some."""
+
+    pauses: list[float]
+
+    def _rest_from_store(self, pause_s: float, retry_s: float = 0.0) -> None:
+        self.pauses.append(pause_s)
+        if len(self.pauses) == 6:
+            self.stop()
+
+
+def test_a_store_that_answers_410_for_long_is_asked_with_pauses() -> None:
+    time = clock.ManualClock(100.0)
+    fresh = freshness.Freshness(time, freshness.StoreClock(), lambda: 0.0)
+    one = Pausing("t", Forgetful(time), time, rowcase.Kept(), fresh)
+    one.pauses = []
+    # Each proof is too old at once, so that changes are asked for.
+    one.lost_at = 1.0
+    one._run()
+    assert one.pauses[0] == followers.FIRST_PAUSE_S
+    assert one.pauses[-1] == followers.LONGEST_PAUSE_S
+    assert one.pauses == sorted(one.pauses)
+
+
+# -- What the adapter reads --
+
+
+@pytest.mark.parametrize("odd", ["", "x", "-1", "1e9", "1000000000", "1, 2", "9" * 40])
+def test_what_is_no_epoch_changes_none_and_the_rows_are_read(odd: str) -> None:
+    fake = metastore.MetaStoreFake()
+    fake.start()
+    try:
+        told: list[int] = []
+        client = platform_store.PlatformStore(f"127.0.0.1:{fake.port}")
+        client.watch_epoch(told.append)
+        fake.epoch = 7
+        fake.put("t", "a", 1)
+        assert client.read("t").epoch == 7
+        fake.faults["epoch"] = odd
+        assert client.read("t").epoch == 7
+        fake.faults["epoch"] = None
+        assert client.read("t").epoch == 7
+        fake.faults["epoch"] = "6"
+        assert client.read("t").epoch == 6
+        fake.faults["epoch"] = "9"
+        assert client.read("t").epoch == 9
+        assert told == [7, 9]
+    finally:
+        fake.stop()
+
+
+@pytest.mark.parametrize("status", [410, 412, 429, 503])
+def test_the_epoch_is_read_from_answers_of_every_status(status: int) -> None:
+    fake = metastore.MetaStoreFake()
+    fake.start()
+    try:
+        told: list[int] = []
+        client = platform_store.PlatformStore(f"127.0.0.1:{fake.port}")
+        client.watch_epoch(told.append)
+        fake.epoch, fake.faults["refuse"] = 3, status
+        try:
+            client.commit([gateway_api.Write("t", "a", b"1")])
+        except (gateway_api.StoreError, gateway_api.HistoryGone):
+            pass
+        assert told == [3]
+    finally:
+        fake.stop()
--- a/misc/proofs_gateway.py
+++ b/misc/proofs_gateway.py
@@ -8,6 +8,7 @@
     proofs_gateway_mesh,
     proofs_gateway_notices,
     proofs_gateway_requests,
+    proofs_gateway_restores,
     proofs_gateway_store,
 )
 
@@ -17,5 +18,6 @@
     *proofs_gateway_endpoints.PROOFS,
     *proofs_gateway_notices.PROOFS,
     *proofs_gateway_store.PROOFS,
+    *proofs_gateway_restores.PROOFS,
     *proofs_gateway_mesh.PROOFS,
 )
--- /dev/null
+++ b/misc/proofs_gateway_restores.py
@@ -0,0 +1,152 @@
+"""The gateway's proofs: a store that is restored from a backup."""
+
+import typing
+
+from misc import proofs
+
+LEFT: typing.Final = (
+    "testrestoredendpoints.py::test_an_older_copy_does_not_bring_back_an_endpoint_that"
+    "_left"
+)
+LOST: typing.Final = (
+    "testrestoredrollouts.py::test_an_outcome_that_a_restore_lost_is_written_again"
+)
+AGAIN: typing.Final = (
+    "testrestoredrollouts.py::test_an_attempt_that_is_ordered_again_is_not_taken_for"
+    "_its_lost_follower"
+)
+
+PROOFS: typing.Final = (
+    proofs.gateway(
+        "a table is read whole in a new epoch",
+        "testrestored.py::test_a_configuration_under_a_reused_version_is_in_force",
+        "followers.py",
+        "            raise gateway_api.HistoryGone\n        if page.epoch <",
+        "            return\n        if page.epoch <",
+    ),
+    proofs.gateway(
+        "a reading of a later epoch is taken, whatever its version",
+        "testrestored.py::test_an_endpoint_that_leaves_under_a_reused_version_gets"
+        "_nothing_new",
+        "followers.py",
+        "if (page.epoch, page.version) >= (self.epoch, self.version):",
+        "if page.version >= self.version:",
+    ),
+    proofs.gateway(
+        "an answer of an earlier epoch is dropped",
+        "testepochs.py",
+        "followers.py",
+        "        if page.epoch < self.epoch:\n            raise",
+        "        if False:\n            raise",
+    ),
+    proofs.gateway(
+        "a proof of another epoch proves nothing",
+        "testepochs.py::test_a_proof_of_another_epoch_proves_nothing",
+        "followers.py",
+        "if news.digest == self._digest and news.epoch == self.epoch:",
+        "if news.digest == self._digest:",
+    ),
+    proofs.gateway(
+        "changes are given within an epoch alone",
+        "testepochs.py::test_a_peer_of_an_earlier_epoch_gets_the_whole_table",
+        "followers.py",
+        "if epoch != self.epoch or since < self._changes_from:",
+        "if since < self._changes_from:",
+    ),
+    proofs.gateway(
+        "word of a peer has all tables read anew",
+        "testepochs.py::test_a_table_is_read_anew_when_a_peer_tells_of_a_restore",
+        "row_exchange.py",
+        'self._epochs.note(news.epoch, "peer", epoch_age_s)',
+        "pass",
+    ),
+    proofs.gateway(
+        "a store whose history is gone again and again is asked with pauses",
+        "testepochs.py::test_a_store_that_answers_410_for_long_is_asked_with_pauses",
+        "followers.py",
+        "if self._times_gone > 1:",
+        "if False:",
+    ),
+    proofs.gateway(
+        "a departure is kept that an older copy lacks",
+        LEFT,
+        "directory_rows.py",
+        "                self._keep_departures(rows)\n",
+        "",
+    ),
+    proofs.gateway(
+        "lives that are gone are remembered",
+        LEFT,
+        "directory_rows.py",
+        "                    self._remember_gone(endpoint)\n",
+        "",
+    ),
+    proofs.gateway(
+        "answers do not end a departure whose row was lost",
+        "testrestoredendpoints.py::test_answers_do_not_take_back_a_departure_that_a"
+        "_restore_lost",
+        "departures.py",
+        "elif known is not None and known.doubted_until:",
+        "elif False:",
+    ),
+    proofs.gateway(
+        "what is over stays over",
+        LOST,
+        "rollouts.py",
+        "if outcome.state is rollout_state.State.RUNNING:",
+        "if False:",
+    ),
+    proofs.gateway(
+        "a lost outcome is written again",
+        LOST,
+        "rollout_writer.py",
+        "if rollout.state is not rollout_state.State.RUNNING:",
+        "if False:",
+    ),
+    proofs.gateway(
+        "an outcome waits for its order in the new epoch",
+        AGAIN,
+        "rollouts.py",
+        "if outcome.epoch > rollout.epoch:",
+        "if False:",
+    ),
+    proofs.gateway(
+        "a replaced order is known again in an older copy",
+        AGAIN,
+        "rollouts.py",
+        "if (revision, order) in self._replaced.get(order.service, ()):",
+        "if False:",
+    ),
+    proofs.gateway(
+        "nothing is written by a version of an earlier epoch",
+        "testrestoredrollouts.py::test_nothing_is_written_by_a_version_of_an_earlier"
+        "_epoch",
+        "rollout_writer.py",
+        "if self._epochs.newest > self.epoch or rollout.epoch != self.epoch:",
+        "if False:",
+    ),
+    proofs.gateway(
+        "a hall stays emptied while its order is lost",
+        "testrestoredrollouts.py::test_a_hall_stays_emptied_while_a_restored_store"
+        "_lacks_its_order",
+        "gateway_rows.py",
+        "self._doubted = set(self._emptied)",
+        "pass",
+    ),
+    proofs.gateway(
+        "a gateway's own row is written again",
+        "testrestored.py::test_a_gateways_own_row_is_written_again_after_a_restore"
+        "_lost_it",
+        "gateway_own.py",
+        "            self.look()\n",
+        "            pass\n",
+    ),
+    proofs.gateway(
+        "a configuration in force is told to one that starts",
+        "testrestored.py::test_a_gateway_that_starts_after_a_restore_has_its_peers"
+        "_configuration",
+        "mesh.py",
+        "if self.source.lacks_config(peer.beat.config, orders):",
+        "if False:",
+    ),
+)
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -32,8 +32,8 @@
         "testfleet.py::test_the_store_is_followed_through_lost_history_and_outages",
         "followers.py",
         "                self._is_read = False\n"
-        "            except gateway_api.StoreError",
-        "            except gateway_api.StoreError",
+        "                self._times_gone += 1\n",
+        "                self._times_gone += 1\n",
     ),
     proofs.gateway(
         "a poll that tells nothing is checked",
@@ -62,7 +62,7 @@
         "a peer's proof counts for the same rows alone",
         "testfreshness.py::test_a_peers_proof_counts_for_the_same_rows_alone",
         "followers.py",
-        "if news.digest == self._digest:",
+        "if news.digest == self._digest and news.epoch == self.epoch:",
         "if news.changed == self.changed:",
     ),
     proofs.gateway(
@@ -77,14 +77,14 @@
         "testfollowing.py::test_a_row_that_is_gone_does_not_come_back_with_an_older"
         "_copy",
         "followers.py",
-        "if page.version <= self.version:\n                return",
-        "if page.version <= self.changed:\n                return",
+        "if (page.epoch, page.version) <= (self.epoch, self.version):",
+        "if (page.epoch, page.version) <= (self.epoch, self.changed):",
     ),
     proofs.gateway(
         "what was told of an order holds when it comes",
         "testrollouts.py::test_what_peers_told_of_an_order_holds_as_soon_as_it_comes",
         "rollouts.py",
-        "if told is not None and told.revision == revision:",
+        "if told is not None:",
         "if False:",
     ),
     proofs.gateway(
@@ -223,15 +223,15 @@
         "an odd row names no endpoint",
         "testoddrows.py::test_an_odd_row_names_no_endpoint_and_the_others_hold",
         "gateway_rows.py",
-        "self._directory.update(row.key, None)\n        if whole:",
-        "pass\n        if whole:",
+        "self._directory.update(row.key, None)\n        is_restored",
+        "pass\n        is_restored",
     ),
     proofs.gateway(
         "an outcome of an earlier order is ignored",
         "testrollouts.py::test_an_outcome_of_an_earlier_order_says_nothing_of_a_later"
         "_one",
         "rollouts.py",
-        "if not same or outcome.row_version < rollout.revision:",
+        "if not same or (outcome.epoch, outcome.row_version) < rollout.point:",
         "if not same:",
     ),
     proofs.gateway(
@@ -285,6 +285,7 @@
         "changes that are not all known are no answer to a peer",
         "testscale.py::test_a_peer_that_is_too_far_behind_gets_the_whole_table",
         "followers.py",
-        "            if since < self._changes_from:\n                return None\n",
+        "            if epoch != self.epoch or since < self._changes_from:\n"
+        "                return None\n",
     ),
 )
