--- a/gaprock/report.py
+++ b/gaprock/report.py
@@ -28,8 +28,9 @@
 LIMIT_EVENTS: typing.Final = ("endpoint-limited", "endpoint-unlimited")
 LEAVING_EVENTS: typing.Final = ("endpoint-leaving", "endpoint-stays")
 BACKOFF_EVENTS: typing.Final = ("endpoint-backoff", "endpoint-backoff-over")
+RESTORE_EVENTS: typing.Final = ("store-restored",)
 CHANGE_EVENTS: typing.Final = frozenset(
-    HALL_EVENTS + LIMIT_EVENTS + LEAVING_EVENTS + BACKOFF_EVENTS
+    HALL_EVENTS + LIMIT_EVENTS + LEAVING_EVENTS + BACKOFF_EVENTS + RESTORE_EVENTS
 )
 
 
@@ -302,6 +303,10 @@
         """Give when endpoints asked for backoffs, over all gateways."""
         return self._changes(BACKOFF_EVENTS, "endpoint", "for_s")
 
+    def restores(self) -> list[Change]:
+        """Give when the store was found to be restored, over all gateways."""
+        return self._changes(RESTORE_EVENTS, "epoch", "old")
+
     def _changes(
         self, events: tuple[str, ...], name: str, detail: str = ""
     ) -> list[Change]:
--- a/gaprock/report_text.py
+++ b/gaprock/report_text.py
@@ -20,6 +20,7 @@
         _limits(found),
         _departures(found),
         _backoffs(found),
+        _restores(found),
         _down(found),
     ]
     return "\n\n".join(part for part in parts if part) + "\n"
@@ -129,6 +130,15 @@
     return _spread("backoffs", found.backoffs(), word)
 
 
+def _restores(found: report.Report) -> str:
+    """List when the store was restored from a backup, by its epochs."""
+
+    def word(change: report.Change) -> str:
+        return f"follows epoch {change.detail}"
+
+    return _spread("restores of the store", found.restores(), word)
+
+
 def _spread(
     title: str,
     changes: list[report.Change],
--- a/gaprock/test/fakes/metastore.py
+++ b/gaprock/test/fakes/metastore.py
@@ -1,11 +1,11 @@
 """A small stand-in of the users' metadata store, over HTTP on loopback.
 
-Faults are set by a test: ``refuse`` (a status for each call), ``lose`` (writes are done
-and not answered), ``delay`` (seconds before each call is looked at), ``swallow`` (what
-comes is never answered, also when the store is back), ``refuse_tx`` (so many writes are
-refused), ``odd`` (answers are JSON, but none of the store's), ``epoch`` (what stands in
-the epoch's place); ``compact`` makes the history go, ``restore`` brings an older copy
-back.
+Faults are set by a test: ``refuse`` (a status for each call), ``away`` (all calls are
+refused), ``lose`` (writes are done and not answered), ``delay`` (seconds before each
+call is looked at), ``swallow`` (what comes is never answered, also when the store is
+back), ``refuse_tx`` (so many writes are refused), ``odd`` (answers are JSON, but none
+of the store's), ``epoch`` (what stands in the epoch's place); ``compact`` makes the
+history go, ``restore`` brings an older copy back.
 """
 
 import base64
@@ -31,6 +31,8 @@
         self._rows: dict[Name, tuple[bytes, int]] = {}
         self._history: list[tuple[Name, bytes | None, int]] = []
         self.version = 0
+        # The rows that were written since the latest restore.
+        self._written: set[Name] = set()
         self.forgotten_until = 0
         # Rises with each restore.
         self.epoch = 0
@@ -68,9 +70,13 @@
         with self._changed:
             self.forgotten_until = self.version
 
-    def restore(self, version: int) -> None:
-        """Come back from a copy of an earlier version; calls that wait are cut."""
+    def restore(self, version: int) -> dict[Name, bytes | None]:
+        """Come back from a copy of an earlier version; calls that wait are cut.
+
+        :returns: the rows that were written since, as they were last.
+        """
         with self._changed:
+            lost = {name: value for name, value, at in self._history if at > version}
             self._history = [h for h in self._history if h[2] <= version]
             self._rows = {}
             for name, value, changed in self._history:
@@ -78,9 +84,17 @@
                 if value is not None:
                     self._rows[name] = value, changed
             self.version = version
+            self._written.clear()
             self.forgotten_until = min(self.forgotten_until, version)
             self.epoch += 1
             self._changed.notify_all()
+        return lost
+
+    def write_again(self, name: Name, value: bytes | None, epoch: int) -> None:
+        """Write a lost row, unless it was written since the restore to an epoch."""
+        with self._changed:
+            if self.epoch == epoch and name not in self._written:
+                self._write({name: value})
 
     def stop(self) -> None:
         self._stopping.set()
@@ -108,6 +122,8 @@
             return httpfake.Reply(0, drop=True)
         if self.faults.get("odd"):
             return httpfake.json_reply({"Rows": [{}]})
+        if self.faults.get("away"):
+            return httpfake.Reply(503)
         if "refuse" in self.faults:
             return httpfake.Reply(self.faults["refuse"])
         if call == "/-/rows-get":
@@ -170,6 +186,7 @@
 
     def _write(self, changes: dict[Name, bytes | None]) -> int:
         self.version += 1
+        self._written.update(changes)
         for name, value in changes.items():
             self._history.append((name, value, self.version))
             if value is None:
--- a/gaprock/test/soak_run.py
+++ b/gaprock/test/soak_run.py
@@ -46,6 +46,9 @@
 # Endpoints that say something else of themselves, with chances of their own.
 WORD_SHARE: typing.Final = 0.15
 WORD_WORK: typing.Final[list[Step]] = []
+# Restores of the store from a backup, with chances of their own.
+RESTORE_SHARE: typing.Final = 0.12
+RESTORES: typing.Final[list[Step]] = []
 # What an endpoint that is not warm may get in a second, by the settings' defaults.
 BEARS: typing.Final = int(1.5 * soak_fleet.BEARS_PER_S + 5)
 
@@ -105,6 +108,12 @@
     return function
 
 
+def restore(function: Step) -> Step:
+    """Register a restore of the store."""
+    RESTORES.append(function)
+    return function
+
+
 class Soak:
     """One seed's run."""
 
@@ -116,10 +125,12 @@
         self.rng_halls = random.Random(f"halls {seed}")
         self.rng_limits = random.Random(f"limits {seed}")
         self.rng_words = random.Random(f"words {seed}")
+        self.rng_restores = random.Random(f"restores {seed}")
         self.ledger = soak_ledger.Ledger()
         self.fleet = soak_fleet.Fleet(self.ledger, logs, gateways)
-        # Held while a hall is emptied.
+        # Held while a hall is emptied, and while the store is restored.
         self.halls_lock = threading.Lock()
+        self.restore_lock = threading.Lock()
         self._seed = seed
         self._seconds = seconds
         self._threads: list[threading.Thread] = []
@@ -205,6 +216,8 @@
                 self.rng_limits.choice(LIMIT_WORK)(self)
             if self.rng_words.random() < WORD_SHARE:
                 self.rng_words.choice(WORD_WORK)(self)
+            if rows is ROW_FAULTS and self.rng_restores.random() < RESTORE_SHARE:
+                self.rng_restores.choice(RESTORES)(self)
             time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
         for thread in self._threads:
             thread.join(soak_fleet.STOP_WAIT_S)
--- a/gaprock/test/soak_steps.py
+++ b/gaprock/test/soak_steps.py
@@ -22,6 +22,14 @@
 BACKOFFS_S: typing.Final = (0.25, 1.0, 3.0)
 
 
+# How long the store is away before a restore, seconds, the most transactions that it
+# loses, the tables whose rows are written again, and after which time at most, seconds.
+AWAY_S: typing.Final = (0.0, 2.0)
+MOST_LOST: typing.Final = 8
+WRITTEN_AGAIN: typing.Final = ("op", "servers")
+AGAIN_S: typing.Final = 2.0
+
+
 # -- Faults of processes --
 
 
@@ -167,6 +175,38 @@
         )
 
 
+@soak_run.restore
+def store_restored(soak: soak_run.Soak) -> None:
+    """The store is away for a moment and comes back without its latest writes.
+
+    The operator and the endpoints write theirs again, the gateways' are gone.
+    """
+    rng, store = soak.rng_restores, soak.fleet.store
+    away_s = rng.uniform(*AWAY_S)
+    count = rng.randint(0, MOST_LOST)
+    again_s = [rng.uniform(0.0, AGAIN_S) for _ in range(MOST_LOST)]
+
+    def work() -> None:
+        with soak.restore_lock:
+            start = soak.ledger.now()
+            mark = soak_ledger.Disturbance(
+                "store restored", soak_ledger.ALL, False, start, start + 3600
+            )
+            soak.ledger.add(mark)
+            store.faults["away"] = True
+            time.sleep(away_s)
+            lost = store.restore(max(1, store.version - count))
+            epoch = store.epoch
+            store.faults.pop("away", None)
+            theirs = [item for item in lost.items() if item[0][0] in WRITTEN_AGAIN]
+            for pause_s, (name, value) in sorted(zip(again_s, theirs)):
+                time.sleep(max(0.0, start + away_s + pause_s - soak.ledger.now()))
+                store.write_again(name, value, epoch)
+            soak.ledger.replace(mark, mark._replace(end=soak.ledger.now()))
+
+    soak.later(work)
+
+
 # -- Faults and planned work of endpoints --
 
 
--- a/gaprock/test/testepochs.py
+++ b/gaprock/test/testepochs.py
@@ -311,13 +311,14 @@
     one = Lone()
     for _ in range(3):
         one.store.change("b", True)
+    one.ask()
     epoch, since = one.exchange.copied_to(0)
     one.store.restore(2)
     one.ask()
     assert one.exchange.copy(0, since, epoch).since == -1
 
 
-def test_a_table_is_read_anew_when_a_peer_tells_of_a_restore() -> None:
+def test_a_table_is_read_anew_when_a_peer_tells_a_restore_of_another() -> None:
     with rowcase.FollowedStore(metastore.MetaStoreFake()) as one:
         store, follower = one.store, one.follower
         for number in range(2, 30):
@@ -327,7 +328,7 @@
         )
         gatewaysite.wait_until(lambda: rowcase.TABLE in store.waiting, "a poll waits")
         exchange = row_exchange.RowExchange(
-            [follower], follower._clock, follower._epochs
+            [Lone().follower, follower], follower._clock, follower._epochs
         )
         # No call of ours is due: only the word of a peer can bring the reading about.
         one.fresh.proved_at = clock.NEVER
--- a/gaprock/test/testreport.py
+++ b/gaprock/test/testreport.py
@@ -273,3 +273,12 @@
     assert "e  leaves, on 2 gateways within 0.3 s" in text
     assert "f  backs off for 3 s, on 1 gateways" in text
     assert "f  takes load again, on 1 gateways" in text
+
+
+def test_restores_of_the_store_are_listed_as_they_spread() -> None:
+    lines = [
+        line(5.0, "store-restored", "gateway-0", epoch=2, old=1, source="store"),
+        line(5.4, "store-restored", "gateway-1", epoch=2, old=1, source="peer"),
+    ]
+    text = report_text.render(report.Report(report.collect(lines)))
+    assert "2  follows epoch 1, on 2 gateways within 0.4 s" in text
--- a/misc/proofs_gateway_restores.py
+++ b/misc/proofs_gateway_restores.py
@@ -19,7 +19,7 @@
 PROOFS: typing.Final = (
     proofs.gateway(
         "a table is read whole in a new epoch",
-        "testrestored.py::test_a_configuration_under_a_reused_version_is_in_force",
+        "testepochs.py",
         "followers.py",
         "            raise gateway_api.HistoryGone\n        if page.epoch <",
         "            return\n        if page.epoch <",
@@ -55,7 +55,8 @@
     ),
     proofs.gateway(
         "word of a peer has all tables read anew",
-        "testepochs.py::test_a_table_is_read_anew_when_a_peer_tells_of_a_restore",
+        "testepochs.py::test_a_table_is_read_anew_when_a_peer_tells_a_restore_of"
+        "_another",
         "row_exchange.py",
         'self._epochs.note(news.epoch, "peer", epoch_age_s)',
         "pass",
