Say in plain words what the new parts keep, and test readings over two epochs

Doc texts and comments of the restore's parts, no logic. A stand-in of the adapter's side is one fixture; a reading of several pages over a restore is refused, which had no test.

--- a/gaprock/departures.py
+++ b/gaprock/departures.py
@@ -105,13 +105,13 @@
                 departure = _Departure(min(since, now), now, doubted_until=until)
                 self._set(life, departure, "answer")
             elif known is not None and known.doubted_until:
-                # Not every endpoint that leaves says so in its answers.
+                # An endpoint that leaves need not say so in its answers.
                 return
             elif known is not None and sent_at > known.as_of:
                 self._set(life, _Departure(clock.NEVER, sent_at), "answer")
 
     def note_lost_row(self, life: str, since: float) -> None:
-        """Take that a restored store lacks a row which said that an endpoint leaves."""
+        """Record that a restored store lost the row by which an endpoint leaves."""
         now = self._clock.now()
         with self._lock:
             known = self._known.get(life)
@@ -122,14 +122,14 @@
             self._set(life, _Departure(since, now, is_answered, until), "lost-row")
 
     def is_row_lost(self, life: str) -> bool:
-        """Whether an endpoint leaves by a row that a restored store lacks."""
+        """Whether an endpoint leaves by a row that a restored store lost."""
         known = self._known.get(life)
         return known is not None and known.doubted_until > 0.0
 
     def believe_rows(self) -> list[str]:
-        """End the doubt in rows that say nothing long after a restore.
+        """Take rows as they are once a restore is long enough ago.
 
-        :returns: the endpoints that it was about.
+        :returns: the endpoints whose rows were doubted.
         """
         if not self._known:
             return []
@@ -213,7 +213,7 @@
                 as_of = now - max(0.0, one.age_s)
                 since = now - max(0.0, one.since_s) if one.is_leaving else clock.NEVER
                 until = now + one.lost_row_s if one.lost_row_s > 0.0 else 0.0
-                # One that says so in its answers besides is heard of from them.
+                # Whoever has it from an answer tells it without a lost row.
                 told = _Departure(since, as_of, not until, until)
                 self._merge(one.endpoint, told, sender)
 
--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -31,7 +31,7 @@
 # looks at so many in its own hall, and as many in each other one while those are full:
 # a choice among thousands takes longer than a request may wait.
 WHOLE_MOST: typing.Final = 100
-# Lives that are gone and remembered.
+# Lives that are remembered after they are gone.
 GONE_KEPT: typing.Final = 2000
 LOOKED_AT: typing.Final = 16
 FULL_SHARE: typing.Final = 0.5
@@ -87,7 +87,7 @@
         self._doubted: dict[str, endpoint_state.Endpoint] = {}
         # Until when missing rows are taken for lapsed ones.
         self._lapses_until = 0.0
-        # When lives that are gone were last said to be there, the latest ones.
+        # The lives that are gone, the latest ones, and when they stopped being used.
         self._gone: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     # -- Membership --
@@ -118,7 +118,7 @@
             self._is_told = True
 
     def _keep_departures(self, rows: dict[str, gateway_api.EndpointRow]) -> None:
-        """Go on with what rows said of leaving that an older copy does not say."""
+        """Keep the departures that the rows of a restored store do not show."""
         for name, row in rows.items():
             if row.draining:
                 continue
@@ -171,7 +171,7 @@
             self.notices.forget_old(self._lives)
 
     def _remember_gone(self, endpoint: endpoint_state.Endpoint) -> None:
-        """Keep that a life is over, for a copy of the store that does not know it."""
+        """Remember a life that is over: a restored store may show it as ready."""
         self._gone[endpoint.life] = endpoint.row_leave_at
         if len(self._gone) > GONE_KEPT:
             self._gone.popitem(last=False)
--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -224,7 +224,7 @@
                 self._is_read = False
                 self._times_gone += 1
                 if self._times_gone > 1:
-                    # What was read whole did not help.
+                    # The whole reading did not help.
                     self._rest_from_store(pause_s)
                     pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
                     continue
--- a/gaprock/gateway_own.py
+++ b/gaprock/gateway_own.py
@@ -98,7 +98,7 @@
         self._is_first_start = is_first_start
         # Whether the store was seen to have our row as it should be.
         self._is_announced = not mesh_.address
-        # When our row was last written, or seen at a start soon after an earlier life.
+        # When our row was last written; our start, if it stood there before.
         self._announced_at = clock_.now()
         self._epochs = epochs or store_epochs.EpochBook(clock_)
         # The store's epoch in which the row was written.
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -39,8 +39,8 @@
         # Told the halls that are to be empty, as often as that changes.
         self._on_emptied = on_emptied
         self._emptied: frozenset[str] = frozenset()
-        # Those whose orders a restored store lacks, and until when these may be
-        # written again.
+        # Those whose orders a restored store lost, and until when the operator may
+        # write them again.
         self._doubted: set[str] = set()
         self._doubted_until = -clock.NEVER
         # The store's epoch of the rows that were taken.
@@ -86,7 +86,7 @@
         self._set_emptied(before | ordered)
 
     def believe_rows(self) -> None:
-        """End what a restored store lacks and nobody has written again."""
+        """Drop the orders that a restored store lost and nobody has written again."""
         if self._doubted and self._clock.now() > self._doubted_until:
             doubted, self._doubted = self._doubted, set()
             eventlog.warning("hall-orders-lost", halls=",".join(sorted(doubted)))
@@ -216,7 +216,7 @@
                 self.odd.note(row, exc)
 
     def _take_epoch(self, page: gateway_api.Page) -> None:
-        """Begin a new epoch of the store, in which outcomes may be lost."""
+        """Begin a new epoch of the store, which may have lost outcomes."""
         keys = {row.key for row in page.rows if row.value is not None}
         for service in self._writer.row_versions:
             if self._dialect.outcome_key(service) not in keys:
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -141,7 +141,7 @@
     def _rename(
         self, rollout: rollout_state.Rollout, epoch: int, revision: int
     ) -> None:
-        """Call an attempt by its order's row as the restored store has it."""
+        """Rename an attempt after its order's row in the restored store."""
         service, old, label = rollout.order.service, rollout.point, rollout.label
         rollout.rename(epoch, revision)
         if rollout.label != label:
@@ -179,7 +179,7 @@
             self._apply_outcome(rollout, outcome)
 
     def forget_outcome(self, service: str) -> None:
-        """Take that a restored store has no row of what became of a rollout."""
+        """Record that a restored store lost the outcome of a rollout."""
         with self._lock:
             self._outcomes.pop(service, None)
             rollout = self._by_service.get(service)
@@ -277,11 +277,11 @@
             # It tells of an earlier order.
             return
         if outcome.epoch > rollout.epoch:
-            # Whether it is of this order shows once that was read in the same epoch.
+            # Compared with the order once that has been read in the same epoch.
             return
         rollout.written = outcome.state
         if outcome.state is rollout_state.State.RUNNING:
-            # What is over stays over, though a restored store does not say so.
+            # A final state stands, though the restored store has lost it.
             return
         if outcome.state is not rollout.state:
             rollout.state = outcome.state
--- a/gaprock/test/testepochs.py
+++ b/gaprock/test/testepochs.py
@@ -23,7 +23,7 @@
 )
 from gaprock.platform import store as platform_store
 from gaprock.test import gatewaysite, rowcase
-from gaprock.test.fakes import metastore
+from gaprock.test.fakes import httpfake, metastore
 
 # The store's clock is this far behind ours, seconds.
 BEHIND_S: typing.Final = 70.0
@@ -375,43 +375,60 @@
 # -- What the adapter reads --
 
 
+class Client:
+    """The adapter before a stand-in of the store, and the epochs that it tells."""
+
+    def __init__(self) -> None:
+        self.fake = metastore.MetaStoreFake()
+        self.fake.start()
+        self.store = platform_store.PlatformStore(f"127.0.0.1:{self.fake.port}")
+        self.told: list[int] = []
+        self.store.watch_epoch(self.told.append)
+
+
+@pytest.fixture
+def client() -> typing.Iterator[Client]:
+    made = Client()
+    yield made
+    made.fake.stop()
+
+
 @pytest.mark.parametrize("odd", ["", "x", "-1", "1e9", "1000000000", "1, 2", "9" * 40])
-def test_what_is_no_epoch_changes_none_and_the_rows_are_read(odd: str) -> None:
-    fake = metastore.MetaStoreFake()
-    fake.start()
-    try:
-        told: list[int] = []
-        client = platform_store.PlatformStore(f"127.0.0.1:{fake.port}")
-        client.watch_epoch(told.append)
-        fake.epoch = 7
-        fake.put("t", "a", 1)
-        assert client.read("t").epoch == 7
-        fake.faults["epoch"] = odd
-        assert client.read("t").epoch == 7
-        fake.faults["epoch"] = None
-        assert client.read("t").epoch == 7
-        fake.faults["epoch"] = "6"
-        assert client.read("t").epoch == 6
-        fake.faults["epoch"] = "9"
-        assert client.read("t").epoch == 9
-        assert told == [7, 9]
-    finally:
-        fake.stop()
+def test_what_is_no_epoch_changes_none_and_the_rows_are_read(
+    client: Client, odd: str
+) -> None:
+    client.fake.epoch = 7
+    client.fake.put("t", "a", 1)
+    assert client.store.read("t").epoch == 7
+    for text, expected in ((odd, 7), (None, 7), ("6", 6), ("9", 9)):
+        client.fake.faults["epoch"] = text
+        page = client.store.read("t")
+        assert page.epoch == expected
+        assert [row.key for row in page.rows] == ["a"]
+    assert client.told == [7, 9]
 
 
 @pytest.mark.parametrize("status", [410, 412, 429, 503])
-def test_the_epoch_is_read_from_answers_of_every_status(status: int) -> None:
-    fake = metastore.MetaStoreFake()
-    fake.start()
+def test_the_epoch_is_read_from_answers_of_every_status(
+    client: Client, status: int
+) -> None:
+    client.fake.epoch, client.fake.faults["refuse"] = 3, status
     try:
-        told: list[int] = []
-        client = platform_store.PlatformStore(f"127.0.0.1:{fake.port}")
-        client.watch_epoch(told.append)
-        fake.epoch, fake.faults["refuse"] = 3, status
-        try:
-            client.commit([gateway_api.Write("t", "a", b"1")])
-        except (gateway_api.StoreError, gateway_api.HistoryGone):
-            pass
-        assert told == [3]
-    finally:
-        fake.stop()
+        client.store.commit([gateway_api.Write("t", "a", b"1")])
+    except (gateway_api.StoreError, gateway_api.HistoryGone):
+        pass
+    assert client.told == [3]
+
+
+def test_a_reading_of_several_pages_is_of_one_epoch(client: Client) -> None:
+    for number in range(2 * metastore.PAGE_ROWS):
+        client.fake.put("t", f"k{number}", 1)
+    pages = client.fake._get
+
+    def restored_between(query: dict[str, str]) -> httpfake.Reply:
+        client.fake.epoch += 1
+        return pages(query)
+
+    client.fake._get = restored_between  # type: ignore[method-assign]
+    with pytest.raises(gateway_api.StoreError):
+        client.store.read("t")
