--- a/gaprock/test/conftest.py
+++ b/gaprock/test/conftest.py
@@ -1,8 +1,8 @@
-"""Passes over the tests that ``KNOWN-RED.txt`` lists, and prints them.
+"""The gateway of many tests, and the list of known red tests.
 
-A line there is ``test | cause | issue``.  A listed test still runs, and one that passes
-fails the run, so that no line outlives its fault; but for a cause that begins with
-``sometimes:``.
+The tests that ``KNOWN-RED.txt`` lists are passed over and printed.  A line there is
+``test | cause | issue``.  A listed test still runs, and one that passes fails the run,
+so that no line outlives its fault; but for a cause that begins with ``sometimes:``.
 """
 
 import pathlib
@@ -10,6 +10,8 @@
 
 import pytest
 
+from gaprock.test import gatewaysite
+
 LIST: typing.Final = pathlib.Path(__file__).resolve().parents[2] / "KNOWN-RED.txt"
 # Begins the cause of a test that fails now and then.
 SOMETIMES: typing.Final = "sometimes:"
@@ -64,3 +66,10 @@
     for known in KNOWN:
         line = f"KNOWN RED: {known.test}: {known.cause} ({known.issue})"
         terminalreporter.write_line(line)
+
+
+@pytest.fixture
+def site() -> typing.Iterator[gatewaysite.GatewaySite]:
+    """Run a gateway before stand-ins of the store and of endpoints."""
+    with gatewaysite.GatewaySite() as made:
+        yield made
--- a/gaprock/test/gatewaysite.py
+++ b/gaprock/test/gatewaysite.py
@@ -153,6 +153,11 @@
         """Give the usable endpoints of a service."""
         return {e.name for e in self.gateway.directory.usable(service, set())}
 
+    @property
+    def in_force(self) -> int:
+        """The number of the configuration in force."""
+        return self.gateway.orders.config_number
+
     def connect(self) -> socket.socket:
         """Open a caller's connection."""
         host, _, port = self.cfg.listen.rpartition(":")
--- a/gaprock/test/testrestored.py
+++ b/gaprock/test/testrestored.py
@@ -50,12 +50,6 @@
         while passed and self.store.version < 60:
             self.store.put("status", "other", 1)
 
-    @property
-    def in_force(self) -> int:
-        """The number of the configuration in force."""
-        table = self.gateway.orders.table
-        return table.number if table else 0
-
 
 @PASSED
 def test_a_configuration_under_a_reused_version_is_in_force(passed: bool) -> None:
--- a/gaprock/test/testsilent.py
+++ b/gaprock/test/testsilent.py
@@ -16,12 +16,6 @@
 from gaprock.test.fakes import backend, cutproxy, metastore
 
 
-@pytest.fixture
-def site() -> typing.Iterator[gatewaysite.GatewaySite]:
-    with gatewaysite.GatewaySite() as made:
-        yield made
-
-
 @pytest.fixture
 def fake_store() -> typing.Iterator[metastore.MetaStoreFake]:
     fake = metastore.MetaStoreFake()
--- a/misc/proofs_gateway_mesh.py
+++ b/misc/proofs_gateway_mesh.py
@@ -30,7 +30,7 @@
     ),
     proofs.gateway(
         "a process that stops refuses in the end",
-        "testgateway.py::test_a_process_at_its_end_takes_nothing_more",
+        "testgatewaystops.py::test_a_process_at_its_end_takes_nothing_more",
         "gateway_node.py",
         "        self.server.end_at = self.server.take_all_until = self.clock.now()\n",
     ),
@@ -50,7 +50,7 @@
     ),
     proofs.gateway(
         "a gateway that takes no connection is not ready",
-        "testgateway.py::test_a_gateway_that_takes_no_connection_is_not_ready",
+        "testgatewaystops.py::test_a_gateway_that_takes_no_connection_is_not_ready",
         "gateway_node.py",
         "self.is_ready and self.port.is_accepting and not self.leaving",
         "self.is_ready and not self.leaving",
--- a/misc/proofs_gateway_requests.py
+++ b/misc/proofs_gateway_requests.py
@@ -80,7 +80,7 @@
     ),
     proofs.gateway(
         "a request during the start is held for a moment",
-        "testgateway.py::test_a_request_that_comes_during_the_start_is_held_for_a"
+        "testgatewaystops.py::test_a_request_that_comes_during_the_start_is_held_for_a"
         "_moment",
         "gateway_serve.py",
         "        self._await_ready()\n",
