Move the rows of a followed table out of its follower

A follower held a thread, an exchange with peers and the table with its versions, digest and tombstones. The table is now a class without a thread or a store, so that the order in which rows and versions arrive can be read and tested in one place. No behaviour changes: the bodies are moved as they were, proofs and tests follow the new names.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -15,13 +15,19 @@
 is read again in each new epoch, and data of an earlier epoch is dropped.
 """
 
-import collections
-import hashlib
 import random
 import threading
 import typing
 
-from gaprock import clock, eventlog, freshness, gateway_api, mesh_messages, store_epochs
+from gaprock import (
+    clock,
+    eventlog,
+    followed_table,
+    freshness,
+    gateway_api,
+    mesh_messages,
+    store_epochs,
+)
 
 # Longest poll; each poll is a billed call.
 POLL_S: typing.Final = 28.0
@@ -40,9 +46,6 @@
 COPY_CHECK_INTERVAL_S: typing.Final = 0.05
 # A peer that stays ahead for this long has a change that the store did not report.
 MAX_LAG_S: typing.Final = 0.4
-# Removed rows that are remembered, so that a peer can be sent only the changes.
-MAX_TOMBSTONES: typing.Final = 2000
-DIGEST_RANGE: typing.Final = 1 << 64
 
 
 class Sink(typing.Protocol):
@@ -90,23 +93,11 @@
         self._peers_retry = peers_retry
         self._epochs = epochs or store_epochs.EpochTracker(clock_)
         self._lock = threading.RLock()
-        self._rows: dict[str, gateway_api.Row] = {}
+        self._rows = followed_table.FollowedTable(table)
         # Whether the whole table was read, so that its changes can be requested.
         self._is_read = False
         # Whether a long poll is pending at the store.
         self._is_polling = False
-        # The store's epoch in which the rows were read; all versions belong to it.
-        self.epoch = 0
-        # The store's version that the rows reflect; -1 before the first read.
-        self.version = -1
-        # The version of the newest change in this table; -1 before the first read.
-        self.changed = -1
-        # Digest of the rows, for comparison with a peer's rows.
-        self._digest = digest({})
-        # Versions of the most recently removed rows, by key, and the version after
-        # which all changes are known, including removals.
-        self._tombstones: collections.OrderedDict[str, int] = collections.OrderedDict()
-        self._changes_from = 0
         # Since when the store has not answered; ``NEVER`` while it answers.
         self.disconnected_at = 0.0
         # How often the history was gone since the store last returned changes.
@@ -131,20 +122,27 @@
     def rows(self) -> list[gateway_api.Row]:
         """Return the known rows of the table."""
         with self._lock:
-            return list(self._rows.values())
+            return list(self._rows.rows.values())
 
-    def changes_after(self, epoch: int, since: int) -> list[gateway_api.Row] | None:
-        """Return the changes after a version; ``None`` if some may be unknown.
+    @property
+    def epoch(self) -> int:
+        """The store's epoch in which the rows were read."""
+        return self._rows.epoch
 
-        Without it, each change of one endpoint would send a peer the rows of all 3,000
-        endpoints, some 180 bytes each.
-        """
+    @property
+    def version(self) -> int:
+        """The store's version that the rows reflect; -1 before the first read."""
+        return self._rows.version
+
+    @property
+    def changed(self) -> int:
+        """The version of the table's newest change; -1 before the first read."""
+        return self._rows.changed
+
+    def changes_after(self, epoch: int, since: int) -> list[gateway_api.Row] | None:
+        """Return the changes after a version; ``None`` if some may be unknown."""
         with self._lock:
-            if epoch != self.epoch or since < self._changes_from:
-                return None
-            found = [row for row in self._rows.values() if row.version > since]
-            gone = [(k, v) for k, v in self._tombstones.items() if v > since]
-        return found + [gateway_api.Row(key, None, version) for key, version in gone]
+            return self._rows.changes_after(epoch, since)
 
     # -- Exchange with other gateways --
 
@@ -152,13 +150,16 @@
         """Return the newest change, the digest, and when they were last verified."""
         with self._lock:
             return mesh_messages.TableUpdate(
-                self.changed, self._digest, self.fresh.verified_store_time, self.epoch
+                self.changed,
+                self._rows.digest,
+                self.fresh.verified_store_time,
+                self.epoch,
             )
 
     def record_verification(self, news: mesh_messages.TableUpdate) -> None:
         """Record a peer's verification, if the peer has the same rows as we do."""
         with self._lock:
-            if news.digest == self._digest and news.epoch == self.epoch:
+            if news.digest == self._rows.digest and news.epoch == self.epoch:
                 self.fresh.record_verification(news.verified_store_time)
 
     def expect_change(self) -> None:
@@ -382,21 +383,7 @@
             )
 
     def _apply_table(self, page: gateway_api.Page, changed: int) -> None:
-        if page.epoch > self.epoch and self.version >= 0:
-            eventlog.info(
-                "rows-restored",
-                table=self.table,
-                epoch=page.epoch,
-                old=self.epoch,
-                version=page.version,
-                known=self.version,
-            )
-        self._rows = {row.key: row for row in page.rows}
-        self.epoch, self.version = page.epoch, page.version
-        self.changed = changed
-        self._tombstones.clear()
-        self._changes_from = page.version
-        self._digest = digest(self._rows)
+        self._rows.replace(page, changed)
         self._sink.apply_page(page, whole=True)
 
     def _apply_changes(self, page: gateway_api.Page) -> int:
@@ -404,45 +391,11 @@
 
         :returns: how many rows were new.
         """
-        fresh = []
-        # Rows of one transaction share a version, so compare with the version that was
-        # known before this page.
-        known_until = self.changed
-        for row in page.rows:
-            old = self._rows.get(row.key)
-            if old is not None and old.version >= row.version:
-                continue
-            if row.version <= known_until and old is None:
-                # A peer's copy has shown that the row was removed meanwhile.
-                continue
-            fresh.append(row)
-            self._apply_row(row, old)
-            self.changed = max(self.changed, row.version)
-        self.version = max(self.version, page.version)
+        fresh = self._rows.apply_changes(page)
         if fresh:
-            changed = page._replace(rows=fresh)
-            self._sink.apply_page(changed, whole=False)
+            self._sink.apply_page(page._replace(rows=fresh), whole=False)
         return len(fresh)
 
-    def _apply_row(self, row: gateway_api.Row, old: gateway_api.Row | None) -> None:
-        """Apply one changed row.
-
-        :param old: the row that it replaces, if any.
-        """
-        if old is not None:
-            self._digest = (self._digest - row_digest(old)) % DIGEST_RANGE
-        if row.value is not None:
-            self._rows[row.key] = row
-            self._tombstones.pop(row.key, None)
-            self._digest = (self._digest + row_digest(row)) % DIGEST_RANGE
-            return
-        self._rows.pop(row.key, None)
-        self._tombstones[row.key] = row.version
-        self._tombstones.move_to_end(row.key)
-        if len(self._tombstones) > MAX_TOMBSTONES:
-            _, version = self._tombstones.popitem(last=False)
-            self._changes_from = max(self._changes_from, version)
-
     def _set_standby(self, on_standby: bool) -> None:
         if on_standby is self.on_standby:
             return
@@ -468,18 +421,3 @@
             eventlog.warning(
                 "store-lost", table=self.table, version=self.version, error=exc
             )
-
-
-def digest(rows: dict[str, gateway_api.Row]) -> int:
-    """Return a digest that is equal for tables with equal rows.
-
-    It is a sum over the rows, so that it can be updated for one row without reading the
-    others.
-    """
-    return sum(row_digest(row) for row in rows.values()) % DIGEST_RANGE
-
-
-def row_digest(row: gateway_api.Row) -> int:
-    """Return what a row adds to the digest of its table."""
-    text = f"{row.key} {row.version}".encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
--- a/gaprock/test/testscale.py
+++ b/gaprock/test/testscale.py
@@ -16,6 +16,7 @@
     directory_rows,
     endpoint_index,
     endpoint_state,
+    followed_table,
     followers,
     gateway_api,
     mesh,
@@ -235,7 +236,7 @@
     pair.read(5, ("a", b"1", 5), ("b", b"1", 5))
     pair.send_copy()
     version = 10
-    for n in range(followers.MAX_TOMBSTONES + 5):
+    for n in range(followed_table.MAX_TOMBSTONES + 5):
         pair.read(version + 2 * n, (f"k{n}", b"1", version + 2 * n))
         pair.read(version + 2 * n + 1, (f"k{n}", None, version + 2 * n + 1))
     assert pair.send_copy().since == -1
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -8,14 +8,14 @@
     proofs.gateway(
         "an older row does not replace a newer one",
         "testfleet.py::test_a_copy_of_a_peer_is_not_undone_by_an_older_answer",
-        "followers.py",
+        "followed_table.py",
         "            if old is not None and old.version >= row.version:\n"
         "                continue\n",
     ),
     proofs.gateway(
         "a row that was removed meanwhile does not reappear",
         "testfleet.py::test_a_copy_of_a_peer_is_not_undone_by_an_older_answer",
-        "followers.py",
+        "followed_table.py",
         "            if row.version <= known_until and old is None:\n",
         "            if False:\n",
     ),
@@ -63,7 +63,7 @@
         "a peer's verification counts only for the same rows",
         "testfreshness.py::test_a_peers_verification_counts_only_for_the_same_rows",
         "followers.py",
-        "if news.digest == self._digest and news.epoch == self.epoch:",
+        "if news.digest == self._rows.digest and news.epoch == self.epoch:",
         "if news.changed == self.changed:",
     ),
     proofs.gateway(
@@ -106,7 +106,7 @@
     proofs.gateway(
         "late answers never take a follower back to older rows",
         "testfollowing.py",
-        "followers.py",
+        "followed_table.py",
         "            if old is not None and old.version >= row.version:\n"
         "                continue\n",
     ),
@@ -291,8 +291,8 @@
     proofs.gateway(
         "a peer gets the whole table when the changes since its copy are incomplete",
         "testscale.py::test_a_peer_that_is_too_far_behind_gets_the_whole_table",
-        "followers.py",
-        "            if epoch != self.epoch or since < self._changes_from:\n"
-        "                return None\n",
+        "followed_table.py",
+        "        if epoch != self.epoch or since < self._changes_from:\n"
+        "            return None\n",
     ),
 )
