Do not apply rows from before a moment that a peer has verified

What callers saw: an order to empty a hall was withdrawn, and callers still got 503 from a gateway that counted its orders as fresh; likewise an endpoint that had gone was used. The rows are repaired by the store's next answer, so it lasts as long as the store stays silent.

Cause: a peer with the same rows has its verified moment adopted, but nothing compared that moment with what was applied afterwards. A row that came and went between an answer and the moment was applied by the late answer and counted as verified, and the moment was reported on with the digest of the wrong rows.

Evidence: testverified holds the thread of a real gateway between the receipt of a poll's answer and its application. Ruled out: the conversion of the store's time (the clocks stand still), a collision of digests (the rows are equal), the delay of the heartbeat (its time stays true).

Fix: a verification carries the version at which its sender knows the rows. Rows up to that version that are unknown here have been removed, so they are skipped; reads, copies and deltas up to it are dropped. Versions rise within an epoch, so a store whose clock starts again is no exception. The adopted version is kept apart from the one from which changes are requested, because removals in between may be unknown here and peers need them.

A verification without a version (a gateway of the release before) is ignored: the gateway asks the store itself. test_a_peers_verification_counts_only_for_the_same_rows now names the version; it asserts what it did, and that an unversioned one is ignored is a test of its own. Not taken: lowering the moment when older rows arrive (the removed row is in effect until the next check), comparing times of the store (copies carry none).

--- a/gaprock/followed_table.py
+++ b/gaprock/followed_table.py
@@ -1,7 +1,8 @@
 """The rows of a followed table, and the versions of the store that they reflect.
 
 Rows arrive as whole tables and as changes, from the store and from peers, and may have
-been overtaken on the way.
+been overtaken on the way.  A peer's verification overtakes them, too: it shows that the
+rows are those of a later version, although nothing has reported the changes up to it.
 """
 
 import collections
@@ -24,6 +25,7 @@
         "epoch",
         "version",
         "changed",
+        "verified_version",
         "digest",
         "_tombstones",
         "_changes_from",
@@ -38,6 +40,10 @@
         self.version = -1
         # The version of the newest change in this table; -1 before the first read.
         self.changed = -1
+        # The latest version for which a peer has verified these rows; -1 for none.  It
+        # is kept apart from ``version`` because removals up to it may be unknown, and
+        # peers need them.
+        self.verified_version = -1
         # Digest of the rows, for comparison with a peer's rows.
         self.digest = digest({})
         # Versions of the most recently removed rows, by key, and the version after
@@ -45,6 +51,15 @@
         self._tombstones: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._changes_from = 0
 
+    @property
+    def as_of(self) -> int:
+        """The version whose rows are known; -1 before the first read."""
+        return max(self.version, self.verified_version)
+
+    def record_verification(self, version: int) -> None:
+        """Record that the store has the same rows at a version."""
+        self.verified_version = max(self.verified_version, version)
+
     def changes_after(self, epoch: int, since: int) -> list[gateway_api.Row] | None:
         """Return the changes after a version; ``None`` if some may be unknown.
 
@@ -74,6 +89,7 @@
         self.rows = {row.key: row for row in page.rows}
         self.epoch, self.version = page.epoch, page.version
         self.changed = changed
+        self.verified_version = -1
         self._tombstones.clear()
         self._changes_from = page.version
         self.digest = digest(self.rows)
@@ -83,21 +99,31 @@
 
         :returns: the rows that were new.
         """
-        fresh = []
+        fresh, overtaken = [], 0
         # Rows of one transaction share a version, so compare with the version that was
         # known before this page.
-        known_until = self.changed
+        known_until = max(self.changed, self.verified_version)
         for row in page.rows:
             old = self.rows.get(row.key)
             if old is not None and old.version >= row.version:
                 continue
             if row.version <= known_until and old is None:
-                # A peer's copy has shown that the row was removed meanwhile.
+                # A peer has shown that the row was removed meanwhile.
+                overtaken += 1
+                if row.value is None:
+                    self._record_removal(row)
                 continue
             fresh.append(row)
             self._apply_row(row, old)
-            self.changed = max(self.changed, row.version)
         self.version = max(self.version, page.version)
+        if overtaken:
+            eventlog.info(
+                "rows-overtaken",
+                table=self.name,
+                version=page.version,
+                known=known_until,
+                rows=overtaken,
+            )
         return fresh
 
     def _apply_row(self, row: gateway_api.Row, old: gateway_api.Row | None) -> None:
@@ -107,13 +133,20 @@
         """
         if old is not None:
             self.digest = (self.digest - row_digest(old)) % DIGEST_RANGE
-        if row.value is not None:
-            self.rows[row.key] = row
-            self._tombstones.pop(row.key, None)
-            self.digest = (self.digest + row_digest(row)) % DIGEST_RANGE
+        if row.value is None:
+            self.rows.pop(row.key, None)
+            self._record_removal(row)
             return
-        self.rows.pop(row.key, None)
-        self._tombstones[row.key] = row.version
+        self.rows[row.key] = row
+        self._tombstones.pop(row.key, None)
+        self.digest = (self.digest + row_digest(row)) % DIGEST_RANGE
+        self.changed = max(self.changed, row.version)
+
+    def _record_removal(self, row: gateway_api.Row) -> None:
+        """Record a removed row, so that peers that still have it can be told."""
+        self.changed = max(self.changed, row.version)
+        newest = max(row.version, self._tombstones.get(row.key, 0))
+        self._tombstones[row.key] = newest
         self._tombstones.move_to_end(row.key)
         if len(self._tombstones) > MAX_TOMBSTONES:
             _, version = self._tombstones.popitem(last=False)
--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -134,6 +134,11 @@
         """The store's version that the rows reflect; -1 before the first read."""
         return self._rows.version
 
+    @property
+    def as_of(self) -> int:
+        """The version whose rows are known, by our own calls or a peer's."""
+        return self._rows.as_of
+
     @property
     def changed(self) -> int:
         """The version of the table's newest change; -1 before the first read."""
@@ -154,12 +159,20 @@
                 self._rows.digest,
                 self.fresh.verified_store_time,
                 self.epoch,
+                self.as_of,
             )
 
     def record_verification(self, news: mesh_messages.TableUpdate) -> None:
-        """Record a peer's verification, if the peer has the same rows as we do."""
+        """Record a peer's verification, if the peer has the same rows as we do.
+
+        Rows in transit to us may be older than the verified moment.  Without the
+        version of that moment they could not be told from newer ones.
+        """
+        if news.version < 0:
+            return
         with self._lock:
             if news.digest == self._rows.digest and news.epoch == self.epoch:
+                self._rows.record_verification(news.version)
                 self.fresh.record_verification(news.verified_store_time)
 
     def expect_change(self) -> None:
@@ -175,7 +188,7 @@
         so a removed row would come back.
         """
         with self._lock:
-            if (page.epoch, page.version) <= (self.epoch, self.version):
+            if (page.epoch, page.version) <= (self.epoch, self.as_of):
                 return
             eventlog.info(
                 "rows-copied",
@@ -199,7 +212,7 @@
         with self._lock:
             known = self._is_read and since <= self.version
             known = known and page.epoch == self.epoch
-            if not known or page.version <= self.version:
+            if not known or page.version <= self.as_of:
                 return
             old = self.changed
             fresh = self._apply_changes(page)
@@ -304,7 +317,7 @@
             raise gateway_api.StoreError("an answer of an earlier epoch")
         self._record_connected()
         with self._lock:
-            if (page.epoch, page.version) >= (self.epoch, self.version):
+            if (page.epoch, page.version) >= (self.epoch, self.as_of):
                 newest = max((row.version for row in page.rows), default=0)
                 # Rows from later pages may be newer than the version of the read.
                 newest = min(newest, page.version)
@@ -317,7 +330,7 @@
                     "reading-dropped",
                     table=self.table,
                     version=page.version,
-                    known=self.version,
+                    known=self.as_of,
                     epoch=page.epoch,
                 )
         self._is_read = True
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -50,13 +50,16 @@
         row removed before that, so the newest change alone does not distinguish tables.
     :param verified_store_time: the store's time at which it was last verified to have
         exactly these rows; 0 for never.
-    :param epoch: the store's epoch to which the version belongs.
+    :param epoch: the store's epoch to which the versions belong.
+    :param version: the store's version at which it is known to have exactly these rows;
+        -1 for a gateway of a release that does not send it.
     """
 
     changed: int
     digest: int
     verified_store_time: float
     epoch: int = 0
+    version: int = -1
 
     @property
     def store_position(self) -> tuple[int, int]:
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -110,7 +110,7 @@
             follower.record_verification(news)
             self._peer_news[table] = news
         now = self._clock.now()
-        known = follower.epoch, follower.version
+        known = follower.epoch, follower.as_of
         newest, since = self._peer_ahead.get(table, (news.store_position, now))
         newest = max(newest, news.store_position)
         if newest <= known:
@@ -140,7 +140,7 @@
         if self._config is None or number <= self._config.config_number:
             return False
         follower = self._followers[mesh_messages.ORDERS]
-        return orders.store_position <= (follower.epoch, follower.version)
+        return orders.store_position <= (follower.epoch, follower.as_of)
 
     def config_copy(self) -> mesh_messages.ConfigCopy | None:
         """Return the configuration in effect; ``None`` before the first one."""
--- a/gaprock/test/testfollowing.py
+++ b/gaprock/test/testfollowing.py
@@ -293,6 +293,7 @@
 def test_rows_are_not_verified_for_a_moment_after_the_answer_that_brought_them() -> (
     None
 ):
+    # Guards against a peer's verification counting for rows that were in transit.
     world = Following()
     world.start_anew(0)
     world.change({"a": True})
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -145,11 +145,11 @@
     one.apply_copy(gateway_api.Page([row], 7, 0.0))
     for other in ({}, {"a": row._replace(version=6)}, {"a": row, "b": row}):
         one.record_verification(
-            mesh_messages.TableUpdate(7, followed_table.digest(other), 100.0)
+            mesh_messages.TableUpdate(7, followed_table.digest(other), 100.0, 0, 7)
         )
     assert fresh.verified_at == 0.0
     one.record_verification(
-        mesh_messages.TableUpdate(7, followed_table.digest({"a": row}), 100.0)
+        mesh_messages.TableUpdate(7, followed_table.digest({"a": row}), 100.0, 0, 7)
     )
     assert fresh.verified_at == 150.0
 
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -4,6 +4,10 @@
 
 from misc import proofs
 
+VERIFIED: typing.Final = (
+    "testverified.py::test_rows_from_before_a_peers_verification_are_not_verified_by_it"
+)
+
 PROOFS: typing.Final = (
     proofs.gateway(
         "an older row does not replace a newer one",
@@ -79,9 +83,46 @@
         "testfollowing.py::test_a_row_that_is_gone_does_not_come_back_with_an_older"
         "_copy",
         "followers.py",
-        "if (page.epoch, page.version) <= (self.epoch, self.version):",
+        "if (page.epoch, page.version) <= (self.epoch, self.as_of):",
         "if (page.epoch, page.version) <= (self.epoch, self.changed):",
     ),
+    proofs.gateway(
+        "changes from before a peer's verification are not applied",
+        VERIFIED + "[poll]",
+        "followed_table.py",
+        "known_until = max(self.changed, self.verified_version)",
+        "known_until = self.changed",
+    ),
+    proofs.gateway(
+        "a table read before a peer's verification is dropped",
+        VERIFIED + "[read]",
+        "followers.py",
+        "if (page.epoch, page.version) >= (self.epoch, self.as_of):",
+        "if (page.epoch, page.version) >= (self.epoch, self.version):",
+    ),
+    proofs.gateway(
+        "a copy from before a peer's verification is ignored",
+        VERIFIED + "[copy]",
+        "followers.py",
+        "if (page.epoch, page.version) <= (self.epoch, self.as_of):",
+        "if (page.epoch, page.version) <= (self.epoch, self.version):",
+    ),
+    proofs.gateway(
+        "a removal that a verification overtook is sent to peers",
+        "testverified.py::test_a_removal_that_a_verification_overtook_is_sent_to"
+        "_peers",
+        "followed_table.py",
+        "                if row.value is None:\n"
+        "                    self._record_removal(row)\n",
+    ),
+    proofs.gateway(
+        "a verification without a version is ignored",
+        "testverified.py::test_gateways_of_the_release_before_are_read_but_verify"
+        "_nothing",
+        "followers.py",
+        "if news.version < 0:",
+        "if False:",
+    ),
     proofs.gateway(
         "peers' reports on an order apply once the order arrives",
         "testrollouts.py::test_what_peers_told_of_an_order_holds_as_soon_as_it_comes",
