Judge an answer by the version as of which the table is known

What callers would see: an endpoint that has gone, or an order that has ended, is in effect again until the store's next answer. No caller is known to have met it.

Cause: an unknown row was taken for removed up to `changed`, the newest change seen. A whole read knows the table as of its own version, even if its newest row is older, so an answer from between the two brought a removed row back.

By reading, one thread makes all calls and applies an answer before the next one, and copies carry the newest change as their version.

Fix: the bound is `as_of`, whatever raised it, so it holds for any order of calls and not by the order of statements in the thread. A read in several pages is known as of its first page; a test holds that bound, and a proof breaks it.

--- a/gaprock/followed_table.py
+++ b/gaprock/followed_table.py
@@ -102,13 +102,13 @@
         fresh, overtaken = [], 0
         # Rows of one transaction share a version, so compare with the version that was
         # known before this page.
-        known_until = max(self.changed, self.verified_version)
+        known_until = self.as_of
         for row in page.rows:
             old = self.rows.get(row.key)
             if old is not None and old.version >= row.version:
                 continue
             if row.version <= known_until and old is None:
-                # A peer has shown that the row was removed meanwhile.
+                # The row was removed meanwhile.
                 overtaken += 1
                 if row.value is None:
                     self._record_removal(row)
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -67,6 +67,19 @@
     assert kept.values == {"a": b"2"}
 
 
+def test_a_change_between_the_pages_of_a_read_is_applied(
+    time: clock.ManualClock,
+) -> None:
+    one, scripted, kept = follower(time)
+    # The last page was read at version 12, the first one at version 10.
+    scripted.pages = [page(10, ("a", b"1", 5), ("z", b"1", 12))]
+    one._read_table()
+    assert one.version == 10
+    scripted.pages = [page(12, ("b", b"1", 11), ("c", None, 11), ("z", b"1", 12))]
+    one._request_changes(one.version)
+    assert kept.values == {"a": b"1", "b": b"1", "z": b"1"}
+
+
 def test_rows_of_one_transaction_are_all_applied(time: clock.ManualClock) -> None:
     one, scripted, kept = follower(time)
     scripted.pages = [page(5), page(6, ("a", b"1", 6), ("b", b"1", 6))]
--- a/gaprock/test/testfollowing.py
+++ b/gaprock/test/testfollowing.py
@@ -277,6 +277,7 @@
 
 
 def test_a_row_that_is_gone_does_not_come_back_with_an_older_answer() -> None:
+    # Guards against judging an answer by the newest change instead of the last read.
     world = Following()
     world.answer_is_overtaken(0, 1, False)
     world.change({"a": True})
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -23,6 +23,22 @@
         "            if row.version <= known_until and old is None:\n",
         "            if False:\n",
     ),
+    proofs.gateway(
+        "an answer from before a read of the whole table does not undo it",
+        "testfollowing.py::test_a_row_that_is_gone_does_not_come_back_with_an_older"
+        "_answer",
+        "followed_table.py",
+        "known_until = self.as_of",
+        "known_until = max(self.changed, self.verified_version)",
+    ),
+    proofs.gateway(
+        "a whole read is known as of its first page",
+        "testfleet.py::test_a_change_between_the_pages_of_a_read_is_applied",
+        "followed_table.py",
+        "self.epoch, self.version = page.epoch, page.version",
+        "self.epoch = page.epoch\n"
+        "        self.version = max(page.version, *(row.version for row in page.rows))",
+    ),
     proofs.gateway(
         "a peer that stays ahead is asked for its rows",
         "testfleet.py::test_a_peer_that_stays_ahead_is_asked_though_the_store_says"
@@ -90,8 +106,8 @@
         "changes from before a peer's verification are not applied",
         VERIFIED + "[poll]",
         "followed_table.py",
-        "known_until = max(self.changed, self.verified_version)",
-        "known_until = self.changed",
+        "known_until = self.as_of",
+        "known_until = self.version",
     ),
     proofs.gateway(
         "a table read before a peer's verification is dropped",
