Drop an answer to a request of an earlier epoch of the store

What callers would see: after a restore of the store, a change (a configuration, an order, a departure) never takes effect at one gateway, which counts its rows as fresh all the same. No caller is known to have met it; found by going through every way in which rows enter.

Cause: the version after which changes are requested was read apart from its epoch. A copy of a peer that has read the restored store may arrive while a poll or a check is open. The store then answers by a version of the epoch before, once it has passed that number again, and the answer was applied, because it is of the table's present epoch.

The state machine of testepochs could not find it: it asks and answers a poll in one step.

Fix: version and epoch of a request are read together, an answer to a request of another epoch is dropped, and a poll is abandoned once its epoch is not the table's.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -287,7 +287,7 @@
             self._read_table()
         elif not self.connected or self.fresh.is_check_due:
             # After a failure, a call that does not wait shows if the store answers.
-            self._request_changes(self.version)
+            self._request_changes(*self._position())
         elif self.on_standby:
             self._stopped.wait(CHECK_INTERVAL_S)
         elif self._poll():
@@ -335,14 +335,21 @@
                 )
         self._is_read = True
 
-    def _request_changes(self, since: int) -> bool:
+    def _position(self) -> tuple[int, int]:
+        """Return the version after which to request changes, and its epoch."""
+        with self._lock:
+            return self.version, self.epoch
+
+    def _request_changes(self, since: int, epoch: int | None = None) -> bool:
         """Request the changes after a version with a call that does not wait.
 
+        :param epoch: the epoch of the version; the present one if ``None``.
         :returns: whether there were any.
         """
+        epoch = self.epoch if epoch is None else epoch
         asked_at = self._clock.now()
         page = self._store.changes(self.table, since)
-        self._apply_answer(page, asked_at)
+        self._apply_answer(page, asked_at, epoch)
         return bool(page.rows)
 
     def _poll(self) -> bool:
@@ -355,7 +362,7 @@
 
         :returns: whether the poll reported changes.
         """
-        since = self.version
+        since, epoch = self._position()
         give_up_at = self._clock.now() + POLL_S + POLL_SLACK_S
         poll = self._store.poll(self.table, since, POLL_S)
         eventlog.info("store-asked", table=self.table, since=since, wait_s=POLL_S)
@@ -364,28 +371,49 @@
             while not poll.wait(CHECK_INTERVAL_S):
                 if self._stopped.is_set() or self._is_outdated:
                     return False
+                if self.epoch != epoch:
+                    # A peer's copy has brought a new epoch, in which the poll's
+                    # version may already have passed.
+                    return False
                 if self._clock.now() > give_up_at:
                     raise gateway_api.StoreError("no answer to the poll")
-                if self.fresh.is_check_due and self._request_changes(since):
+                if self.fresh.is_check_due and self._request_changes(since, epoch):
                     eventlog.warning("store-poll-deaf", table=self.table, since=since)
                     return False
             page = poll.page()
         finally:
             self._is_polling = False
             poll.close()
-        self._apply_answer(page, None)
+        self._apply_answer(page, None, epoch)
         return bool(page.rows)
 
-    def _apply_answer(self, page: gateway_api.Page, asked_at: float | None) -> None:
+    def _apply_answer(
+        self,
+        page: gateway_api.Page,
+        asked_at: float | None,
+        asked_in: int | None = None,
+    ) -> None:
         """Apply the changes in an answer of the store.
 
         :param asked_at: when they were requested; ``None`` for a long poll.
+        :param asked_in: the epoch of the version after which they were requested; the
+            answer's own if ``None``.
         :raises gateway_api.HistoryGone: when the store was restored meanwhile.
         :raises gateway_api.StoreError: when the answer belongs to an earlier epoch.
         """
         self._record_connected()
         with self._lock:
             self._check_epoch(page)
+            if asked_in is not None and asked_in != self.epoch:
+                # The version belongs to another epoch, so changes may be missing.
+                eventlog.warning(
+                    "answer-dropped",
+                    table=self.table,
+                    version=page.version,
+                    epoch=page.epoch,
+                    asked_in=asked_in,
+                )
+                return
             self._history_gone_count = 0
             fresh = self._apply_changes(page)
             if page.version >= self.version:
--- a/gaprock/test/testepochs.py
+++ b/gaprock/test/testepochs.py
@@ -307,6 +307,64 @@
     assert one.told.values == told
 
 
+class RestoredMeanwhile(ModelStore):
+    """A store that is restored while it answers a request for changes."""
+
+    __slots__ = ("on_request",)
+
+    def __init__(self, clock_: clock.Clock) -> None:
+        self.on_request: typing.Callable[[], None] | None = None
+        super().__init__(clock_)
+
+    def changes(self, table: str, since: int) -> gateway_api.Page:
+        call, self.on_request = self.on_request, None
+        if call is not None:
+            call()
+        return super().changes(table, since)
+
+
+def test_an_answer_to_a_request_of_an_earlier_epoch_loses_no_changes() -> None:
+    # Guards against an answer that starts at a version of the epoch before.
+    time = clock.ManualClock(100.0)
+    store = RestoredMeanwhile(time)
+    one = Member(store, time)
+    for _ in range(5):
+        store.change("a", True)
+    one.ask()
+
+    def restore() -> None:
+        store.restore(3)
+        # A peer that has read the restored store sends its copy.
+        one.follower.apply_copy(store.read("t"))
+        store.change("b", True)
+        for _ in range(3):
+            store.change("a", True)
+
+    store.on_request = restore
+    one.ask()
+    for _ in range(2):
+        one.ask()
+    assert one.told.values == store.shown[-1]
+
+
+def test_a_poll_that_outlives_a_restore_is_abandoned() -> None:
+    # Guards against polling on from a version of the epoch before.
+    with rowcase.FollowedStore() as one:
+        store = one.store
+        for number in range(2, 6):
+            store.put(rowcase.TABLE, "a", number)
+        gatewaysite.wait_until(lambda: one.kept.values == {"a": b"5"}, "it is read")
+        gatewaysite.wait_until(lambda: bool(store.open_polls), "a poll waits")
+        store.withholds_restores = True
+        store.restore(2)
+        copy = [gateway_api.Row("a", b"2", 2)]
+        one.follower.apply_copy(gateway_api.Page(copy, 2, 0.0, store.epoch))
+        # These reuse the version from which the poll was started, and pass it.
+        for key in "bcdef":
+            store.put(rowcase.TABLE, key, 1)
+        gatewaysite.wait_until(lambda: one.kept.keys == set("abcdef"), "all are known")
+
+
 def test_a_peer_of_an_earlier_epoch_gets_the_whole_table() -> None:
     one = LoneMember()
     for _ in range(3):
--- a/gaprock/test/testverified.py
+++ b/gaprock/test/testverified.py
@@ -181,12 +181,12 @@
         self.applied = threading.Event()
         apply = follower._apply_answer
 
-        def apply_later(page: gateway_api.Page, asked_at: float | None) -> None:
+        def apply_later(page: gateway_api.Page, *args: typing.Any) -> None:
             is_held = bool(page.rows) and not self.received.is_set()
             if is_held:
                 self.received.set()
                 self.released.wait(10.0)
-            apply(page, asked_at)
+            apply(page, *args)
             if is_held:
                 self.applied.set()
 
--- a/misc/proofs_gateway_restores.py
+++ b/misc/proofs_gateway_restores.py
@@ -39,6 +39,21 @@
         "        if page.epoch < self.epoch:\n            raise",
         "        if False:\n            raise",
     ),
+    proofs.gateway(
+        "an answer to a request of an earlier epoch is dropped",
+        "testepochs.py::test_an_answer_to_a_request_of_an_earlier_epoch_loses_no"
+        "_changes",
+        "followers.py",
+        "if asked_in is not None and asked_in != self.epoch:",
+        "if False:",
+    ),
+    proofs.gateway(
+        "a poll of an earlier epoch is abandoned",
+        "testepochs.py::test_a_poll_that_outlives_a_restore_is_abandoned",
+        "followers.py",
+        "                if self.epoch != epoch:\n",
+        "                if False:\n",
+    ),
     proofs.gateway(
         "a verification of another epoch is ignored",
         "testepochs.py::test_a_verification_of_another_epoch_is_ignored",
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -60,7 +60,7 @@
         "testfreshness.py::test_a_configuration_is_in_force_after_an_outage_swallowed"
         "_the_poll",
         "followers.py",
-        "if self.fresh.is_check_due and self._request_changes(since):",
+        "if self.fresh.is_check_due and self._request_changes(since, epoch):",
         "if False:",
     ),
     proofs.gateway(
