Read the rows and the version of a copy together

What callers would see: a change (a configuration, an order, a departure) never takes effect at one gateway, which counts its rows as fresh all the same. No caller is known to have met it; found by going through every way in which rows enter.

Cause: a copy for a peer took the rows, encoded them and then read the version of the newest change. A change that the follower's thread applied in between gave the copy its version but not its row, and the receiver requests changes after that version.

Evidence: test_a_copy_is_of_the_version_of_its_rows applies a change while the rows are encoded; on the code before, the copy has version 7 and the rows of version 6, in both cases (whole table, changes). Both pass now.

Fix: Follower.copy returns rows, version and epoch under one hold of the lock.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -149,6 +149,19 @@
         with self._lock:
             return self._rows.changes_after(epoch, since)
 
+    def copy(self, epoch: int, since: int) -> tuple[gateway_api.Page, int]:
+        """Return the changes after a version, or the whole table if some are unknown.
+
+        :param since: the version, of the epoch; -1 for the whole table.
+        :returns: the rows as of the newest change, without a time of the store, and the
+            version after which they changed; -1 for the whole table.
+        """
+        with self._lock:
+            rows = self.changes_after(epoch, since) if since >= 0 else None
+            if rows is None:
+                rows, since = self.rows(), -1
+            return gateway_api.Page(rows, self.changed, 0.0, self.epoch), since
+
     # -- Exchange with other gateways --
 
     def news(self) -> mesh_messages.TableUpdate:
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -168,16 +168,11 @@
 
     def copy(self, table: int, since: int = -1, epoch: int = 0) -> mesh_messages.Rows:
         """Return a table, or its changes after a version if all of them are known."""
-        follower = self._followers[table]
-        rows = follower.changes_after(epoch, since) if since >= 0 else None
-        if rows is None:
-            rows, since = follower.rows(), -1
+        page, since = self._followers[table].copy(epoch, since)
         copies = [
-            mesh_messages.RowCopy(row.key, row.value, row.version) for row in rows
+            mesh_messages.RowCopy(row.key, row.value, row.version) for row in page.rows
         ]
-        return mesh_messages.Rows(
-            table, follower.changed, copies, since, follower.epoch
-        )
+        return mesh_messages.Rows(table, page.version, copies, since, page.epoch)
 
     def apply_copy(self, rows: mesh_messages.Rows) -> None:
         """Apply a table, or its changes, from a peer."""
--- a/gaprock/test/testfleet.py
+++ b/gaprock/test/testfleet.py
@@ -1,6 +1,7 @@
 """Followed rows, the mesh's connections and the settings of gateways, under faults."""
 
 import pathlib
+import typing
 
 import pytest
 import zmq
@@ -88,6 +89,30 @@
     assert kept.values == {"a": b"1", "b": b"1"}
 
 
+@pytest.mark.parametrize("since", [-1, 5])
+def test_a_copy_is_of_the_version_of_its_rows(
+    time: clock.ManualClock, monkeypatch: pytest.MonkeyPatch, since: int
+) -> None:
+    # Guards against a change that arrives while a copy is made: its receiver would
+    # never request it.
+    one, scripted, _ = follower(time)
+    scripted.pages = [page(5, ("a", b"1", 5)), page(6, ("a", b"2", 6))]
+    one._read_table()
+    one._request_changes(one.version)
+    make = mesh_messages.RowCopy
+
+    def make_after_change(*args: typing.Any) -> mesh_messages.RowCopy:
+        if scripted.pages:
+            one._request_changes(one.version)
+        return make(*args)
+
+    scripted.pages = [page(7, ("b", b"1", 7))]
+    monkeypatch.setattr(mesh_messages, "RowCopy", make_after_change)
+    copy = row_exchange.RowExchange([one], time).copy(0, since)
+    assert one.version == 7
+    assert (copy.version, [row.key for row in copy.rows]) == (6, ["a"])
+
+
 def test_a_peer_that_stays_ahead_is_asked_though_the_store_says_nothing(
     time: clock.ManualClock,
 ) -> None:
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -131,6 +131,13 @@
         "                if row.value is None:\n"
         "                    self._record_removal(row)\n",
     ),
+    proofs.gateway(
+        "a copy is of the version of its rows",
+        "testfleet.py::test_a_copy_is_of_the_version_of_its_rows",
+        "row_exchange.py",
+        "return mesh_messages.Rows(table, page.version,",
+        "return mesh_messages.Rows(table, self._followers[table].changed,",
+    ),
     proofs.gateway(
         "a verification without a version is ignored",
         "testverified.py::test_gateways_of_the_release_before_are_read_but_verify"
