Log only rows that were kept out as overtaken

Two peers often send the same delta, and its second copy repeats removals. Only a row that would have been put in effect is worth a line.

--- a/gaprock/followed_table.py
+++ b/gaprock/followed_table.py
@@ -109,9 +109,10 @@
                 continue
             if row.version <= known_until and old is None:
                 # The row was removed meanwhile.
-                overtaken += 1
                 if row.value is None:
                     self._record_removal(row)
+                else:
+                    overtaken += 1
                 continue
             fresh.append(row)
             self._apply_row(row, old)
