Record the epoch that a peer's copy brings

What callers would see: after a restore of the store, endpoints whose rows the restored copy lacks are taken out of use at one gateway at once, instead of after their grace period. No caller is known to have met it; found by going through every way in which rows enter.

Cause: heartbeats and the store's answers report a new epoch to the epoch tracker, a copy did not. A copy that was requested before a restore and sent after it can be the first to bring the epoch; the sinks then date the restore by the epoch before, long past.

Evidence: test_a_peers_copy_of_a_restored_store_takes_no_endpoint_out_of_use: usable {a} where {a, b} is due on the code before; passes now, and b leaves after the grace period.

Fix: the epoch is recorded before the copy's rows are applied.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -203,6 +203,8 @@
         with self._lock:
             if (page.epoch, page.version) <= (self.epoch, self.as_of):
                 return
+            # The sinks date a restore by this, and the other tables are read again.
+            self._epochs.record(page.epoch, "copy")
             eventlog.info(
                 "rows-copied",
                 table=self.table,
--- a/gaprock/test/testrestoredendpoints.py
+++ b/gaprock/test/testrestoredendpoints.py
@@ -9,12 +9,13 @@
     departures,
     directory,
     endpoint_state,
+    followers,
     gateway_api,
     gateway_rows,
     store_epochs,
 )
 from gaprock.platform import wire
-from gaprock.test import callcase
+from gaprock.test import callcase, rowcase
 
 SERVICE: typing.Final = "llm"
 DRAIN_S: typing.Final = 2.0
@@ -141,6 +142,27 @@
     assert reader.usable == {"a", "b"}
 
 
+def test_a_peers_copy_of_a_restored_store_takes_no_endpoint_out_of_use(
+    reader: Reader,
+) -> None:
+    # Guards against a new epoch that a copy brings, and that nothing else has reported.
+    one = followers.Follower(
+        "servers",
+        gateway_api.SharedStore(),
+        reader.time,
+        reader.rows,
+        rowcase.fresh(reader.time),
+        epochs=reader.epochs,
+    )
+    reader.pass_time(60.0)
+    row = gateway_api.Row("a", ROW % b"ready", 1)
+    one.apply_copy(gateway_api.Page([row], 1, 0.0, 2))
+    assert reader.usable == {"a", "b"}
+    assert (reader.epochs.newest, reader.epochs.age_s) == (2, 0.0)
+    reader.pass_time(store_epochs.RESTORE_GRACE_S)
+    assert reader.usable == {"a"}
+
+
 def test_a_row_missing_long_after_a_restore_is_a_departure(reader: Reader) -> None:
     reader.epochs.record(2, "peer", age_s=5.0)
     reader.read(2, a="ready")
--- a/misc/proofs_gateway_restores.py
+++ b/misc/proofs_gateway_restores.py
@@ -54,6 +54,14 @@
         "                if self.epoch != epoch:\n",
         "                if False:\n",
     ),
+    proofs.gateway(
+        "an epoch that a peer's copy brings is recorded",
+        "testrestoredendpoints.py::test_a_peers_copy_of_a_restored_store_takes_no"
+        "_endpoint_out_of_use",
+        "followers.py",
+        'self._epochs.record(page.epoch, "copy")',
+        "pass",
+    ),
     proofs.gateway(
         "a verification of another epoch is ignored",
         "testepochs.py::test_a_verification_of_another_epoch_is_ignored",
