Do not count a peer that never verified its rows as a verification

What callers would see: a gateway that has not verified its orders itself counts them as fresh for the first seconds after the store's clock has started again, and refuses callers for good (401, 404) where it should say when to come back.

Cause: a table update names 0 for "never", and 0 was converted like any other time of the store. It is a moment in the recent past if the store's clock has just started.

Evidence: test_a_peer_that_never_verified_its_rows_verifies_none fails on the code before (not stale by a verification at 0), and passes now.

--- a/gaprock/freshness.py
+++ b/gaprock/freshness.py
@@ -139,8 +139,10 @@
     def record_verification(self, store_time: float) -> None:
         """Record that the table was verified, here or by another gateway.
 
-        :param store_time: when, by the store's clock.
+        :param store_time: when, by the store's clock; 0 for never.
         """
+        if not store_time:
+            return
         # A verification may appear older than it is, but never newer.
         at = self._store_clock.earliest_local(store_time)
         # A time in the future comes from a store whose clock has started again.
--- a/gaprock/test/testfreshness.py
+++ b/gaprock/test/testfreshness.py
@@ -133,6 +133,18 @@
     assert case.fresh.verified_at == 150.5
 
 
+def test_a_peer_that_never_verified_its_rows_verifies_none() -> None:
+    # Guards against time 0, "never", counting as a moment of a store that just started.
+    time = clock.ManualClock(150.0)
+    store_clock = freshness.StoreClock()
+    store_clock.record(0.5, 150.0, 150.0)
+    fresh = freshness.Freshness(time, store_clock, lambda: rowcase.BOUND_S)
+    fresh.record_verification(0.0)
+    assert fresh.is_stale
+    fresh.record_verification(0.5)
+    assert not fresh.is_stale
+
+
 def test_a_peers_verification_counts_only_for_the_same_rows() -> None:
     time = clock.ManualClock(150.0)
     store_clock = freshness.StoreClock()
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -138,6 +138,12 @@
         "return mesh_messages.Rows(table, page.version,",
         "return mesh_messages.Rows(table, self._followers[table].changed,",
     ),
+    proofs.gateway(
+        "a peer that never verified its rows verifies none",
+        "testfreshness.py::test_a_peer_that_never_verified_its_rows_verifies_none",
+        "freshness.py",
+        "        if not store_time:\n            return\n",
+    ),
     proofs.gateway(
         "a verification without a version is ignored",
         "testverified.py::test_gateways_of_the_release_before_are_read_but_verify"
