--- a/gaprock/followed_table.py
+++ b/gaprock/followed_table.py
@@ -53,7 +53,7 @@
 
     @property
     def as_of(self) -> int:
-        """The version whose rows are known; -1 before the first read."""
+        """The store's version as of which the rows are known; -1 before a read."""
         return max(self.version, self.verified_version)
 
     def record_verification(self, version: int) -> None:
--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -12,7 +12,8 @@
 reader goes silent or loses the store (``mesh.Mesh.has_readers`` decides who polls).
 
 Versions are comparable only within one epoch of the store (``store_epochs``).  A table
-is read again in each new epoch, and data of an earlier epoch is dropped.
+is read again in each new epoch, and data of an earlier epoch is dropped.  What is
+applied of rows that arrive late is decided in ``followed_table``.
 """
 
 import random
@@ -136,7 +137,7 @@
 
     @property
     def as_of(self) -> int:
-        """The version whose rows are known, by our own calls or a peer's."""
+        """The store's version as of which the rows are known."""
         return self._rows.as_of
 
     @property
