Read the epoch and version of a follower together, in one place

Cause: the pair (epoch, version as of which the rows are known) was put together four times, twice by row_exchange without the follower's lock, and the base of a delta was read in two steps as well. Ruled out by reading: no caller relied on the two reads being apart.

Now `Follower.store_position` gives the pair, under the name that TableUpdate has for it, and `delta_base` gives its own under the lock. Follower.changes_after, which only passed the call on to the table since the copy is made in one step, is gone. No behaviour is meant to change and no test changed.

--- a/gaprock/followers.py
+++ b/gaprock/followers.py
@@ -140,16 +140,17 @@
         """The store's version as of which the rows are known."""
         return self._rows.as_of
 
+    @property
+    def store_position(self) -> tuple[int, int]:
+        """The epoch and version as of which the rows are known; a greater is later."""
+        with self._lock:
+            return self.epoch, self.as_of
+
     @property
     def changed(self) -> int:
         """The version of the table's newest change; -1 before the first read."""
         return self._rows.changed
 
-    def changes_after(self, epoch: int, since: int) -> list[gateway_api.Row] | None:
-        """Return the changes after a version; ``None`` if some may be unknown."""
-        with self._lock:
-            return self._rows.changes_after(epoch, since)
-
     def copy(self, epoch: int, since: int) -> tuple[gateway_api.Page, int]:
         """Return the changes after a version, or the whole table if some are unknown.
 
@@ -158,7 +159,7 @@
             version after which they changed; -1 for the whole table.
         """
         with self._lock:
-            rows = self.changes_after(epoch, since) if since >= 0 else None
+            rows = self._rows.changes_after(epoch, since) if since >= 0 else None
             if rows is None:
                 rows, since = self.rows(), -1
             return gateway_api.Page(rows, self.changed, 0.0, self.epoch), since
@@ -202,7 +203,7 @@
         so a removed row would come back.
         """
         with self._lock:
-            if (page.epoch, page.version) <= (self.epoch, self.as_of):
+            if (page.epoch, page.version) <= self.store_position:
                 return
             # The sinks date a restore by this, and the other tables are read again.
             self._epochs.record(page.epoch, "copy")
@@ -242,9 +243,13 @@
             self.expect_change()
 
     @property
-    def delta_base(self) -> int:
-        """The version that a delta can build on; -1 while the whole table is needed."""
-        return self.version if self._is_read else -1
+    def delta_base(self) -> tuple[int, int]:
+        """The epoch and version that a delta can build on.
+
+        The version is -1 while the whole table is needed.
+        """
+        with self._lock:
+            return self.epoch, self.version if self._is_read else -1
 
     # -- The thread --
 
@@ -333,7 +338,7 @@
             raise gateway_api.StoreError("an answer of an earlier epoch")
         self._record_connected()
         with self._lock:
-            if (page.epoch, page.version) >= (self.epoch, self.as_of):
+            if (page.epoch, page.version) >= self.store_position:
                 newest = max((row.version for row in page.rows), default=0)
                 # Rows from later pages may be newer than the version of the read.
                 newest = min(newest, page.version)
--- a/gaprock/row_exchange.py
+++ b/gaprock/row_exchange.py
@@ -110,7 +110,7 @@
             follower.record_verification(news)
             self._peer_news[table] = news
         now = self._clock.now()
-        known = follower.epoch, follower.as_of
+        known = follower.store_position
         newest, since = self._peer_ahead.get(table, (news.store_position, now))
         newest = max(newest, news.store_position)
         if newest <= known:
@@ -139,8 +139,10 @@
         """
         if self._config is None or number <= self._config.config_number:
             return False
-        follower = self._followers[mesh_messages.ORDERS]
-        return orders.store_position <= (follower.epoch, follower.as_of)
+        return (
+            orders.store_position
+            <= self._followers[mesh_messages.ORDERS].store_position
+        )
 
     def config_copy(self) -> mesh_messages.ConfigCopy | None:
         """Return the configuration in effect; ``None`` before the first one."""
@@ -163,8 +165,7 @@
 
         :returns: a version of -1 where the whole table is needed.
         """
-        follower = self._followers[table]
-        return follower.epoch, follower.delta_base
+        return self._followers[table].delta_base
 
     def copy(self, table: int, since: int = -1, epoch: int = 0) -> mesh_messages.Rows:
         """Return a table, or its changes after a version if all of them are known."""
--- a/misc/proofs_gateway_restores.py
+++ b/misc/proofs_gateway_restores.py
@@ -29,7 +29,7 @@
         "testrestored.py::test_an_endpoint_that_leaves_under_a_reused_version_gets"
         "_nothing_new",
         "followers.py",
-        "if (page.epoch, page.version) >= (self.epoch, self.as_of):",
+        "if (page.epoch, page.version) >= self.store_position:",
         "if page.version >= self.version:",
     ),
     proofs.gateway(
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -99,7 +99,7 @@
         "testfollowing.py::test_a_row_that_is_gone_does_not_come_back_with_an_older"
         "_copy",
         "followers.py",
-        "if (page.epoch, page.version) <= (self.epoch, self.as_of):",
+        "if (page.epoch, page.version) <= self.store_position:",
         "if (page.epoch, page.version) <= (self.epoch, self.changed):",
     ),
     proofs.gateway(
@@ -113,14 +113,14 @@
         "a table read before a peer's verification is dropped",
         VERIFIED + "[read]",
         "followers.py",
-        "if (page.epoch, page.version) >= (self.epoch, self.as_of):",
+        "if (page.epoch, page.version) >= self.store_position:",
         "if (page.epoch, page.version) >= (self.epoch, self.version):",
     ),
     proofs.gateway(
         "a copy from before a peer's verification is ignored",
         VERIFIED + "[copy]",
         "followers.py",
-        "if (page.epoch, page.version) <= (self.epoch, self.as_of):",
+        "if (page.epoch, page.version) <= self.store_position:",
         "if (page.epoch, page.version) <= (self.epoch, self.version):",
     ),
     proofs.gateway(
