Count the sends to each version of a rollout, and log the exposure

The four hypotheses of the incident looked alike in the logs: no line and no metric had the sends of either version. Each gateway now counts them beside its evidence, so that the sums travel in the heartbeats that exist; a line each 2 s (rollout-exposure) and two gauges show exposure and allowance. CanarySlack is read from the settings.

--- a/gaprock/evidence.py
+++ b/gaprock/evidence.py
@@ -138,6 +138,14 @@
             sum(c.rated for c in found),
         )
 
+    def own_totals(self, version: str) -> Totals:
+        """Return a version's counters of this process."""
+        with self._lock:
+            record = self._records.get((self._source, version))
+        if record is None:
+            return Totals(0, 0, 0)
+        return Totals(record.counts.answers, record.counts.bad, record.counts.rated)
+
     def _store(self, counts: messages.Evidence) -> None:
         self._tick += 1
         self._records[(counts.source, counts.version)] = Record(counts, self._tick)
--- a/gaprock/gateway_gauges.py
+++ b/gaprock/gateway_gauges.py
@@ -32,6 +32,12 @@
     metrics.endpoints_slowed.set(slowed)
     metrics.pace_reports.set(gateway.directory.pace_tick)
     gateway.admission.set_metrics(metrics)
+    for rollout in gateway.rollouts.all():
+        service = rollout.order.service
+        exposed = gateway.rollouts.exposure(rollout).exposed
+        metrics.rollout_exposure.labels(service).set(exposed)
+        allowed = gateway.rollouts.allowed_exposure(rollout)
+        metrics.rollout_allowance.labels(service).set(allowed)
     for follower in gateway.followers:
         gauge = metrics.store_connected.labels(follower.table)
         gauge.set(follower.connected)
--- a/gaprock/gateway_judge.py
+++ b/gaprock/gateway_judge.py
@@ -70,6 +70,12 @@
         )
         self._judge(call, attempt, call.route.name, sample)
 
+    def record_sent(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
+    ) -> None:
+        """Count a send for the exposure of its version."""
+        self._rollouts.record_send(call.service, attempt.endpoint.row.version)
+
     def judge_pending(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -60,6 +60,8 @@
         "capacity_refused",
         "capacity_lent",
         "workspace_use",
+        "rollout_exposure",
+        "rollout_allowance",
     )
 
     def __init__(self) -> None:
@@ -103,6 +105,18 @@
             buckets=BUCKETS,
             registry=registry,
         )
+        self.rollout_exposure = prometheus_client.Gauge(
+            "gaprock_rollout_exposure",
+            "Sends of all gateways to a rollout's new version, by service",
+            ["service"],
+            registry=registry,
+        )
+        self.rollout_allowance = prometheus_client.Gauge(
+            "gaprock_rollout_allowance",
+            "Sends to a rollout's new version that its service's sends allow",
+            ["service"],
+            registry=registry,
+        )
         self.open_calls = prometheus_client.Gauge(
             "gaprock_open_calls", "Requests open now", registry=registry
         )
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -77,6 +77,8 @@
 MIN_IDLE_CONNECTIONS: typing.Final = 100
 # Periods of the background tasks, seconds.
 ROLLOUT_STEP_S: typing.Final = 0.2
+# Interval between log lines on the exposure of a rollout, seconds.
+EXPOSURE_LOG_S: typing.Final = 2.0
 HOUSEKEEPING_S: typing.Final = 1.0
 CLOCK_CHECK_S: typing.Final = 0.5
 FULLNESS_CHECK_S: typing.Final = 0.25
@@ -142,6 +144,7 @@
             plugin.find(policy_api.Guard, cfg.guard)(),
             evidence_,
             bounds.session_s,
+            bounds.canary_slack,
         )
         address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
         self.quarantine = quarantine.Quarantine(clock_)
@@ -236,6 +239,7 @@
             )
         self._tasks = [
             periodic.Periodic("rollouts", ROLLOUT_STEP_S, self._step_rollouts),
+            periodic.Periodic("exposure", EXPOSURE_LOG_S, self.rollouts.log_exposure),
             periodic.Periodic("housekeeping", HOUSEKEEPING_S, self._run_housekeeping),
             periodic.Periodic("clocks", CLOCK_CHECK_S, self._check_clocks),
             periodic.Periodic("fullness", FULLNESS_CHECK_S, self._check_fullness),
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -187,6 +187,7 @@
         attempt.sent_at = now
         if call.inbound.holding is not None and len(body) >= endpoint_held.LARGE_BODY:
             self._hold(attempt, len(body))
+        self._judge.record_sent(call, attempt)
         attempt.exchange.send(call.inbound.method, call.inbound.target, headers, body)
 
     def _hold(self, attempt: gateway_attempt.Attempt, size: int) -> None:
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -39,6 +39,7 @@
         "budget_window_s",
         "budget_allowance",
         "canary_share",
+        "canary_slack",
         "session_s",
         "warm_excess",
         "warm_slack",
@@ -62,6 +63,8 @@
         self.budget_allowance = 10.0
         # Largest share of a service's requests that a canary version receives.
         self.canary_share = 0.1
+        # Requests that it may receive on top of that share, until its rollout ends.
+        self.canary_slack = 0.0
         # Longest time between two requests of a session, seconds.
         self.session_s = 5.0
         # Requests that all gateways together may send within one second to an endpoint
--- a/gaprock/platform/settings.py
+++ b/gaprock/platform/settings.py
@@ -40,6 +40,8 @@
     # Repeated sends that are allowed in a window on top of the ratio.
     RetrySlack: float = 10
     CanaryShare: float = 0.1
+    # Requests that a canary may get on top of its share.
+    CanarySlack: float = 0
     # Within a second, all gateways together may send a cold endpoint ``ColdExcess``
     # times the requests that it can take in a second, plus ``ColdSlack``.
     ColdExcess: float = 1.5
@@ -107,6 +109,7 @@
     bounds.budget_window_s = doc.BudgetWindowS
     bounds.budget_allowance = doc.RetrySlack
     bounds.canary_share = doc.CanaryShare
+    bounds.canary_slack = doc.CanarySlack
     bounds.warm_excess = doc.ColdExcess
     bounds.warm_slack = doc.ColdSlack
     bounds.cordon_s = doc.EvacMs / 1000
--- a/gaprock/rollout_state.py
+++ b/gaprock/rollout_state.py
@@ -106,6 +106,10 @@
         """Return the share of the rollout's time that has passed."""
         return (now - self.started_at) / max(0.001, self.order.finish_s)
 
+    def is_over(self, now: float) -> bool:
+        """Whether the time that the operator set has passed."""
+        return now >= self.started_at + self.order.finish_s
+
     def pins_sessions(self, now: float) -> bool:
         """Whether active sessions stay on their version."""
         return (
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -30,6 +30,7 @@
     messages,
     policy_api,
     rollout_evidence,
+    rollout_exposure,
     rollout_latency,
     rollout_sessions,
     rollout_state,
@@ -63,6 +64,7 @@
 
     :param canary_share: the share of requests that a canary may get.
     :param session_s: the longest pause between requests of one session.
+    :param canary_slack: sends to a canary that are allowed on top of its share.
     """
 
     def __init__(
@@ -72,11 +74,14 @@
         guard: policy_api.Guard,
         evidence_: evidence.EvidenceBook,
         session_s: float = 5.0,
+        canary_slack: float = 0.0,
     ) -> None:
         self._clock = clock_
         self._sessions = rollout_sessions.RecentSessions(session_s)
         self._canary = canary_share * CANARY_USED_SHARE
         self._evidence = rollout_evidence.RolloutEvidence(guard, evidence_)
+        self._sends = rollout_exposure.SendCounter(evidence_)
+        self._allowance = rollout_exposure.Allowance(canary_share, canary_slack)
         self._lock = threading.Lock()
         self._by_service: dict[str, rollout_state.Rollout] = {}
         # The latest outcomes read, by service; they may be read before their orders.
@@ -459,6 +464,44 @@
                 self._judge(rollout)
         return against
 
+    def record_send(self, service: str, version: str) -> None:
+        """Count a send to a version of a service."""
+        rollout = self._by_service.get(service)
+        if rollout is not None and not rollout.is_over(self._clock.now()):
+            is_new = version == rollout.order.to_version
+            self._sends.record(rollout.label, is_new)
+
+    def exposure(self, rollout: rollout_state.Rollout) -> rollout_exposure.Sends:
+        """Return the sends of all gateways since the order, as far as known here."""
+        return self._sends.fleet(rollout.label)
+
+    def allowed_exposure(self, rollout: rollout_state.Rollout) -> float:
+        """Return how many sends to the new version these sends allow."""
+        return self._allowance.limit(self.exposure(rollout).total)
+
+    def log_exposure(self) -> None:
+        """Log the exposure of each rollout under way."""
+        now = self._clock.now()
+        for rollout in self.all():
+            if rollout.is_over(now):
+                continue
+            fleet, own = self.exposure(rollout), self._sends.own(rollout.label)
+            eventlog.info(
+                "rollout-exposure",
+                service=rollout.order.service,
+                version=rollout.order.to_version,
+                state=rollout.state.value,
+                halted=rollout.halted,
+                age_s=now - rollout.started_at,
+                share=self.share(rollout),
+                sends=fleet.total,
+                exposed=fleet.exposed,
+                allowed=self._allowance.limit(fleet.total),
+                own_sends=own.total,
+                own_exposed=own.exposed,
+                **self._evidence.counts(rollout.label),
+            )
+
     def is_judged(self, service: str) -> bool:
         """Whether answers of a service count as evidence now."""
         rollout = self._by_service.get(service)
