--- a/gaprock/test/rolloutcase.py
+++ b/gaprock/test/rolloutcase.py
@@ -1,5 +1,7 @@
 """The components of a rollout, with a store whose answers are scripted."""
 
+import typing
+
 import msgspec
 
 from gaprock import (
@@ -16,6 +18,8 @@
 )
 from gaprock.platform import wire
 
+OUTCOMES: typing.Final = wire.PlatformDialect.tables.outcomes
+
 
 class ScriptedStore(gateway_api.SharedStore):
     """A store that returns scripted answers."""
@@ -47,6 +51,48 @@
         return answer
 
 
+class ModelStore(gateway_api.SharedStore):
+    """Keeps the row of the outcome; the state machine sets the result of each write."""
+
+    __slots__ = ("version", "row", "history", "write_result", "late", "is_away")
+
+    def __init__(self) -> None:
+        # The first transaction was the rollout order.
+        self.version = 1
+        self.row: gateway_api.Row | None = None
+        self.history: list[str] = []
+        # The result of the next write: answered, unanswered, late or lost.
+        self.write_result = "answered"
+        self.late: list[gateway_api.Write] = []
+        # Whether it answers nobody.
+        self.is_away = False
+
+    def commit(self, writes: list[gateway_api.Write]) -> int:
+        if self.is_away:
+            raise gateway_api.StoreError("away")
+        outcome = next(w for w in writes if w.table == OUTCOMES)
+        write_result, self.write_result = self.write_result, "answered"
+        if write_result == "late":
+            self.late.append(outcome)
+        if write_result in ("late", "lost"):
+            raise gateway_api.StoreError("no answer")
+        done = self.write(outcome)
+        if write_result == "unanswered":
+            raise gateway_api.StoreError("no answer")
+        return done
+
+    def write(self, write: gateway_api.Write) -> int:
+        """Apply a write if its condition holds; return its version, otherwise 0."""
+        version = self.row.version if self.row else 0
+        if write.expect is not None and write.expect != version:
+            return 0
+        assert write.value is not None
+        self.version += 1
+        self.row = gateway_api.Row(write.key, write.value, self.version)
+        self.history.append(msgspec.json.decode(write.value)["State"])
+        return self.version
+
+
 def order(finish_s: float = 20.0) -> gateway_api.RolloutOrder:
     return gateway_api.RolloutOrder("llm", "v2", finish_s)
 
--- a/gaprock/test/testtakeover.py
+++ b/gaprock/test/testtakeover.py
@@ -9,7 +9,6 @@
 import typing
 
 import hypothesis
-import msgspec
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -28,52 +27,14 @@
     rollouts,
 )
 from gaprock.platform import wire
+from gaprock.test import rolloutcase
 
 SERVICE: typing.Final = "llm"
 FINISH_S: typing.Final = 20.0
-TABLE: typing.Final = wire.PlatformDialect.tables.outcomes
 FINAL: typing.Final = ("completed", "rolled_back")
 STEP_S: typing.Final = 0.5
 
 
-class ModelStore(gateway_api.SharedStore):
-    """Keeps the row of the outcome; the state machine sets the result of each write."""
-
-    __slots__ = ("version", "row", "history", "write_result", "late")
-
-    def __init__(self) -> None:
-        # The first transaction was the rollout order.
-        self.version = 1
-        self.row: gateway_api.Row | None = None
-        self.history: list[str] = []
-        # The result of the next write: answered, unanswered, late or lost.
-        self.write_result = "answered"
-        self.late: list[gateway_api.Write] = []
-
-    def commit(self, writes: list[gateway_api.Write]) -> int:
-        outcome = next(w for w in writes if w.table == TABLE)
-        write_result, self.write_result = self.write_result, "answered"
-        if write_result == "late":
-            self.late.append(outcome)
-        if write_result in ("late", "lost"):
-            raise gateway_api.StoreError("no answer")
-        done = self.write(outcome)
-        if write_result == "unanswered":
-            raise gateway_api.StoreError("no answer")
-        return done
-
-    def write(self, write: gateway_api.Write) -> int:
-        """Apply a write if its condition holds; return its version, otherwise 0."""
-        version = self.row.version if self.row else 0
-        if write.expect is not None and write.expect != version:
-            return 0
-        assert write.value is not None
-        self.version += 1
-        self.row = gateway_api.Row(write.key, write.value, self.version)
-        self.history.append(msgspec.json.decode(write.value)["State"])
-        return self.version
-
-
 class Member:
     """The parts of a gateway that take part in a rollout."""
 
@@ -114,7 +75,7 @@
         self.rollout = self.rollouts.add_order(order, 1, world.started_at)
         self.apply_row(world.store)
 
-    def apply_row(self, store: ModelStore) -> None:
+    def apply_row(self, store: rolloutcase.ModelStore) -> None:
         """Apply the row as it is now."""
         if store.row is not None:
             page = gateway_api.Page([store.row], store.row.version, 0.0)
@@ -131,7 +92,7 @@
         super().__init__()
         self.clock = clock.ManualClock(100.0)
         self.started_at = self.clock.now()
-        self.store = ModelStore()
+        self.store = rolloutcase.ModelStore()
         self.names = ["g1", "g2"]
         self.members = [Member(name, self) for name in self.names]
 
