Bound a rollout's exposure by a count of sends, and move late and at once

Cause: the share grew to 1.0 by 62 % of the time wherever nothing spoke against the version. A version that fails only under load or only later, whose answers are few, or whose evidence was lost with its gateways shows nothing then.

Each gateway now counts the sends to the new version and gives it at most the allowed share of its own sends and a part of the slack: the sum over the fleet is within the allowance whatever gateways hear of each other. All requests move once the rest of the time fits into what is left; that is recorded in the store first, so that a later process knows whether slack may be used up. A process that starts late assumes the first share and not what the clock says.

GatewaySite allows more slack, since its tests judge versions by tens of sends in a second.

--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -145,6 +145,7 @@
             evidence_,
             bounds.session_s,
             bounds.canary_slack,
+            lambda: self.mesh.peak_gateways(),
         )
         address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
         self.quarantine = quarantine.Quarantine(clock_)
--- a/gaprock/gateway_own_rows.py
+++ b/gaprock/gateway_own_rows.py
@@ -200,8 +200,8 @@
         if self._epoch < 0:
             self._epoch = self._epochs.newest
         self._orders.starts.update(own.starts)
-        for (service, revision), started_at in own.starts.items():
-            self._rollouts.backdate(service, revision, started_at, "own row")
+        for (service, revision), start in own.starts.items():
+            self._rollouts.record_stored_start(service, revision, start)
         return True
 
     @property
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -52,7 +52,7 @@
         # Rows come from the store's thread, configurations from peers as well.
         self._lock = threading.Lock()
         # Start times of rollouts that the store had, by (service, revision).
-        self.starts: dict[tuple[str, int], float] = {}
+        self.starts: dict[tuple[str, int], rollout_state.StoredStart] = {}
 
     def apply_page(self, page: gateway_api.Page, whole: bool) -> None:
         """Apply changed rows, or replace the whole table."""
@@ -63,7 +63,7 @@
             if row.value is None:
                 continue
             try:
-                self._apply_row(row, row.value)
+                self._apply_row(row, row.value, is_change=not whole)
             except gateway_api.InvalidDocument as exc:
                 self.invalid.record(row, exc)
 
@@ -113,7 +113,7 @@
         if table is not None:
             self._set_config(table, row)
 
-    def _apply_row(self, row: gateway_api.Row, value: bytes) -> None:
+    def _apply_row(self, row: gateway_api.Row, value: bytes, is_change: bool) -> None:
         table = self._dialect.route_table(row.key, value)
         if table is not None:
             self._set_config(table, row)
@@ -122,8 +122,12 @@
         if order is not None:
             found = self.starts.get((order.service, row.version))
             now = self._clock.now()
-            started_at = now if found is None else min(found, now)
-            self._rollouts.add_order(order, row.version, started_at, self._epoch)
+            started_at = now if found is None else min(found.started_at, now)
+            self._rollouts.add_order(
+                order, row.version, started_at, self._epoch, is_change
+            )
+            if found is not None:
+                self._rollouts.record_stored_start(order.service, row.version, found)
 
     def _set_config(self, table: routes.RouteTable, row: gateway_api.Row) -> None:
         with self._lock:
@@ -263,7 +267,7 @@
         invalid = invalid_rows.InvalidRows("own", clock_)
         # Peers by the names of their gateways.
         self.peers: dict[str, PeerRow] = {}
-        self.starts: dict[tuple[str, int], float] = {}
+        self.starts: dict[tuple[str, int], rollout_state.StoredStart] = {}
         for row in page.rows:
             if row.value is None:
                 continue
@@ -285,4 +289,5 @@
             # one that is too early.
             started_at = store_clock.latest_local(start.started)
             if started_at is not None:
-                self.starts[(service, start.revision)] = started_at
+                stored = rollout_state.StoredStart(started_at, start.moved)
+                self.starts[(service, start.revision)] = stored
--- a/gaprock/mesh_beats.py
+++ b/gaprock/mesh_beats.py
@@ -105,7 +105,10 @@
     def _urgent_news(self) -> object:
         """Return the part of our state that every gateway must learn at once."""
         rolls = self._rollouts.all()
-        halt_states = [(r.order.service, r.revision, r.halted) for r in rolls]
+        rollout_states = [
+            (r.order.service, r.revision, r.halted, r.growth.reached >= 1.0)
+            for r in rolls
+        ]
         reachability = (
             self._directory.unreachable_endpoints(),
             self._directory.suspected_endpoints(),
@@ -114,7 +117,7 @@
         limits = sorted(one.urgent for one in self._directory.pacer.news())
         departures = self._urgent_departures()
         return (
-            halt_states,
+            rollout_states,
             self._has_store(),
             self.leaving,
             reachability,
@@ -136,7 +139,7 @@
         # it from a peer does not, or each change would make all gateways of a hall
         # send.
         told = versions if self.source is not None and self.source.reads_store() else []
-        halt_states = mesh_messages.halt_states(rolls)
+        rollout_states = mesh_messages.urgent_states(rolls)
         verified_times = self._verified_times()
         unreachable_endpoints = self._directory.unreachable_endpoints()
         state = (self._has_store(), self.leaving)
@@ -150,7 +153,7 @@
         return mesh_peers.BeatContent(
             (
                 (
-                    halt_states,
+                    rollout_states,
                     told,
                     state,
                     held,
--- a/gaprock/mesh_messages.py
+++ b/gaprock/mesh_messages.py
@@ -144,7 +144,7 @@
         return (
             self.hall_relays,
             self.unreachable_endpoints,
-            halt_states(self.rollouts),
+            urgent_states(self.rollouts),
             limits,
             leaving,
         )
@@ -215,9 +215,11 @@
     is_full: bool = False
 
 
-def halt_states(news: list[RolloutUpdate]) -> list[tuple[str, int, bool]]:
-    """Return for each rollout whether it is halted."""
-    return [(roll.service, roll.revision, roll.halted) for roll in news]
+def urgent_states(news: list[RolloutUpdate]) -> list[tuple[str, int, bool, bool]]:
+    """Return for each rollout whether it is halted, and whether all requests moved."""
+    return [
+        (roll.service, roll.revision, roll.halted, roll.share >= 1.0) for roll in news
+    ]
 
 
 class RowsWanted(msgspec.Struct, tag="w", array_like=True, frozen=True):
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -64,7 +64,7 @@
         # Largest share of a service's requests that a canary version receives.
         self.canary_share = 0.1
         # Requests that it may receive on top of that share, until its rollout ends.
-        self.canary_slack = 0.0
+        self.canary_slack = 10.0
         # Longest time between two requests of a session, seconds.
         self.session_s = 5.0
         # Requests that all gateways together may send within one second to an endpoint
--- a/gaprock/platform/settings.py
+++ b/gaprock/platform/settings.py
@@ -41,7 +41,7 @@
     RetrySlack: float = 10
     CanaryShare: float = 0.1
     # Requests that a canary may get on top of its share.
-    CanarySlack: float = 0
+    CanarySlack: float = 10
     # Within a second, all gateways together may send a cold endpoint ``ColdExcess``
     # times the requests that it can take in a second, plus ``ColdSlack``.
     ColdExcess: float = 1.5
--- a/gaprock/rollout_evidence.py
+++ b/gaprock/rollout_evidence.py
@@ -1,9 +1,14 @@
 """Evidence on the versions of a rollout, for each route and in total."""
 
 import threading
+import typing
 
 from gaprock import evidence, messages, policy_api, rollout_latency
 
+# A version is proved only by so many answers, or by those to this share of its sends.
+MIN_ANSWERS: typing.Final = 10
+MIN_ANSWERED_SHARE: typing.Final = 0.5
+
 
 class RolloutEvidence:
     """The evidence on all rollouts, by their labels; thread-safe."""
@@ -104,6 +109,11 @@
             "old_bad": old.bad,
         }
 
+    def is_proved(self, label: str, sends: int) -> bool:
+        """Whether enough answers to the sends to the new version are known."""
+        answers = self._book.totals(f"{label}/new").answers
+        return answers >= min(MIN_ANSWERS, sends * MIN_ANSWERED_SHARE)
+
     def is_doubted(self, label: str) -> bool:
         """Whether the latest evidence in total is against the new version.
 
--- a/gaprock/rollout_exposure.py
+++ b/gaprock/rollout_exposure.py
@@ -3,6 +3,11 @@
 A rollout may expose a share of all sends between its order and its end, and some more
 (the *slack*).  Sends are counted like evidence: each gateway has counters that only
 grow, and the sum is over all gateways, including those that have ended.
+
+Each gateway may expose that share of its own sends, and an equal part of the slack.  So
+the sum over all gateways is within the allowance whatever they hear of each other.  A
+part of the slack that an earlier process may have used is not used again
+(``rollout_state.Rollout.planned_slack``).
 """
 
 import typing
@@ -39,6 +44,17 @@
         """Return the exposure that is allowed by so many sends."""
         return self.share * total + self.slack
 
+    def admits(self, sends: Sends, reserve: float = 0.0) -> bool:
+        """Whether one more send may go to the new version.
+
+        :param reserve: exposure to leave for later.
+        """
+        return sends.exposed + 1 + reserve <= self.limit(sends.total + 1)
+
+    def with_slack(self, used_share: float) -> "Allowance":
+        """Return the allowance with a share of its slack."""
+        return self._replace(slack=used_share * self.slack)
+
 
 class SendCounter:
     """The sends of all rollouts, by their labels; thread-safe."""
--- a/gaprock/rollout_growth.py
+++ b/gaprock/rollout_growth.py
@@ -1,92 +1,213 @@
-"""The share of sessions that a new version gets over the time of its rollout.
+"""When a new version gets all of its service's requests.
 
-The share grows in steps.  It stays as it is while the evidence speaks against the
-version, though too weakly to halt it: a service with few requests has too little
-evidence when the first step is due, and most of the bad answers came during the steps.
+Until then it has a small share, the *canary*.  It gets all requests once the rest of
+the rollout's time fits into the exposure that is still allowed (``rollout_exposure``),
+and not before half of the time.  Exposure is therefore bounded by a count, whatever the
+evidence says or lacks: a version may fail only under load, only from some time on, or
+its evidence may have been lost.
+
+A version in doubt gets a part of its service's requests at that time instead, which
+shows sooner whether the doubt is justified.
 """
 
+import collections
+import math
 import typing
 
-from gaprock import eventlog
+from gaprock import clock, eventlog, rollout_exposure
+
+# In this first share of the time no session changes its version.
+PINNED_SHARE: typing.Final = 0.5
+# The share of sessions that a version in doubt gets at the end.
+DOUBT_SHARE: typing.Final = 0.3
+# All requests must have gone to the new version this long before it is the only one.
+MIN_SETTLE_S: typing.Final = 0.5
+# An outcome is written at least this long before the end of the rollout's time.
+LAST_WRITE_S: typing.Final = 0.5
+# With less time left, a version could no longer be completed.
+MIN_LEFT_S: typing.Final = MIN_SETTLE_S + LAST_WRITE_S
+# The rate of sends is taken over this time, and from at least this much of it.
+RATE_WINDOW_S: typing.Final = 4.0
+MIN_RATE_S: typing.Final = 1.0
+# Factor on that rate in forecasts.
+RATE_MARGIN: typing.Final = 1.1
+# The state is computed at most this often.
+UPDATE_S: typing.Final = 0.1
+
+
+class SendRate:
+    """The recent rate of a count that only grows."""
+
+    __slots__ = ("_samples",)
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[tuple[float, int]] = collections.deque()
+
+    def add(self, now: float, total: int) -> None:
+        """Add the count at a time."""
+        self._samples.append((now, total))
+        while len(self._samples) > 2 and self._samples[1][0] <= now - RATE_WINDOW_S:
+            self._samples.popleft()
+
+    @property
+    def per_s(self) -> float | None:
+        """The rate per second; ``None`` while it is not known."""
+        return self._rate_from(0)
+
+    @property
+    def peak_per_s(self) -> float | None:
+        """The rate, or the latest one if that is higher, as in a burst."""
+        rate = self.per_s
+        if rate is None:
+            return None
+        since = self._samples[-1][0] - MIN_RATE_S
+        first = max(n for n, (at, _) in enumerate(self._samples) if at <= since)
+        return max(rate, self._rate_from(first) or 0.0)
+
+    def _rate_from(self, first: int) -> float | None:
+        if not self._samples:
+            return None
+        (since, start), (until, last) = self._samples[first], self._samples[-1]
+        if until < since + MIN_RATE_S:
+            return None
+        return (last - start) / (until - since)
+
+
+class Forecast(typing.NamedTuple):
+    """Whether all sends until the end of a rollout may go to the new version.
+
+    :param sends: the sends up to now.
+    :param limit: the exposure that these allow.
+    :param needed: further exposure until the end, less what the further sends allow;
+        infinite while the rate is not known.
+    """
+
+    sends: rollout_exposure.Sends
+    limit: float
+    needed: float
 
-# From this share of the time on, this share of sessions is on the new version.
-# In the first half no session changes its version.
-STEPS: typing.Final = ((0.5, 0.25), (0.56, 0.5), (0.62, 1.0))
+    @property
+    def fits(self) -> bool:
+        """Whether the allowance suffices."""
+        return self.sends.exposed + self.needed <= self.limit
 
 
-def share_by_time(elapsed_share: float, canary: float) -> float:
-    """Return the share that a version without doubt has.
+def forecast(
+    allowance: rollout_exposure.Allowance,
+    sends: rollout_exposure.Sends,
+    per_s: float | None,
+    left_s: float,
+) -> Forecast:
+    """Forecast the exposure if the new version gets all sends from now on.
 
-    :param elapsed_share: the share of the rollout's time that has passed.
-    :param canary: the share before the first step.
+    :param per_s: the rate of sends; ``None`` if it is not known.
+    :param left_s: seconds until the end of the rollout's time.
     """
-    share = canary
-    for since, step in STEPS:
-        if elapsed_share >= since:
-            share = step
-    return share
+    if per_s is None:
+        needed = math.inf
+    else:
+        needed = RATE_MARGIN * per_s * max(0.0, left_s) * (1.0 - allowance.share)
+    return Forecast(sends, allowance.limit(sends.total), needed)
 
 
 class Growth:
     """The share of one rollout's new version; it never shrinks.
 
-    Each gateway decides by its own evidence.  The others follow one that has reached a
+    Each gateway decides by what it knows.  The others follow one that has reached a
     larger share, so that no session goes back to the old version.
 
     :param service: for the log.
     :param version: for the log.
     """
 
-    __slots__ = ("_service", "_version", "reached", "_is_held")
+    __slots__ = (
+        "_service",
+        "_version",
+        "reached",
+        "moved_at",
+        "own_rate",
+        "fleet_rate",
+        "_updated_at",
+        "is_due",
+    )
 
     def __init__(self, service: str, version: str) -> None:
         self._service = service
         self._version = version
-        # Whether a step is due that a doubt prevents.
-        self._is_held = False
         # The largest share that this gateway, or a peer, has given the version; 0 while
-        # that is not known, as after a start in the second half.
+        # that is not known.
         self.reached = 0.0
-
-    def share(
+        # When this gateway gave it all requests; ``NEVER`` before.
+        self.moved_at = clock.NEVER
+        self.own_rate = SendRate()
+        self.fleet_rate = SendRate()
+        self._updated_at = -clock.NEVER
+        # Whether it is time to give it all requests.
+        self.is_due = False
+
+    def begin_update(self, now: float) -> bool:
+        """Return whether it is time to update; it is not for a while afterwards."""
+        if now < self._updated_at + UPDATE_S:
+            return False
+        self._updated_at = now
+        return True
+
+    def start(self, canary: float) -> None:
+        """Give the version its first share."""
+        self.reached = max(self.reached, canary)
+
+    def plan(
         self,
-        elapsed_share: float,
-        canary: float,
-        is_doubted: typing.Callable[[], bool],
-        counts: typing.Callable[[], dict[str, int]],
-    ) -> float:
-        """Return the share now.
-
-        :param elapsed_share: the share of the rollout's time that has passed.
-        :param canary: the share before the first step.
-        :param is_doubted: returns whether the evidence speaks against the version.
-        :param counts: returns the evidence, for the log.
+        now: float,
+        left_s: float,
+        forecasts: typing.Sequence[Forecast],
+        is_doubted: bool,
+        facts: typing.Mapping[str, float],
+    ) -> None:
+        """Decide whether the allowance suffices for all requests until the end.
+
+        All requests move only once that is recorded in the store (``move``): a process
+        that starts later must know that the slack may be used up.
+
+        :param left_s: seconds until the end of the rollout's time.
+        :param forecasts: those of the fleet and of this gateway alone.
+        :param facts: the evidence, for the log.
         """
-        wanted = share_by_time(elapsed_share, canary)
-        if wanted <= self.reached:
-            return self.reached
-        if wanted > canary:
-            if not self.reached:
-                return wanted
-            was_held, self._is_held = self._is_held, is_doubted()
-            if not self._is_held or not was_held:
-                self._log_step(wanted, counts())
-            if self._is_held:
-                return self.reached
-        self.reached = wanted
-        return wanted
-
-    def record_peer(self, reached: float) -> None:
-        """Record the share that a peer has reached."""
-        self.reached = max(self.reached, min(1.0, reached))
-
-    def _log_step(self, wanted: float, counts: dict[str, int]) -> None:
+        if self.reached >= 1.0:
+            self.moved_at = min(self.moved_at, now)
+            return
+        if left_s < MIN_LEFT_S or not all(one.fits for one in forecasts):
+            self.is_due = False
+            return
+        if self.is_due == (not is_doubted) and self.reached >= DOUBT_SHARE:
+            return
+        self.is_due = not is_doubted
+        fleet, own = forecasts
         eventlog.info(
             "rollout-step",
             service=self._service,
             version=self._version,
-            held=self._is_held,
+            doubted=is_doubted,
             share=self.reached,
-            wanted=wanted,
-            **counts,
+            wanted=1.0 if self.is_due else DOUBT_SHARE,
+            left_s=left_s,
+            sends=fleet.sends.total,
+            exposed=fleet.sends.exposed,
+            limit=fleet.limit,
+            needed=fleet.needed,
+            own_exposed=own.sends.exposed,
+            own_limit=own.limit,
+            own_needed=own.needed,
+            **facts,
         )
+        if is_doubted:
+            self.reached = max(self.reached, DOUBT_SHARE)
+
+    def move(self, now: float) -> None:
+        """Give the version all requests."""
+        self.reached = 1.0
+        self.moved_at = min(self.moved_at, now)
+
+    def record_peer(self, reached: float) -> None:
+        """Record the share that a peer has reached."""
+        self.reached = max(self.reached, min(1.0, reached))
--- a/gaprock/rollout_state.py
+++ b/gaprock/rollout_state.py
@@ -3,12 +3,18 @@
 import enum
 import typing
 
-from gaprock import gateway_api, rollout_growth, rollout_sessions
+from gaprock import clock, gateway_api, rollout_growth, rollout_sessions
 
 # All traffic must have been on the new version this long before a rollout completes.
 SETTLE_S: typing.Final = 2.0
-# The outcome is written at least this long before the time that the operator set.
-WRITE_BEFORE_S: typing.Final = 2.0
+# From this long before the end of the operator's time, requests that still run on the
+# old version do not delay the outcome.
+WRITE_BEFORE_S: typing.Final = 1.0
+# Share of the allowed slack planned for the canary, and for the whole time.  The rest
+# is for sends chosen at the same moment, and for sessions on the new version.
+CANARY_SLACK: typing.Final = 0.3
+ALL_SLACK: typing.Final = 0.7
+SESSION_SLACK: typing.Final = 0.15
 # After the order every session stays on the old version for this share of the
 # rollout's time, and at most ``HOLD_S``: heartbeats between halls take up to two
 # seconds to report the active sessions to all gateways.
@@ -41,12 +47,25 @@
     epoch: int = 0
 
 
+class StoredStart(typing.NamedTuple):
+    """What the store has of a rollout under way.
+
+    :param started_at: the time of the order, by the clock of this process.
+    :param moved: whether a gateway may have given the new version all requests.
+    """
+
+    started_at: float
+    moved: bool
+
+
 class Rollout:
     """One order and its progress.
 
     :param revision: the store's version of the order's row; it identifies the rollout.
     :param started_at: time of the order, by the clock of this process.
     :param epoch: the store's epoch in which the revision is valid.
+    :param is_new: whether the order was not there when the rows were read before.
+    :param process_since: when this process started.
     """
 
     __slots__ = (
@@ -55,6 +74,10 @@
         "epoch",
         "_order_versions",
         "started_at",
+        "_is_new",
+        "_process_since",
+        "stored_start",
+        "gateways",
         "growth",
         "pinned",
         "state",
@@ -69,11 +92,19 @@
         started_at: float,
         session_s: float,
         epoch: int = 0,
+        is_new: bool = True,
+        process_since: float = -clock.NEVER,
     ) -> None:
         self.order = order
         self._order_versions: set[tuple[int, int]] = set()
         self.rename(epoch, revision)
         self.started_at = started_at
+        self._is_new = is_new
+        self._process_since = process_since
+        # What the store had of it when this process read it first; ``None`` before.
+        self.stored_start: StoredStart | None = None
+        # The largest number of gateways since the order.
+        self.gateways = 1
         self.growth = rollout_growth.Growth(order.service, order.to_version)
         self.pinned = rollout_sessions.PinnedSessions(session_s)
         self.state = State.RUNNING
@@ -106,15 +137,40 @@
         """Return the share of the rollout's time that has passed."""
         return (now - self.started_at) / max(0.001, self.order.finish_s)
 
+    def planned_slack(self, is_moved: bool) -> float:
+        """Return the share of the allowed slack that this gateway may use.
+
+        A process that starts after the order has only what is planned for the time from
+        which all requests go to the new version, and nothing if that had begun: the
+        process that it replaces may have used the rest.
+
+        :param is_moved: whether all requests go to the new version, or may from now on.
+        """
+        if self._is_new and self.started_at >= self._process_since:
+            return ALL_SLACK if is_moved else CANARY_SLACK
+        if is_moved and self.stored_start is not None and not self.stored_start.moved:
+            return ALL_SLACK - CANARY_SLACK
+        return 0.0
+
+    def record_stored_start(self, start: "StoredStart") -> None:
+        """Record what the store has of the rollout, as it was read first."""
+        if self.stored_start is None:
+            self.stored_start = start
+
+    @property
+    def ends_at(self) -> float:
+        """The end of the time that the operator set."""
+        return self.started_at + self.order.finish_s
+
     def is_over(self, now: float) -> bool:
         """Whether the time that the operator set has passed."""
-        return now >= self.started_at + self.order.finish_s
+        return now >= self.ends_at
 
     def pins_sessions(self, now: float) -> bool:
         """Whether active sessions stay on their version."""
         return (
             self.state is State.RUNNING
-            and self.elapsed_share(now) < rollout_growth.STEPS[0][0]
+            and self.elapsed_share(now) < rollout_growth.PINNED_SHARE
         )
 
     def awaits_peers(self, now: float) -> bool:
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -16,13 +16,14 @@
     freshness,
     gateway_api,
     mesh,
+    rollout_growth,
     rollout_state,
     rollouts,
     store_epochs,
 )
 
 # Additional delay per rank before a gateway writes.
-RANK_DELAY_S: typing.Final = 0.6
+RANK_DELAY_S: typing.Final = 0.3
 # Pause after each write, so that its row can be read, or the write repeated if its
 # result is not known.
 WRITE_PAUSE_S: typing.Final = 0.5
@@ -30,10 +31,12 @@
 
 
 class StartRow(msgspec.Struct):
-    """Start time of a rollout by the store's clock, for gateways that start later."""
+    """Start of a rollout by the store's clock, for gateways that start later."""
 
     revision: typing.Annotated[int, msgspec.Meta(ge=0)]
     started: typing.Annotated[float, msgspec.Meta(ge=0)]
+    # Whether a gateway may have given the new version all requests.
+    moved: bool = False
 
 
 class RolloutWriter:
@@ -61,14 +64,17 @@
         self.epoch = 0
         # Time at which a state was first due, by the rollout's label and the state.
         self._due: dict[tuple[str, rollout_state.State], float] = {}
-        # Time at which all traffic was on the new version, by the rollout's label.
-        self._moved_since: dict[str, float] = {}
+        # Time at which all requests were first due to move, by the rollout's label.
+        self._move_due: dict[str, float] = {}
+        # Why a rollout was not completed when last judged, by its label.
+        self._reasons: dict[str, str] = {}
         self._paused_until = 0.0
 
     def step(self) -> None:
         """Write each outcome that is due, once it is this gateway's turn."""
         now = self._clock.now()
         for rollout in self._rollouts.all():
+            self._move_if_due(rollout, now)
             state = self._due_state(rollout, now)
             if state is None or state is rollout.written:
                 continue
@@ -81,6 +87,41 @@
             if now >= turn_at and now >= self._paused_until:
                 self._write(rollout, state)
 
+    def _move_if_due(self, rollout: rollout_state.Rollout, now: float) -> None:
+        """Record in the store that all requests move, and let them move."""
+        if not rollout.growth.is_due or self._rollouts.share(rollout) >= 1.0:
+            return
+        if rollout.halted or rollout.written is not rollout_state.State.RUNNING:
+            return
+        due_at = self._move_due.setdefault(rollout.label, now)
+        turn_at = due_at + RANK_DELAY_S * self._mesh.duty_rank(rollout.label)
+        if now < turn_at or now < self._paused_until:
+            return
+        start = self._start_write(rollout, moved=True)
+        try:
+            self._store.commit([start])
+        except gateway_api.StoreError as exc:
+            pause_s = max(WRITE_PAUSE_S, exc.retry_after_s)
+            self._paused_until = now + pause_s
+            eventlog.warning("rollout-move", service=rollout.order.service, error=exc)
+            return
+        rollout.growth.move(self._clock.now())
+        eventlog.info(
+            "rollout-move",
+            service=rollout.order.service,
+            version=rollout.order.to_version,
+            left_s=rollout.ends_at - self._clock.now(),
+        )
+
+    def _start_write(
+        self, rollout: rollout_state.Rollout, moved: bool
+    ) -> gateway_api.Write:
+        """Return the write of a rollout's start."""
+        started = self._store_clock.latest_store_time(rollout.started_at)
+        value = msgspec.json.encode(StartRow(rollout.revision, started, moved))
+        own = self._dialect.tables.own
+        return gateway_api.Write(own, START_PREFIX + rollout.order.service, value)
+
     def _due_state(
         self, rollout: rollout_state.Rollout, now: float
     ) -> rollout_state.State | None:
@@ -92,15 +133,19 @@
             return None
         if rollout.state is not rollout_state.State.RUNNING:
             return rollout.state
-        is_late = now >= self._deadline(rollout)
-        if self._has_moved(rollout, now):
-            if not self._rollouts.is_suspected(rollout):
+        if not rollout.halted:
+            reason = self._rollouts.reason_against(rollout)
+            if not reason and self._is_settled(rollout, now):
                 return rollout_state.State.COMPLETED
-            if is_late:
-                self._halt_in_doubt(rollout)
-        elif is_late and self._rollouts.is_doubted(rollout):
-            # Its share did not grow in time, for the same doubt.
-            self._halt_in_doubt(rollout)
+            self._log_reason(rollout, reason)
+            is_last = now >= rollout.ends_at - rollout_growth.LAST_WRITE_S
+            if is_last and rollout.written is rollout_state.State.RUNNING:
+                self._rollouts.halt(
+                    rollout.order.service,
+                    rollout.revision,
+                    f"not completed in time: {reason or 'not settled'}",
+                    rollout.epoch,
+                )
         if rollout.halted:
             return rollout_state.State.ROLLED_BACK
         if rollout.written is None and self._store_clock.is_known:
@@ -110,45 +155,43 @@
         # every gateway that starts later.
         return None
 
-    def _halt_in_doubt(self, rollout: rollout_state.Rollout) -> None:
-        self._rollouts.halt(
-            rollout.order.service, rollout.revision, "in doubt at the end"
-        )
-
-    def _has_moved(self, rollout: rollout_state.Rollout, now: float) -> bool:
-        """Whether all traffic has moved and nothing runs on the old version.
+    def _is_settled(self, rollout: rollout_state.Rollout, now: float) -> bool:
+        """Whether all requests have gone to the new version for long enough.
 
         Close to the end of the rollout's time, requests on the old version are ignored.
         """
-        if self._rollouts.share(rollout) < 1.0:
-            self._moved_since.pop(rollout.label, None)
-            return False
-        moved_at = self._moved_since.setdefault(rollout.label, now)
-        if now < moved_at + rollout_state.SETTLE_S:
+        settled_s = now - rollout.growth.moved_at
+        if now >= rollout.ends_at - rollout_state.WRITE_BEFORE_S:
+            return settled_s >= rollout_growth.MIN_SETTLE_S
+        if settled_s < rollout_state.SETTLE_S:
             return False
-        service = rollout.order.service
-        return now >= self._deadline(rollout) or not self._mesh.count_on_old_version(
-            service
-        )
+        return not self._mesh.count_on_old_version(rollout.order.service)
 
-    def _deadline(self, rollout: rollout_state.Rollout) -> float:
-        """Return the time at which the outcome is due at the latest."""
-        due_at = rollout.started_at + rollout.order.finish_s
-        return due_at - rollout_state.WRITE_BEFORE_S
+    def _log_reason(self, rollout: rollout_state.Rollout, reason: str) -> None:
+        """Log why a rollout is not completed near its end, once for each reason."""
+        if self._clock.now() < rollout.ends_at - rollout_state.WRITE_BEFORE_S:
+            return
+        if self._reasons.get(rollout.label) != reason:
+            self._reasons[rollout.label] = reason
+            eventlog.info(
+                "rollout-waits",
+                service=rollout.order.service,
+                version=rollout.order.to_version,
+                reason=reason or "not settled",
+                left_s=rollout.ends_at - self._clock.now(),
+            )
 
     def _write(
         self, rollout: rollout_state.Rollout, state: rollout_state.State
     ) -> None:
         service = rollout.order.service
-        table, own = self._dialect.tables.outcomes, self._dialect.tables.own
+        table = self._dialect.tables.outcomes
         expect = self.row_versions.get(service, 0)
         value = self._dialect.outcome_value(rollout.order.to_version, state.value)
         key = self._dialect.outcome_key(service)
         writes = [gateway_api.Write(table, key, value, expect)]
         if state is rollout_state.State.RUNNING:
-            started = self._store_clock.latest_store_time(rollout.started_at)
-            start = msgspec.json.encode(StartRow(rollout.revision, started))
-            writes.append(gateway_api.Write(own, START_PREFIX + service, start))
+            writes.append(self._start_write(rollout, moved=False))
         try:
             done = self._store.commit(writes)
         except gateway_api.StoreError as exc:
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -2,19 +2,24 @@
 
 The phases of a rollout, by the share of its time that has passed:
 
-1. Until the first of ``rollout_growth.STEPS`` a fixed share of sessions gets the new
-   version, the *canary*.  A session is assigned by a hash of its name, so that all
-   gateways agree without communication and no session changes its version.  Sessions
-   that are already active on the old version stay there (``rollout_sessions``).
-2. Then the share grows in steps, unless the evidence is against the new version
-   (``rollout_growth``).  Sessions only ever move to the new version.
-3. When all traffic has moved and nothing runs on the old version at any gateway, the
-   outcome *completed* is written.  Evidence against the new version halts it at any
-   time, at this gateway at once and at the others by gossip, and *rolled back* is
-   written.
+1. At first a fixed share of sessions gets the new version, the *canary*.  A session is
+   assigned by a hash of its name, so that all gateways agree without communication and
+   no session changes its version.  Sessions that are already active on the old version
+   stay there in the first half (``rollout_sessions``).
+2. In the second half it gets all requests, once the exposure that is still allowed
+   suffices until the end (``rollout_growth``).  Sessions only ever move to the new
+   version.  No gateway sends it more than its part of the allowed exposure
+   (``rollout_exposure``): what is above that goes to the old version.
+3. When the new version has had all requests for a while, nothing is held against it,
+   and nothing runs on the old version at any gateway or the end is near, the outcome
+   *completed* is written.  Evidence against the new version halts it at any time, at
+   this gateway at once and at the others by gossip, and *rolled back* is written.  So
+   it is if the version cannot be completed in time.
 
 A process that was killed recovers its state from the store's rows (order, outcome,
-start) and from the next heartbeats of its peers (evidence, halts).
+start) and from the next heartbeats of its peers (evidence, sends, shares, halts).  What
+no peer reports is not assumed: the share is the first one, and nothing is left of the
+allowed exposure but what new sends add.
 """
 
 import threading
@@ -31,13 +36,15 @@
     policy_api,
     rollout_evidence,
     rollout_exposure,
+    rollout_growth,
     rollout_latency,
     rollout_sessions,
     rollout_state,
 )
 
-# Share of the allowed exposure that a canary uses.
-CANARY_USED_SHARE: typing.Final = 0.8
+# Share of the allowed exposure that a canary uses.  The rest is for the time in which
+# the new version gets all requests before it is completed.
+CANARY_USED_SHARE: typing.Final = 0.5
 # Number of replaced orders that are remembered for each service.
 MAX_REPLACED: typing.Final = 8
 # Corrections of a start by less than this are not logged: heartbeats take as long.
@@ -65,6 +72,7 @@
     :param canary_share: the share of requests that a canary may get.
     :param session_s: the longest pause between requests of one session.
     :param canary_slack: sends to a canary that are allowed on top of its share.
+    :param count_gateways: returns the number of gateways, including missing ones.
     """
 
     def __init__(
@@ -75,6 +83,7 @@
         evidence_: evidence.EvidenceBook,
         session_s: float = 5.0,
         canary_slack: float = 0.0,
+        count_gateways: typing.Callable[[], int] = lambda: 1,
     ) -> None:
         self._clock = clock_
         self._sessions = rollout_sessions.RecentSessions(session_s)
@@ -82,6 +91,8 @@
         self._evidence = rollout_evidence.RolloutEvidence(guard, evidence_)
         self._sends = rollout_exposure.SendCounter(evidence_)
         self._allowance = rollout_exposure.Allowance(canary_share, canary_slack)
+        self._count_gateways = count_gateways
+        self._created_at = clock_.now()
         self._lock = threading.Lock()
         self._by_service: dict[str, rollout_state.Rollout] = {}
         # The latest outcomes read, by service; they may be read before their orders.
@@ -101,6 +112,7 @@
         revision: int,
         started_at: float,
         epoch: int = 0,
+        is_new: bool = True,
     ) -> rollout_state.Rollout:
         """Add an operator's order; adding it again changes nothing.
 
@@ -110,6 +122,8 @@
         :param revision: the store's version of the order's row.
         :param started_at: time of the order, by the clock of this process.
         :param epoch: the store's epoch in which the revision is valid.
+        :param is_new: whether it was not there when the rows were read before, so that
+            no process can have sent anything to the new version before it was read.
         """
         with self._lock:
             old = self._by_service.get(order.service)
@@ -122,7 +136,13 @@
                     self._rename(old, epoch, revision)
                     return old
             rollout = rollout_state.Rollout(
-                order, revision, started_at, self._sessions.idle_s, epoch
+                order,
+                revision,
+                started_at,
+                self._sessions.idle_s,
+                epoch,
+                is_new,
+                self._created_at,
             )
             if old is not None:
                 replaced = self._replaced.setdefault(order.service, [])
@@ -140,6 +160,7 @@
             epoch=epoch,
             finish_s=order.finish_s,
             age_s=self._clock.now() - started_at,
+            is_new=is_new,
         )
         if report is not None:
             self._apply_report(rollout, report)
@@ -221,6 +242,15 @@
             reason=reason,
         )
 
+    def record_stored_start(
+        self, service: str, revision: int, start: rollout_state.StoredStart
+    ) -> None:
+        """Record what the store has of a rollout under way."""
+        self.backdate(service, revision, start.started_at, "store")
+        rollout = self._by_service.get(service)
+        if rollout is not None and rollout.revision == revision:
+            rollout.record_stored_start(start)
+
     def backdate(
         self, service: str, revision: int, started_at: float, by: str, epoch: int = 0
     ) -> None:
@@ -318,13 +348,67 @@
             return 1.0
         if rollout.halted or rollout.state is rollout_state.State.ROLLED_BACK:
             return 0.0
-        return rollout.growth.share(
-            rollout.elapsed_share(self._clock.now()),
-            self._canary,
-            lambda: self.is_doubted(rollout),
-            lambda: self._evidence.counts(rollout.label),
+        now = self._clock.now()
+        if rollout.growth.begin_update(now):
+            self._grow(rollout, now)
+        return rollout.growth.reached
+
+    def _grow(self, rollout: rollout_state.Rollout, now: float) -> None:
+        """Update the share of a rollout under way."""
+        growth, label = rollout.growth, rollout.label
+        growth.start(self._canary)
+        rollout.gateways = max(rollout.gateways, self._count_gateways())
+        growth.fleet_rate.add(now, self._sends.fleet(label).total)
+        growth.own_rate.add(now, self._sends.own(label).total)
+        if rollout.elapsed_share(now) < rollout_growth.PINNED_SHARE:
+            return
+        left_s = rollout.ends_at - now
+        planned = rollout.planned_slack(is_moved=True)
+        own = self._sends.own(label)
+        own_allowance = self._allowance.with_slack(planned / rollout.gateways)
+        forecasts = (
+            self._forecast(rollout, now, planned, growth.fleet_rate.per_s),
+            rollout_growth.forecast(own_allowance, own, growth.own_rate.per_s, left_s),
+        )
+        is_doubted = self.is_doubted(rollout) or self.is_suspected(rollout)
+        growth.plan(now, left_s, forecasts, is_doubted, self._evidence.counts(label))
+
+    def _forecast(
+        self,
+        rollout: rollout_state.Rollout,
+        now: float,
+        used_slack: float,
+        per_s: float | None,
+    ) -> rollout_growth.Forecast:
+        """Forecast the fleet's exposure if all requests go to the new version.
+
+        :param used_slack: the share of the slack that may be used.
+        :param per_s: the fleet's rate of sends.
+        """
+        return rollout_growth.forecast(
+            self._allowance.with_slack(used_slack),
+            self._sends.fleet(rollout.label),
+            per_s,
+            rollout.ends_at - now,
         )
 
+    def reason_against(self, rollout: rollout_state.Rollout) -> str:
+        """Return why a rollout must not be completed now; empty if it may be."""
+        now = self._clock.now()
+        if self.share(rollout) < 1.0:
+            return "not at the full share"
+        if self.is_suspected(rollout) or self.is_doubted(rollout):
+            return "in doubt"
+        if not self._evidence.is_proved(
+            rollout.label, self._sends.fleet(rollout.label).exposed
+        ):
+            return "too few answers"
+        if rollout.is_over(now):
+            return ""
+        per_s = rollout.growth.fleet_rate.peak_per_s
+        fleet = self._forecast(rollout, now, self._session_slack(rollout), per_s)
+        return "" if fleet.fits else "the allowed exposure does not suffice"
+
     def assignment(
         self, service: str, session: str, is_named: bool = False
     ) -> rollout_state.Assignment | None:
@@ -340,8 +424,58 @@
         on_new = session_hash < self.share(rollout) * rollout_sessions.HASH_RANGE
         if on_new and is_named:
             on_new = not self._stays_on_old(rollout, session, session_hash)
+        if on_new:
+            on_new = self._is_admitted(rollout, session if is_named else "")
         return rollout_state.Assignment(rollout, on_new)
 
+    def _is_admitted(self, rollout: rollout_state.Rollout, session: str) -> bool:
+        """Whether the allowed exposure has room for one more send.
+
+        :param session: the session's name; empty if the caller did not name it.
+        """
+        now = self._clock.now()
+        if rollout.state is rollout_state.State.COMPLETED or rollout.is_over(now):
+            return True
+        own = self._sends.own(rollout.label)
+        planned = rollout.planned_slack(rollout.growth.reached >= 1.0)
+        allowance = self._allowance.with_slack(planned / rollout.gateways)
+        if allowance.admits(own, self._reserve(rollout, now)):
+            return True
+        order = rollout.order
+        version = self._sessions.version(order.service, session, now)
+        if not session or version != order.to_version:
+            return False
+        used_slack = self._session_slack(rollout)
+        if self._allowance.with_slack(used_slack).admits(self.exposure(rollout)):
+            return True
+        if used_slack:
+            # Its sessions would need more, and none of them may move back.
+            self.halt(
+                order.service,
+                rollout.revision,
+                "the allowed exposure is used up",
+                rollout.epoch,
+            )
+        return False
+
+    def _session_slack(self, rollout: rollout_state.Rollout) -> float:
+        """Return the share of the slack that may be used by sessions on the version."""
+        planned = rollout.planned_slack(is_moved=True)
+        return planned + rollout_state.SESSION_SLACK if planned else 0.0
+
+    def _reserve(self, rollout: rollout_state.Rollout, now: float) -> float:
+        """Return the exposure to leave for the time after the outcome is written.
+
+        Then the new version gets everything, and a burst may have begun meanwhile.
+        """
+        growth = rollout.growth
+        if growth.reached < 1.0:
+            return 0.0
+        reserved_s = min(rollout.ends_at - now, rollout_state.WRITE_BEFORE_S)
+        per_s = growth.own_rate.peak_per_s
+        share = self._allowance.share
+        return 0.0 if per_s is None else per_s * reserved_s * (1.0 - share)
+
     def _stays_on_old(
         self, rollout: rollout_state.Rollout, session: str, session_hash: int
     ) -> bool:
--- a/gaprock/test/gatewaysite.py
+++ b/gaprock/test/gatewaysite.py
@@ -100,6 +100,7 @@
         cfg.store_address = f"127.0.0.1:{self.store.port}"
         cfg.max_calls = 32
         cfg.bounds.budget_allowance = 50
+        cfg.bounds.canary_slack = 200
         if change is not None:
             change(cfg)
         self.cfg = cfg
