Compare a new version's failures with the old version's failures alone

Cause: slow and failed answers were one rate, so slow old endpoints raised the rate at which a new version may fail (to 0.3 there). Failures are now counted apart as well and tested like a route; a doubt of either holds the share.

The new test fails without it.

--- a/gaprock/rollout_evidence.py
+++ b/gaprock/rollout_evidence.py
@@ -9,6 +9,12 @@
 MIN_ANSWERS: typing.Final = 10
 MIN_ANSWERED_SHARE: typing.Final = 0.5
 
+# What a failed answer holds against its version.
+FAILED: typing.Final = "failed"
+# Under this route the evidence has failures alone.  Slow endpoints of the old version
+# would otherwise hide a new version that fails.
+FAILURES: typing.Final = "~failures"
+
 
 class RolloutEvidence:
     """The evidence on all rollouts, by their labels; thread-safe."""
@@ -51,15 +57,19 @@
         if answer.relative_time is not None and not is_new and not answer.failed:
             latency.add(answer.relative_time, answer.pace)
         if answer.failed:
-            return "failed"
+            return FAILED
         return "slow" if is_slow else ""
 
-    def count(self, label: str, route: str, is_new: bool, bad: bool) -> None:
-        """Count an answer, in total and for its route."""
+    def count(self, label: str, route: str, is_new: bool, against: str) -> None:
+        """Count an answer, in total, for its route, and as failed or not.
+
+        :param against: what ``weigh`` returned.
+        """
         side = "new" if is_new else "old"
-        self._book.count(f"{label}/{side}", bad, False)
-        self._book.count(f"{label}/{side}/{route}", bad, False)
-        self._routes.setdefault(label, set()).add(route)
+        self._book.count(f"{label}/{side}", bool(against), False)
+        for part, bad in ((route, bool(against)), (FAILURES, against == FAILED)):
+            self._book.count(f"{label}/{side}/{part}", bad, False)
+            self._routes.setdefault(label, set()).add(part)
 
     def rename(self, label: str, new_label: str) -> None:
         """Copy the evidence of a rollout to its new label."""
@@ -115,12 +125,14 @@
         return answers >= min(MIN_ANSWERS, sends * MIN_ANSWERED_SHARE)
 
     def is_doubted(self, label: str) -> bool:
-        """Whether the latest evidence in total is against the new version.
+        """Whether the latest evidence in total, or that of failures, is against it.
 
         Weak evidence of single routes would cast doubt on many good versions.
         """
         with self._lock:
-            return self._guard.is_doubted(label)
+            return any(
+                self._guard.is_doubted(name) for name in (label, f"{label}/{FAILURES}")
+            )
 
     def _tails(self, label: str) -> list[str]:
         """Return the suffixes under which evidence is kept: in total, and by route."""
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -593,7 +593,7 @@
         if against is None:
             return ""
         if rollout is not None and rollout.state is rollout_state.State.RUNNING:
-            self._evidence.count(rollout.label, route, is_new, bool(against))
+            self._evidence.count(rollout.label, route, is_new, against)
             if is_new:
                 self._judge(rollout)
         return against
--- a/gaprock/test/testunstopped.py
+++ b/gaprock/test/testunstopped.py
@@ -101,6 +101,28 @@
     assert not is_halted_beside_slow_ones(HALF_SLOW)
 
 
+def test_slow_answers_of_the_old_version_do_not_hide_a_failing_new_one() -> None:
+    time = clock.ManualClock(100.0)
+    book = rolloutcase.make_rollouts(time)
+    rollout = book.add_order(rolloutcase.order(), 7, time.now())
+    add_latencies(book, "v1", [0.06] * 20 + [0.06, 0.06, 0.06, 0.36] * 40)
+    add_answers(book, "v1", 10, 0)
+    for _ in range(14):
+        add_answers(book, "v2", 0, 2)
+        add_answers(book, "v2", 1, 0)
+    assert rollout.halted
+
+
+def test_answers_of_a_good_version_as_slow_and_failing_as_the_old_ones() -> None:
+    time = clock.ManualClock(100.0)
+    book = rolloutcase.make_rollouts(time)
+    rollout = book.add_order(rolloutcase.order(), 7, time.now())
+    for version, count in (("v1", 40), ("v2", 6)):
+        add_latencies(book, version, [0.06, 0.06, 0.06, 0.36] * count)
+        add_answers(book, version, count // 4, 0)
+    assert not rollout.halted
+
+
 def add_answers(book: rollouts.Rollouts, version: str, bad: int, good: int) -> None:
     for number in range(bad + good):
         answer = rollout_latency.VersionSample(number < bad, 0.1)
