--- a/gaprock/test/testrestoredrollouts.py
+++ b/gaprock/test/testrestoredrollouts.py
@@ -82,7 +82,7 @@
     one: Gateway, number: int
 ) -> None:
     rollout = one.rollout
-    one.book._evidence.count(rollout.label, "r", True, True)
+    one.book._evidence.count(rollout.label, "r", True, "failed")
     one.book.halt(SERVICE, 20, "bad", 1)
     one.order(2, number, "v2", whole=True)
     assert one.rollout is rollout and one.book.share(rollout) == 0.0
