Draw the exposure of rollouts in the report, and log each step once

gaprock report lists each rollout's steps, halts and outcomes, and its exposure beside the allowance, as the gateway saw it that knew most sends; a reader of the incident had to count route lines for that.

--- a/gaprock/report.py
+++ b/gaprock/report.py
@@ -11,7 +11,7 @@
 import enum
 import typing
 
-from gaprock import logs, policy_models
+from gaprock import logs, policy_models, report_rollouts
 
 # Interval covered by one row of the table by time.
 INTERVAL_S: typing.Final = 2.0
@@ -101,6 +101,7 @@
         "by_request",
         "store_calls",
         "changes",
+        "rollouts",
         "downtimes",
         "lines",
         "unparsed",
@@ -113,6 +114,7 @@
         self.store_calls: list[logs.LogLine] = []
         # State changes of halls, endpoints and the store, one line for each gateway.
         self.changes: list[logs.LogLine] = []
+        self.rollouts: list[logs.LogLine] = []
         self.downtimes: list[Downtime] = []
         self.lines = 0
         # Lines that are not in the log format: their number, and some examples.
@@ -140,6 +142,8 @@
             self.store_calls.append(line)
         if line.event in CHANGE_EVENTS:
             self.changes.append(line)
+        if line.event in report_rollouts.EVENTS:
+            self.rollouts.append(line)
         if "request" in line.fields:
             self.by_request[line.fields["request"]].append(line)
 
--- a/gaprock/report_text.py
+++ b/gaprock/report_text.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from gaprock import report
+from gaprock import report, report_rollouts
 
 WIDTH: typing.Final = 44
 
@@ -21,6 +21,7 @@
         _departures(summary),
         _backoffs(summary),
         _restores(summary),
+        _rollouts(summary),
         _downtimes(summary),
     ]
     return "\n\n".join(part for part in parts if part) + "\n"
@@ -141,6 +142,13 @@
     return _list_changes("restores of the store", summary.restores(), describe)
 
 
+def _rollouts(summary: report.Report) -> str:
+    """List the changes of rollouts, and their exposure beside what is allowed."""
+    parsed = summary.parsed
+    lines = report_rollouts.describe(parsed.rollouts, parsed.first_at)
+    return "\n".join(["rollouts", *lines]) if lines else ""
+
+
 def _list_changes(
     title: str,
     changes: list[report.Change],
--- a/gaprock/rollout_growth.py
+++ b/gaprock/rollout_growth.py
@@ -179,9 +179,10 @@
         if left_s < MIN_LEFT_S or not all(one.fits for one in forecasts):
             self.is_due = False
             return
-        if self.is_due == (not is_doubted) and self.reached >= DOUBT_SHARE:
-            return
+        was_due = self.is_due
         self.is_due = not is_doubted
+        if was_due if self.is_due else self.reached >= DOUBT_SHARE:
+            return
         fleet, own = forecasts
         eventlog.info(
             "rollout-step",
--- a/gaprock/test/testreport.py
+++ b/gaprock/test/testreport.py
@@ -282,3 +282,18 @@
     ]
     text = report_text.render(report.Report(report.collect(lines)))
     assert "2  follows epoch 1, on 2 gateways within 0.4 s" in text
+
+
+def test_the_exposure_of_a_rollout_is_drawn_beside_what_is_allowed() -> None:
+    exposed = {"service": "llm", "halted": False, "state": "running", "share": 0.075}
+    lines = [
+        line(5.0, "rollout-ordered", service="llm", version="v2"),
+        line(6.1, "rollout-exposure", sends=100, exposed=9, allowed=45, **exposed),
+        line(6.2, "rollout-exposure", sends=90, exposed=8, allowed=43.5, **exposed),
+        line(9.0, "rollout-exposure", sends=200, exposed=61, allowed=60, **exposed),
+        line(9.5, "rollout-halted", service="llm", reason='"10 of 50 bad"'),
+    ]
+    text = report_text.render(report.Report(report.collect(lines)))
+    assert "9 of 45 allowed, 100 sends, share 0.075, not halted, running" in text
+    assert "8 of 44" not in text and "61 of 60 allowed ABOVE" in text
+    assert "llm  halted at " in text and ": 10 of 50 bad" in text
