--- a/gaprock/test/testreport.py
+++ b/gaprock/test/testreport.py
@@ -285,7 +285,12 @@
 
 
 def test_the_exposure_of_a_rollout_is_drawn_beside_what_is_allowed() -> None:
-    exposed = {"service": "llm", "halted": False, "state": "running", "share": 0.075}
+    exposed: dict[str, typing.Any] = {
+        "service": "llm",
+        "halted": False,
+        "state": "running",
+        "share": 0.075,
+    }
     lines = [
         line(5.0, "rollout-ordered", service="llm", version="v2"),
         line(6.1, "rollout-exposure", sends=100, exposed=9, allowed=45, **exposed),
