Judge a stream by its first events, and not at its end

Cause: the time between events was judged at the end of a whole stream.

The new test fails on the code before.

--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -42,6 +42,7 @@
         "unread_before",
         "prompt",
         "is_judged",
+        "is_pace_judged",
         "is_given_time",
         "is_excused",
         "held",
@@ -66,6 +67,8 @@
         self.held = 0
         # Whether it was counted as evidence about its version.
         self.is_judged = False
+        # The same by the time between the events of its stream.
+        self.is_pace_judged = False
         # Whether its endpoint got more than the usual time because of its pace, and
         # whether the caller's time was over before that time was.
         self.is_given_time = False
--- a/gaprock/gateway_judge.py
+++ b/gaprock/gateway_judge.py
@@ -123,9 +123,13 @@
     def judge_event_gaps(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
-        """Judge a completed stream by the time between its events."""
-        if call.events < MIN_PACE_EVENTS:
+        """Judge a stream once by the time between its first events.
+
+        A slow stream ends too late to be judged at its end, or its caller leaves.
+        """
+        if call.events < MIN_PACE_EVENTS or attempt.is_pace_judged:
             return
+        attempt.is_pace_judged = True
         stream_s = call.last_write_at - call.first_write_at
         gap_s = stream_s / (call.events - 1)
         sample = rollout_latency.VersionSample(
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -230,8 +230,6 @@
         while source is not None:
             try:
                 self._relay_one(call, reply, sends, source, events, last)
-                if source is first:
-                    self._judge.judge_event_gaps(call, source.attempt)
                 self._gate.record_success(call, source.attempt)
                 return True
             except _Interrupted as exc:
@@ -266,6 +264,7 @@
         :raises _Interrupted: when it broke off or was given up before its end.
         """
         last_data_at = self._clock.now()
+        is_first = not call.events
         call.model, call.endpoint = source.attempt.model, source.attempt.endpoint.name
         while True:
             undelivered = [e for e in events if not _is_delivered(e, last)]
@@ -275,6 +274,8 @@
                 reply.write(b"".join(e.raw for e in undelivered))
                 numbers = [e.number for e in undelivered if e.number is not None]
                 last = numbers[-1] if numbers else last
+                if is_first:
+                    self._judge.judge_event_gaps(call, source.attempt)
             waited_since = self._clock.now()
             check_at = waited_since + gateway_sender.CHECK_INTERVAL_S
             try:
--- a/gaprock/test/fakes/backend.py
+++ b/gaprock/test/fakes/backend.py
@@ -188,12 +188,14 @@
     incomplete: bytes = b"",
     confidence: str = "90",
     silent: bool = False,
+    gap_s: float = 0.002,
 ) -> Script:
     """Stream events after ``Last-Event-Id`` up to a number.
 
     :param whole: whether the stream is then complete, or breaks off.
     :param incomplete: the first bytes of an event that breaks off.
     :param silent: whether the connection then stays open without any data.
+    :param gap_s: the time between two events.
     """
 
     def script(backend: Backend, seen: ReceivedRequest, conn: socket.socket) -> None:
@@ -207,7 +209,7 @@
         conn.sendall(start)
         for number in range(first, last + 1):
             conn.sendall(chunk(event(number)))
-            time.sleep(0.002)
+            time.sleep(gap_s)
         if incomplete:
             conn.sendall(chunk(incomplete))
         if whole:
--- a/gaprock/test/testunstopped.py
+++ b/gaprock/test/testunstopped.py
@@ -220,3 +220,24 @@
         label = book.all()[0].label
         evidence = site.gateway.mesh._evidence
         assert evidence.totals(f"{label}/new").bad == 2
+
+
+def test_a_slow_stream_counts_against_its_version_before_its_end() -> None:
+    with gatewaysite.GatewaySite() as site:
+        site.add("old", "llm", Version="v1").default_script = backend.stream_to(8)
+        for _ in range(2 * rollout_latency.MIN_SAMPLES):
+            assert site.generate().status == 200
+        fake = site.add("new", "llm", Version="v2")
+        # A stream takes as long as its caller waits, so none comes to its end.
+        fake.default_script = backend.stream_to(40, gap_s=0.25)
+        document = {"Service": "llm", "ToVersion": "v2", "FinishByS": 600}
+        site.store.put("op", "rollout/llm", document)
+        book = site.gateway.rollouts
+        gatewaysite.wait_until(lambda: book.all() != [], "ordered")
+        names = [f"s{number}" for number in range(5000)]
+        chosen = [name for name in names if book.fits("llm", "v2", name)][:REQUESTS]
+        pending = [
+            site.start_call("/gen/x", X_Request_Id=name, X_Model="*") for name in chosen
+        ]
+        gatewaysite.wait_until(lambda: book.all()[0].halted, "halted")
+        assert len(fake.seen) == len(pending)
