--- a/gaprock/rollout_growth.py
+++ b/gaprock/rollout_growth.py
@@ -22,10 +22,13 @@
 DOUBT_SHARE: typing.Final = 0.3
 # All requests must have gone to the new version this long before it is the only one.
 MIN_SETTLE_S: typing.Final = 0.5
-# An outcome is written at least this long before the end of the rollout's time.
-LAST_WRITE_S: typing.Final = 0.5
+# Time that the write of an outcome may take.
+WRITE_S: typing.Final = 0.3
 # With less time left, a version could no longer be completed.
-MIN_LEFT_S: typing.Final = MIN_SETTLE_S + LAST_WRITE_S
+MIN_LEFT_S: typing.Final = MIN_SETTLE_S + WRITE_S
+# A version is rolled back this long before the end of the rollout's time if something
+# is against its completion.
+LAST_WRITE_S: typing.Final = 0.5
 # The rate of sends is taken over this time, and from at least this much of it.
 RATE_WINDOW_S: typing.Final = 4.0
 MIN_RATE_S: typing.Final = 1.0
