--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -22,22 +22,20 @@
 allowed exposure but what new sends add.
 """
 
-import threading
 import typing
 
 from gaprock import (
     clock,
     eventlog,
     evidence,
-    gateway_api,
     mechanisms,
-    mesh_messages,
     messages,
     policy_api,
     rollout_evidence,
     rollout_exposure,
     rollout_growth,
     rollout_latency,
+    rollout_orders,
     rollout_sessions,
     rollout_state,
 )
@@ -47,29 +45,10 @@
 CANARY_USED_SHARE: typing.Final = 0.5
 # A service with fewer sends than this during a rollout cannot prove a version.
 MIN_SENDS: typing.Final = 20
-# Number of replaced orders that are remembered for each service.
-MAX_REPLACED: typing.Final = 8
-# Corrections of a start by less than this are not logged: heartbeats take as long.
-MIN_LOGGED_CORRECTION_S: typing.Final = 0.05
 
 
-class _EarlyReport:
-    """Reports by peers on an order that has not been read here yet.
-
-    :param order_version: the epoch and version of the order's row.
-    """
-
-    __slots__ = ("order_version", "started_at", "halt_reason")
-
-    def __init__(self, order_version: tuple[int, int]) -> None:
-        self.order_version = order_version
-        self.started_at = clock.NEVER
-        # Empty unless a peer reported a halt.
-        self.halt_reason = ""
-
-
-class Rollouts:
-    """All rollouts, by service; thread-safe.
+class Rollouts(rollout_orders.OrderBook):
+    """All rollouts, and which version each request gets; thread-safe.
 
     :param canary_share: the share of requests that a canary may get.
     :param session_s: the longest pause between requests of one session.
@@ -87,260 +66,13 @@
         canary_slack: float = 0.0,
         count_gateways: typing.Callable[[], int] = lambda: 1,
     ) -> None:
-        self._clock = clock_
+        super().__init__(clock_, session_s)
         self._sessions = rollout_sessions.RecentSessions(session_s)
         self._canary = canary_share * CANARY_USED_SHARE
         self._evidence = rollout_evidence.RolloutEvidence(guard, evidence_)
         self._sends = rollout_exposure.SendCounter(evidence_)
         self._allowance = rollout_exposure.Allowance(canary_share, canary_slack)
         self._count_gateways = count_gateways
-        self._created_at = clock_.now()
-        self._lock = threading.Lock()
-        self._by_service: dict[str, rollout_state.Rollout] = {}
-        # The latest outcomes read, by service; they may be read before their orders.
-        self._outcomes: dict[str, rollout_state.Outcome] = {}
-        # A gateway without access to the store learns of an order from heartbeats
-        # before it has a copy of it.  Without these reports, it would send moved
-        # sessions back, and requests to a halted version, until the next heartbeat.
-        self._early_reports: dict[str, _EarlyReport] = {}
-        # The latest replaced orders with their versions, by service.
-        self._replaced: dict[str, list[tuple[int, gateway_api.RolloutOrder]]] = {}
-
-    # -- Orders and outcomes --
-
-    def add_order(
-        self,
-        order: gateway_api.RolloutOrder,
-        revision: int,
-        started_at: float,
-        epoch: int = 0,
-        is_new: bool = True,
-    ) -> rollout_state.Rollout:
-        """Add an operator's order; adding it again changes nothing.
-
-        After a restore of the store, an order is read again, or is written again with
-        another version; both refer to the rollout that exists already.
-
-        :param revision: the store's version of the order's row.
-        :param started_at: time of the order, by the clock of this process.
-        :param epoch: the store's epoch in which the revision is valid.
-        :param is_new: whether it was not there when the rows were read before, so that
-            no process can have sent anything to the new version before it was read.
-        """
-        with self._lock:
-            old = self._by_service.get(order.service)
-            if old is not None and old.order_version >= (epoch, revision):
-                return old
-            if old is not None and epoch > old.epoch:
-                if (revision, order) in self._replaced.get(order.service, ()):
-                    return old
-                if order == old.order:
-                    self._rename(old, epoch, revision)
-                    return old
-            rollout = rollout_state.Rollout(
-                order,
-                revision,
-                started_at,
-                self._sessions.idle_s,
-                epoch,
-                is_new,
-                self._created_at,
-            )
-            if old is not None:
-                replaced = self._replaced.setdefault(order.service, [])
-                replaced.append((old.revision, old.order))
-                del replaced[:-MAX_REPLACED]
-            self._pin_active_sessions(rollout)
-            self._by_service[order.service] = rollout
-            outcome = self._outcomes.get(order.service)
-            report = self._early_reports.get(order.service)
-        eventlog.info(
-            "rollout-ordered",
-            service=order.service,
-            version=order.to_version,
-            revision=revision,
-            epoch=epoch,
-            finish_s=order.finish_s,
-            age_s=self._clock.now() - started_at,
-            is_new=is_new,
-        )
-        if report is not None:
-            self._apply_report(rollout, report)
-        if outcome is not None:
-            self._apply_outcome(rollout, outcome)
-        return rollout
-
-    def _rename(
-        self, rollout: rollout_state.Rollout, epoch: int, revision: int
-    ) -> None:
-        """Rename a rollout after its order's row in the restored store."""
-        service, old, label = (
-            rollout.order.service,
-            rollout.order_version,
-            rollout.label,
-        )
-        rollout.rename(epoch, revision)
-        if rollout.label != label:
-            self._evidence.rename(label, rollout.label)
-        eventlog.info(
-            "rollout-renamed",
-            service=service,
-            version=rollout.order.to_version,
-            revision=revision,
-            epoch=epoch,
-            old_revision=old[1],
-            old_epoch=old[0],
-        )
-        if service in self._early_reports:
-            self._apply_report(rollout, self._early_reports[service])
-        if service in self._outcomes:
-            self._apply_outcome(rollout, self._outcomes[service])
-
-    def _apply_report(
-        self, rollout: rollout_state.Rollout, report: _EarlyReport
-    ) -> None:
-        """Apply what peers reported on an order before it was read."""
-        if not rollout.has_order_version(*report.order_version):
-            return
-        epoch, revision = report.order_version
-        service = rollout.order.service
-        self.backdate(service, revision, report.started_at, "reported before", epoch)
-        if report.halt_reason:
-            self.halt(service, revision, report.halt_reason, epoch)
-
-    def apply_outcome(self, service: str, outcome: rollout_state.Outcome) -> None:
-        """Apply the outcome row of a service."""
-        with self._lock:
-            self._outcomes[service] = outcome
-            rollout = self._by_service.get(service)
-        if rollout is not None:
-            self._apply_outcome(rollout, outcome)
-
-    def forget_outcome(self, service: str) -> None:
-        """Record that a restored store has lost the outcome of a rollout."""
-        with self._lock:
-            self._outcomes.pop(service, None)
-            rollout = self._by_service.get(service)
-        if rollout is not None and rollout.written is not None:
-            rollout.written = None
-            eventlog.info("rollout-outcome-lost", service=service)
-
-    def halt(self, service: str, revision: int, reason: str, epoch: int = 0) -> None:
-        """Halt the new version; halting it again changes nothing."""
-        rollout = self._by_service.get(service)
-        if rollout is None or not rollout.has_order_version(epoch, revision):
-            self._record_report(service, (epoch, revision), halt_reason=reason)
-            return
-        if rollout.halted:
-            return
-        if rollout.state is rollout_state.State.COMPLETED:
-            return
-        rollout.halted = True
-        eventlog.warning(
-            "rollout-halted",
-            service=service,
-            version=rollout.order.to_version,
-            revision=revision,
-            reason=reason,
-        )
-
-    def record_stored_start(
-        self, service: str, revision: int, start: rollout_state.StoredStart
-    ) -> None:
-        """Record what the store has of a rollout under way."""
-        self.backdate(service, revision, start.started_at, "store")
-        rollout = self._by_service.get(service)
-        if rollout is not None and rollout.revision == revision:
-            rollout.record_stored_start(start)
-
-    def backdate(
-        self, service: str, revision: int, started_at: float, by: str, epoch: int = 0
-    ) -> None:
-        """Correct the start of a rollout that another process saw earlier.
-
-        :param by: source of the start time, for the log.
-        """
-        rollout = self._by_service.get(service)
-        if rollout is None or not rollout.has_order_version(epoch, revision):
-            self._record_report(service, (epoch, revision), started_at)
-            return
-        if rollout.started_at <= started_at:
-            return
-        earlier_s = rollout.started_at - started_at
-        rollout.started_at = started_at
-        if earlier_s > MIN_LOGGED_CORRECTION_S:
-            eventlog.info(
-                "rollout-dated",
-                service=service,
-                revision=revision,
-                age_s=self._clock.now() - started_at,
-                earlier_s=earlier_s,
-                by=by,
-            )
-
-    def merge_reported(
-        self, news: mesh_messages.RolloutUpdate, now: float, by: str
-    ) -> None:
-        """Merge what a peer reports on a rollout.
-
-        :param now: time of the report.
-        :param by: name of the peer, for the log.
-        """
-        epoch, revision = news.epoch, news.revision
-        self.backdate(news.service, revision, now - news.age_s, by, epoch)
-        if news.halted:
-            self.halt(news.service, revision, f"reported by {by}", epoch)
-        rollout = self._by_service.get(news.service)
-        if rollout is not None and rollout.has_order_version(epoch, revision):
-            rollout.pinned.merge_reported(news.pinned, now)
-            rollout.growth.record_peer(news.share)
-
-    def _record_report(
-        self,
-        service: str,
-        order_version: tuple[int, int],
-        started_at: float = clock.NEVER,
-        halt_reason: str = "",
-    ) -> None:
-        """Record a report on an order not read yet, for the newest such order only."""
-        with self._lock:
-            rollout = self._by_service.get(service)
-            if rollout is not None and rollout.order_version >= order_version:
-                return
-            report = self._early_reports.get(service)
-            if report is None or report.order_version < order_version:
-                report = self._early_reports[service] = _EarlyReport(order_version)
-            if report.order_version == order_version:
-                report.started_at = min(report.started_at, started_at)
-                report.halt_reason = report.halt_reason or halt_reason
-
-    def all(self) -> list[rollout_state.Rollout]:
-        """Return all rollouts."""
-        with self._lock:
-            return list(self._by_service.values())
-
-    def _apply_outcome(
-        self, rollout: rollout_state.Rollout, outcome: rollout_state.Outcome
-    ) -> None:
-        same = outcome.version == rollout.order.to_version
-        if not same or (outcome.epoch, outcome.row_version) < rollout.order_version:
-            # The outcome belongs to an earlier order.
-            return
-        if outcome.epoch > rollout.epoch:
-            # It can be compared only once the order has been read in the same epoch.
-            return
-        rollout.written = outcome.state
-        if outcome.state is rollout_state.State.RUNNING:
-            # A final state stays, even if the restored store has lost it.
-            return
-        if outcome.state is not rollout.state:
-            rollout.state = outcome.state
-            eventlog.info(
-                "rollout-state",
-                service=rollout.order.service,
-                version=outcome.version,
-                state=outcome.state.value,
-            )
 
     # -- Which version a request gets --
 
@@ -518,7 +250,7 @@
         if rollout.pins_sessions(now):
             self._pin(rollout, session, now)
 
-    def _pin_active_sessions(self, rollout: rollout_state.Rollout) -> None:
+    def _on_ordered(self, rollout: rollout_state.Rollout) -> None:
         """Pin the sessions that are active on other versions when an order comes."""
         order, now = rollout.order, self._clock.now()
         recent = self._sessions.active_on_other_versions(
@@ -640,6 +372,10 @@
                 **self._evidence.counts(rollout.label),
             )
 
+    def _on_renamed(self, label: str, new_label: str) -> None:
+        """Keep the evidence on a rollout under its new label."""
+        self._evidence.rename(label, new_label)
+
     def is_judged(self, service: str) -> bool:
         """Whether answers of a service count as evidence now."""
         rollout = self._by_service.get(service)
--- a/misc/proofs_gateway_restores.py
+++ b/misc/proofs_gateway_restores.py
@@ -116,7 +116,7 @@
     proofs.gateway(
         "a finished rollout does not run again",
         LOST,
-        "rollouts.py",
+        "rollout_orders.py",
         "if outcome.state is rollout_state.State.RUNNING:",
         "if False:",
     ),
@@ -130,14 +130,14 @@
     proofs.gateway(
         "an outcome waits until its order is read in the new epoch",
         AGAIN,
-        "rollouts.py",
+        "rollout_orders.py",
         "if outcome.epoch > rollout.epoch:",
         "if False:",
     ),
     proofs.gateway(
         "a replaced order is recognized when an older copy brings it back",
         AGAIN,
-        "rollouts.py",
+        "rollout_orders.py",
         "if (revision, order) in self._replaced.get(order.service, ()):",
         "if False:",
     ),
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -155,7 +155,7 @@
     proofs.gateway(
         "peers' reports on an order apply once the order arrives",
         "testrollouts.py::test_what_peers_told_of_an_order_holds_as_soon_as_it_comes",
-        "rollouts.py",
+        "rollout_orders.py",
         "if report is not None:",
         "if False:",
     ),
@@ -345,7 +345,7 @@
         "an outcome of an earlier order is ignored",
         "testrollouts.py::test_an_outcome_of_an_earlier_order_says_nothing_of_a_later"
         "_one",
-        "rollouts.py",
+        "rollout_orders.py",
         "if not same or (outcome.epoch, outcome.row_version) < rollout.order_version:",
         "if not same:",
     ),
@@ -360,7 +360,7 @@
     proofs.gateway(
         "a peer's report halts a version",
         "testrollouts.py::test_a_peers_word_halts_a_version",
-        "rollouts.py",
+        "rollout_orders.py",
         "        if news.halted:\n            self.halt(",
         "        if False:\n            self.halt(",
     ),
