Count late reports of peers in the forecast of exposure

Cause: where each gateway stands in its own hall, the fleet's sends are known half a second late, and a slow version makes callers and gateways send again, 28 a second where 18 were forecast. Both the forecast and the check of sessions on the new version now add what peers may not have reported.

Also: evidence of which nothing was lost has to be likelier with a good version than with one worse by 0.2, not five times likelier.

Good versions beside a kill of all gateways in the second half still miss their time: less is left after it than the last second needs.

--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -322,8 +322,12 @@
         """
         return False
 
-    def is_proved(self, seen: Counts, stable: Counts) -> bool:
-        """Whether the evidence is for a version: much worse ones rarely give it."""
+    def is_proved(self, seen: Counts, stable: Counts, odds: float) -> bool:
+        """Whether the evidence is for a version.
+
+        :param odds: how much likelier it must be with a good version than with a much
+            worse one.
+        """
         return True
 
 
--- a/gaprock/policy_guard.py
+++ b/gaprock/policy_guard.py
@@ -26,9 +26,7 @@
 # Log of the likelihood ratio from which a version is in doubt, and gets no larger share
 # of the requests.
 DOUBT_LIMIT: typing.Final = math.log(2)
-# Likelihood ratio for the bound and against a rate worse by ``PROOF_EXCESS`` from which
-# a version is proved.
-PROOF_LIMIT: typing.Final = math.log(5)
+# A version is proved against a rate of bad answers that is worse by this.
 PROOF_EXCESS: typing.Final = 0.2
 # A version's error rate may exceed that of the stable version by this much.
 TOLERANCE: typing.Final = 0.03
@@ -117,13 +115,15 @@
         cusum = self._cusums.get(version)
         return cusum is not None and max(cusum.sums) > SUSPICION_LIMIT
 
-    def is_proved(self, seen: policy_api.Counts, stable: policy_api.Counts) -> bool:
+    def is_proved(
+        self, seen: policy_api.Counts, stable: policy_api.Counts, odds: float
+    ) -> bool:
         bound = stable_bound(stable)
         worse = min(0.95, bound + PROOF_EXCESS)
         good = seen.answers - seen.bad
         ratio = seen.bad * math.log(bound / worse)
         ratio += good * math.log((1 - bound) / (1 - worse))
-        return ratio > PROOF_LIMIT
+        return ratio > math.log(odds)
 
     def is_doubted(self, version: str) -> bool:
         return self._from_start.get(version, 0.0) > DOUBT_LIMIT
--- a/gaprock/rollout_evidence.py
+++ b/gaprock/rollout_evidence.py
@@ -118,12 +118,16 @@
             "old_bad": old.bad,
         }
 
-    def is_proved(self, label: str) -> bool:
-        """Whether the evidence is for the new version, and not only not against it."""
+    def is_proved(self, label: str, odds: float) -> bool:
+        """Whether the evidence is for the new version, and not only not against it.
+
+        :param odds: as for ``policy_api.Guard.is_proved``.
+        """
         new, old = (self._book.totals(f"{label}/{side}") for side in ("new", "old"))
         return self._guard.is_proved(
             policy_api.Counts(new.answers, new.bad),
             policy_api.Counts(old.answers, old.bad),
+            odds,
         )
 
     def is_answered(self, label: str, sends: int) -> bool:
--- a/gaprock/rollout_growth.py
+++ b/gaprock/rollout_growth.py
@@ -34,6 +34,8 @@
 MIN_RATE_S: typing.Final = 1.0
 # Factor on that rate in forecasts.
 RATE_MARGIN: typing.Final = 1.1
+# How late peers in other halls report their sends.
+REPORT_LAG_S: typing.Final = 0.5
 # The state is computed at most this often.
 UPDATE_S: typing.Final = 0.1
 
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -46,6 +46,11 @@
 # A service with fewer sends than this during a rollout cannot prove a version.
 MIN_SENDS: typing.Final = 20
 
+# How much likelier the evidence must be with a good version than with a much worse one:
+# where all of it is known, and where a part may have been lost.
+WHOLE_ODDS: typing.Final = 1.0
+PARTIAL_ODDS: typing.Final = 5.0
+
 
 class Rollouts(rollout_orders.OrderBook):
     """All rollouts, and which version each request gets; thread-safe.
@@ -123,7 +128,7 @@
             self._allowance.with_slack(used_slack),
             self._sends.fleet(rollout.label),
             per_s,
-            rollout.ends_at - now,
+            rollout.ends_at - now + rollout_growth.REPORT_LAG_S,
         )
 
     def reason_against(self, rollout: rollout_state.Rollout) -> str:
@@ -135,7 +140,8 @@
             return "in doubt"
         sends, label = self.exposure(rollout), rollout.label
         if not rollout.is_known_whole or sends.total >= MIN_SENDS:
-            if not self._evidence.is_proved(label):
+            odds = WHOLE_ODDS if rollout.is_known_whole else PARTIAL_ODDS
+            if not self._evidence.is_proved(label, odds):
                 return "too little evidence for it"
         elif not self._evidence.is_answered(label, sends.exposed):
             return "too few answers"
@@ -182,7 +188,8 @@
         if not session or version != order.to_version:
             return False
         used_slack = self._session_slack(rollout)
-        if self._allowance.with_slack(used_slack).admits(self.exposure(rollout)):
+        allowance = self._allowance.with_slack(used_slack)
+        if allowance.admits(self.exposure(rollout), self._unreported(rollout)):
             return True
         if used_slack:
             # Its sessions would need more, and none of them may move back.
@@ -194,6 +201,14 @@
             )
         return False
 
+    def _unreported(self, rollout: rollout_state.Rollout) -> float:
+        """Return the exposure that peers may not have reported yet."""
+        growth = rollout.growth
+        if growth.reached < 1.0:
+            return 0.0
+        per_s = growth.fleet_rate.per_s or 0.0
+        return per_s * rollout_growth.REPORT_LAG_S * (1.0 - self._allowance.share)
+
     def _session_slack(self, rollout: rollout_state.Rollout) -> float:
         """Return the share of the slack that may be used by sessions on the version."""
         planned = rollout.planned_slack(is_moved=True)
