Forecast exposure at completion by the mean rate

Cause: the latest second of the fleet's sends was taken as the rate. Reports of other halls come in batches, so that second has up to twice the sends. The mean over four seconds is taken, as when all requests move; a burst is still kept from the allowance by each gateway's own counts, which are exact.

--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -147,7 +147,7 @@
             return "too few answers"
         if rollout.is_over(now):
             return ""
-        per_s = rollout.growth.fleet_rate.peak_per_s
+        per_s = rollout.growth.fleet_rate.per_s
         fleet = self._forecast(rollout, now, self._session_slack(rollout), per_s)
         return "" if fleet.fits else "the allowed exposure does not suffice"
 
