Read the samples of a rate while another thread adds to them

Found by reading: the reserve iterates over the samples in each request's thread while another adds one, which Python's deque answers with a RuntimeError, and a rounding of the time could leave no sample to begin with. Both read a copy now.

--- a/gaprock/rollout_growth.py
+++ b/gaprock/rollout_growth.py
@@ -57,25 +57,27 @@
     @property
     def per_s(self) -> float | None:
         """The rate per second; ``None`` while it is not known."""
-        return self._rate_from(0)
+        samples = tuple(self._samples)
+        return _rate(samples[0], samples[-1]) if samples else None
 
     @property
     def peak_per_s(self) -> float | None:
         """The rate, or the latest one if that is higher, as in a burst."""
-        rate = self.per_s
+        # Another thread may add a sample meanwhile.
+        samples = tuple(self._samples)
+        rate = _rate(samples[0], samples[-1]) if samples else None
         if rate is None:
             return None
-        since = self._samples[-1][0] - MIN_RATE_S
-        first = max(n for n, (at, _) in enumerate(self._samples) if at <= since)
-        return max(rate, self._rate_from(first) or 0.0)
+        since = samples[-1][0] - MIN_RATE_S
+        first = next((s for s in reversed(samples) if s[0] <= since), samples[0])
+        return max(rate, _rate(first, samples[-1]) or 0.0)
 
-    def _rate_from(self, first: int) -> float | None:
-        if not self._samples:
-            return None
-        (since, start), (until, last) = self._samples[first], self._samples[-1]
-        if until < since + MIN_RATE_S:
-            return None
-        return (last - start) / (until - since)
+
+def _rate(first: tuple[float, int], last: tuple[float, int]) -> float | None:
+    """Return the rate between two samples; ``None`` if they are too close."""
+    if last[0] < first[0] + MIN_RATE_S:
+        return None
+    return (last[1] - first[1]) / (last[0] - first[0])
 
 
 class Forecast(typing.NamedTuple):
