Say which sends the parts of the allowance do not bound

Reading the change again: the module's description promised the bound for all sends. A word of a test's description follows the usual terms. Comments only; make check, testdocs and testrollouts pass.

--- a/gaprock/rollout_exposure.py
+++ b/gaprock/rollout_exposure.py
@@ -5,8 +5,11 @@
 grow, and the sum is over all gateways, including those that have ended.
 
 Each gateway may expose that share of its own sends, and an equal part of the slack.  So
-the sum over all gateways is within the allowance whatever they hear of each other.  A
-part of the slack that an earlier process may have used is not used again
+the sum over all gateways is within the allowance whatever they hear of each other.  Two
+kinds of sends are bounded by a forecast alone: those of sessions that are on the new
+version already, and all those after the outcome *completed*.
+
+A part of the slack that an earlier process may have used is not used again
 (``rollout_state.Rollout.planned_slack``).
 """
 
--- a/gaprock/test/exposurecase.py
+++ b/gaprock/test/exposurecase.py
@@ -51,7 +51,7 @@
 
 
 class Trouble(typing.NamedTuple):
-    """A disturbance.
+    """A fault.
 
     :param kind: ``kill``, ``cut``, ``away`` (the store) or ``burst``.
     :param at_s: when it begins, after the order.
