Log and count what the retry budget allows, charged and refused, by service

Cause: a repeat's line had only what was left. It could not be told whether a process had counted for a whole window, how large its share of the allowance was, or how often a repeat was refused, so the hypotheses of the incident could not be told apart by logs.

Change: lines repeat and repeat-refused (once a request) carry the service, allowed, spent, firsts, members and the age of the process; gauges of both and a counter of refusals by service. No decision is changed.

--- a/gaprock/gateway_call.py
+++ b/gaprock/gateway_call.py
@@ -106,6 +106,7 @@
         "last_write_at",
         "longest_gap_s",
         "events",
+        "is_repeat_refused",
         "_mark",
         "_segments",
     )
@@ -156,6 +157,8 @@
         self.longest_gap_s = 0.0
         # Number of events written to the caller.
         self.events = 0
+        # Whether the retry budget refused a repeat of it.
+        self.is_repeat_refused = False
         self._mark: int | None = None
         self._segments: tuple[int, ...] | None = None
         if inbound.holding is not None:
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -22,6 +22,9 @@
         "sends",
         "waits_extended",
         "repeats",
+        "repeats_refused",
+        "budget_allowed",
+        "budget_spent",
         "first_byte",
         "answer_end",
         "open_calls",
@@ -91,6 +94,24 @@
             ["service", "reason"],
             registry=registry,
         )
+        self.repeats_refused = prometheus_client.Counter(
+            "gaprock_repeats_refused_total",
+            "Requests that the retry budget refused a repeat, by service",
+            ["service"],
+            registry=registry,
+        )
+        self.budget_allowed = prometheus_client.Gauge(
+            "gaprock_retry_budget_allowed",
+            "Repeats that this gateway may send in a window, by service",
+            ["service"],
+            registry=registry,
+        )
+        self.budget_spent = prometheus_client.Gauge(
+            "gaprock_retry_budget_spent",
+            "Repeats charged in the last window, by service",
+            ["service"],
+            registry=registry,
+        )
         self.first_byte = prometheus_client.Histogram(
             "gaprock_first_byte_seconds",
             "Time until the caller gets the first byte, by route",
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -86,6 +86,7 @@
         admission: gateway_admission.Admission,
     ) -> None:
         self._clock = clock_
+        self._started_at = clock_.now()
         self._dialect = dialect
         self._source = source
         self._chooser = chooser
@@ -362,19 +363,42 @@
         self._budget.spend(call.service, now)
         word = reason.partition(":")[0].partition(" ")[0]
         self._metrics.repeats.labels(call.service, word).inc()
+        self._log_budget("repeat", call, reason)
+
+    def _log_budget(self, event: str, call: gateway_call.Call, reason: str) -> None:
+        """Log a decision on a repeat, with the budget by which it was made."""
+        now = self._clock.now()
+        state = self._budget.state(call.service, now)
         eventlog.info(
-            "repeat",
+            event,
             request=call.info.request,
+            service=call.service,
             sends=call.sends,
             reason=reason,
-            budget_left=self._budget.left(call.service, now),
+            budget_left=state.allowed - state.spent,
+            allowed=state.allowed,
+            spent=state.spent,
+            firsts=state.firsts,
+            members=state.members,
+            age_s=now - self._started_at,
         )
 
     def _may_send_again(self, call: gateway_call.Call) -> bool:
         now = self._clock.now()
         if call.sends_left <= 0 or now >= call.deadline or self._gate.held_s(call):
             return False
-        return self._budget.left(call.service, now) >= 1.0
+        if self._budget.left(call.service, now) >= 1.0:
+            return True
+        self._record_refused(call)
+        return False
+
+    def _record_refused(self, call: gateway_call.Call) -> None:
+        """Count and log, once for each call, that the budget refused a repeat."""
+        if call.is_repeat_refused:
+            return
+        call.is_repeat_refused = True
+        self._metrics.repeats_refused.labels(call.service).inc()
+        self._log_budget("repeat-refused", call, "budget")
 
     def unknown(self, call: gateway_call.Call, detail: str) -> gateway_call.CallError:
         """Build the error for a call that may have run."""
--- a/gaprock/retry_window.py
+++ b/gaprock/retry_window.py
@@ -15,6 +15,21 @@
 USED_SHARE: typing.Final = 0.85
 
 
+class BudgetState(typing.NamedTuple):
+    """A service's retry budget at one moment.
+
+    :param firsts: requests of the last window.
+    :param allowed: repeats that this process may send for them in a window.
+    :param spent: repeats that were charged in the last window.
+    :param members: processes that share the allowance; 0 if unknown.
+    """
+
+    firsts: int
+    allowed: float
+    spent: int
+    members: int
+
+
 class _Window:
     """Times of the first sends and the repeats to one service."""
 
@@ -93,10 +108,24 @@
             if repeats:
                 repeats.pop()
 
+    def state(self, service: str, now: float) -> BudgetState:
+        """Return a service's budget now."""
+        with self._lock:
+            return self._state(service, now)
+
+    def services(self) -> list[str]:
+        """Return the services that were sent requests."""
+        with self._lock:
+            return list(self._windows)
+
     def _left(self, service: str, now: float) -> float:
+        state = self._state(service, now)
+        return state.allowed - state.spent
+
+    def _state(self, service: str, now: float) -> BudgetState:
         window = self._windows[service]
         window.expire(now - self._window_s)
-        allowed = self._ratio * len(window.firsts)
-        members = self._members()
-        allowed += self._allowance / members if members else 0.0
-        return USED_SHARE * allowed - len(window.repeats)
+        firsts, members = len(window.firsts), self._members()
+        share = self._allowance / members if members else 0.0
+        allowed = USED_SHARE * (self._ratio * firsts + share)
+        return BudgetState(firsts, allowed, len(window.repeats), members)
