Choose the first model without regard to the retry budget of the moment

What callers saw: while the retry budget was used up, a gateway asked the largest model for each new request, since no escalation would be allowed. That loads endpoints most when they have least room for it, as after a start.

Cause: the budget was looked at for a decision that is made a second later. Until then other requests earn repeats.

--- a/gaprock/gateway_models.py
+++ b/gaprock/gateway_models.py
@@ -173,6 +173,9 @@
         ]
         now = self._clock.now()
         budget_left = int(self._escalations_left(call))
+        if not call.sends:
+            # One that is due later is paid by the requests until then.
+            budget_left = max(budget_left, 1)
         # Before the first send, that send itself is not an escalation.
         sends_left = call.sends_left if call.sends else call.sends_left - 1
         around = directory_rows.CandidateScope(self._hall, call.place, lambda e: True)
