--- a/gaprock/test/soak_fleet.py
+++ b/gaprock/test/soak_fleet.py
@@ -18,7 +18,7 @@
 import time
 import typing
 
-from gaprock.test import gatewaysite, ports, soak_ledger
+from gaprock.test import budgetcase, gatewaysite, ports, soak_ledger
 from gaprock.test.fakes import backend, cutproxy, metastore
 
 DRAIN_S: typing.Final = 2.0
@@ -37,6 +37,8 @@
 # Longest wait for a process to stop, and for gateways to become ready.
 STOP_WAIT_S: typing.Final = 20.0
 READY_WAIT_S: typing.Final = 30.0
+# The retry budget of each service.
+BUDGET: typing.Final = budgetcase.Rule(0.9, 50.0, 10.0)
 # Time limit of the routes.
 ROUTE_MS: typing.Final = 4500
 MAX_EVENTS: typing.Final = 12
@@ -299,7 +301,8 @@
             f'Ready = "{self.ip}:{self.ready_port}"\n'
             f'[Provider]\nAddr = "127.0.0.1:{self.store_proxy.port}"\n'
             f"[TimingBounds]\nDrainMs = {DRAIN_S * 1000:.0f}\nGraceS = {grace_s}\n"
-            "BudgetRatio = 0.9\nRetrySlack = 50\nCanaryShare = 0.15\nCanarySlack = 30\n"
+            f"BudgetRatio = {BUDGET.ratio}\nRetrySlack = {BUDGET.allowance}\n"
+            f"BudgetWindowS = {BUDGET.window_s}\nCanaryShare = 0.15\nCanarySlack = 30\n"
             f"EvacMs = {CORDON_S * 1000:.0f}\n"
             f"{limits}"
         )
--- a/gaprock/test/soak_ledger.py
+++ b/gaprock/test/soak_ledger.py
@@ -12,6 +12,8 @@
 import time
 import typing
 
+from gaprock.test import budgetcase
+
 # A disruption still counts for this time after its end.
 CALM_AFTER_S: typing.Final = 4.0
 # Slack of all time limits, since a soak test keeps its machine busy.
@@ -25,6 +27,8 @@
 SEGMENT_CRASHES: typing.Final = 5
 MAX_LATE_POISON: typing.Final = 3
 POISON_KNOWN_S: typing.Final = 3.0
+# The kind of requests that are streams; they have a service of their own.
+STREAM: typing.Final = "gen"
 # Statuses that guarantee that a request has not run and will not run.
 NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
 # The target of a disruption that affects all gateways.
@@ -157,6 +161,7 @@
         self.added: dict[str, float] = {}
         self.leaving: dict[str, float] = {}
         self.sent: dict[str, str] = {}
+        self.sent_at: dict[str, float] = {}
         self.poison_crashes = POISON_CRASHES
         # When the poison request reached an endpoint, and the id that it had.
         self.poisoned: list[tuple[float, str]] = []
@@ -189,6 +194,7 @@
         """Record a request that is about to be sent."""
         with self._lock:
             self.sent[request] = kind
+            self.sent_at[request] = self.now()
 
     def add(self, item: CallResult | Run | Disruption) -> None:
         """Record a result, a run or a disruption."""
@@ -251,6 +257,7 @@
     :param cordon_s: time after which a cordoned hall gets no more requests.
     :param cold_per_s: most requests a second to an endpoint that warms up; 0 for
         no limit.
+    :param budget: the retry budget of each service; ``None`` to leave it unchecked.
     """
 
     def __init__(
@@ -260,7 +267,9 @@
         config_s: float,
         cordon_s: float = math.inf,
         cold_per_s: int = 0,
+        budget: budgetcase.Rule | None = None,
     ) -> None:
+        self._budget = budget
         self._ledger = ledger
         self._cordon_s = cordon_s
         self._cold_per_s = cold_per_s
@@ -289,6 +298,7 @@
             self._warm_ups,
             self._rate_limits,
             self._announcements,
+            self._retry_budgets,
         )
         return [line for check in checks for line in check()]
 
@@ -470,6 +480,28 @@
             if len(late) > allowed:
                 yield f"not heeded: {notice} told {answered.gateway}, which sent {late}"
 
+    def _retry_budgets(self) -> typing.Iterator[str]:
+        """Find services that got more repeats than allowed in some window.
+
+        This holds through all disruptions.
+        """
+        arrivals: dict[str, list[float]] = collections.defaultdict(list)
+        for found in self._ledger.requests.values():
+            for arrival in found:
+                arrivals[arrival.request].append(arrival.at)
+        for is_stream in (True, False) if self._budget is not None else ():
+            of_service = [
+                request
+                for request, kind in self._ledger.sent.items()
+                if (kind == STREAM) is is_stream
+            ]
+            requests = [self._ledger.sent_at[request] for request in of_service]
+            repeats = [at for r in of_service for at in sorted(arrivals[r])[1:]]
+            excess = self._budget.excess(requests, repeats) if self._budget else 0.0
+            if excess > 0.0:
+                name = "streams" if is_stream else "plain requests"
+                yield f"retry budget: {excess:.1f} repeats of {name} too many"
+
     def _gateway_of(self, request: str) -> str:
         result = self._results.get(request)
         return result.gateway if result is not None else ""
--- a/gaprock/test/soak_run.py
+++ b/gaprock/test/soak_run.py
@@ -192,6 +192,7 @@
             soak_fleet.CONFIG_S,
             soak_fleet.CORDON_S,
             WARMING_PER_S,
+            soak_fleet.BUDGET,
         )
         return violations + judge.violations()
 
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from gaprock.test import soak, soak_ledger
+from gaprock.test import budgetcase, soak, soak_ledger
 
 SHORT_S: typing.Final = 6.0
 GATEWAYS: typing.Final = 3
@@ -149,6 +149,23 @@
     assert [line[:18] for line in judge._rate_limits()] == ["rate limit: e1 got"]
 
 
+def test_the_judge_reports_repeats_above_the_retry_budget() -> None:
+    ledger = soak_ledger.Ledger()
+    for number in range(4):
+        ledger.sent[f"r{number}"], ledger.sent_at[f"r{number}"] = "gen", 10.0
+        ledger.requests["e1"].append(soak_ledger.Arrival(f"r{number}", 10.1))
+    ledger.requests["e2"] += [
+        soak_ledger.Arrival("r0", 11.0 + n / 10) for n in range(4)
+    ]
+    budget = budgetcase.Rule(0.5, 2.0, 10.0)
+    judge = soak_ledger.Judge(ledger, 2.0, 2.0, budget=budget)
+    assert not list(judge._retry_budgets())
+    ledger.requests["e1"].append(soak_ledger.Arrival("r1", 12.0))
+    assert list(judge._retry_budgets()) == [
+        "retry budget: 1.0 repeats of streams too many"
+    ]
+
+
 def test_the_judge_reports_overload_during_a_warm_up() -> None:
     ledger = soak_ledger.Ledger()
     ledger.add_endpoint("e1", "h1", 10.0, 12.0)
