Do not change a gateway's parts at each repeat that it lacks

What callers saw: nothing; the store got up to 40 calls a second from each gateway while a service failed.

Cause: a gateway that lacked repeats and held its whole share renewed its parts after each pause of 50 ms.

The random plays, whose parts lapse within a second, are given a pause in step with that, and a phase more.

--- a/gaprock/retry_allowance.py
+++ b/gaprock/retry_allowance.py
@@ -37,8 +37,10 @@
 # Repeats of the first part, and of all parts of a gateway if the fleet is large.
 PART: typing.Final = 4
 MIN_SHARE: typing.Final = 2
-# Pause between two changes of a service's parts.
+# Pause between two changes of a service's parts, and the longest one while nothing is
+# free, so that what is held is renewed in time.
 PAUSE_S: typing.Final = 0.05
+MAX_PAUSE_S: typing.Final = 5.0
 # Tries against concurrent changes of the row, and the longest pause between them.
 TRIES: typing.Final = 4
 CONFLICT_PAUSE_S: typing.Final = 0.03
@@ -239,7 +241,8 @@
                 return self._window_s
             own = [part for part in known.parts if part.holder == self._name]
             number = self._free_for_us(known, own) if is_short or not own else 0
-            if not own and number < 1:
+            is_renewed = self._clock.now() < self._renew_at.get(service, -clock.NEVER)
+            if number < 1 and (is_renewed or not own):
                 return self._log_refused(service, known)
             deadline = self._clock.now() + HOLD_S
             until = known.store_time(deadline) + self._window_s + TRANSIT_S
@@ -342,7 +345,8 @@
         """Log that nothing is free, and return the seconds until something may be."""
         parts = known.parts or []
         free_s = min((part.until for part in parts), default=0.0) - known.store_now
-        free_s = max(0.0, free_s) + self._rng.uniform(0.0, FREE_SPREAD_S)
+        free_s = min(max(0.0, free_s), MAX_PAUSE_S)
+        free_s += self._rng.uniform(0.0, FREE_SPREAD_S)
         eventlog.info(
             "allowance-refused",
             service=service,
--- a/gaprock/test/budgetcase.py
+++ b/gaprock/test/budgetcase.py
@@ -68,7 +68,15 @@
     :param clock_: also the store's own clock, which is ``AHEAD_S`` ahead of it.
     """
 
-    __slots__ = ("_clock", "_rows", "_version", "epoch", "fails", "listeners")
+    __slots__ = (
+        "_clock",
+        "_rows",
+        "_version",
+        "epoch",
+        "fails",
+        "listeners",
+        "calls",
+    )
 
     def __init__(self, clock_: clock.Clock) -> None:
         self._clock = clock_
@@ -78,6 +86,7 @@
         # ``away``: nothing is done.  ``lost``: writes are done and not answered.
         self.fails = ""
         self.listeners: list[typing.Callable[[int], None]] = []
+        self.calls = 0
 
     def watch_epoch(self, listener: typing.Callable[[int], None]) -> None:
         self.listeners.append(listener)
@@ -110,6 +119,7 @@
         return dict(self._rows)
 
     def _answer(self) -> None:
+        self.calls += 1
         if self.fails == "away":
             raise gateway_api.StoreError("away")
         for listener in self.listeners:
--- a/gaprock/test/testretrybudget.py
+++ b/gaprock/test/testretrybudget.py
@@ -21,7 +21,7 @@
 # Random plays, and how many repeats they have to send on average to show anything.
 PLAYS: typing.Final = 300
 LEAST_SENT: typing.Final = 10
-PHASES: typing.Final = 12
+PHASES: typing.Final = 13
 PHASE_STEPS: typing.Final = 40
 # Pauses between steps, seconds; a phase has one of them.
 PAUSES_S: typing.Final = (0.0, 0.01, 0.05, 0.2, 0.5)
@@ -49,6 +49,8 @@
     (8, 16, 16, 1, 8, 1, 1, 1, 1),
 )
 
+# Calls to the store of a gateway that lacks repeats for 20 s.
+MAX_CALLS: typing.Final = 20
 # Pause between two requests to a whole gateway.
 REQUEST_PAUSE_S: typing.Final = 0.05
 
@@ -149,6 +151,7 @@
     # Parts lapse within a play.
     monkeypatch.setattr(retry_allowance, "HOLD_S", 1.0)
     monkeypatch.setattr(retry_allowance, "RENEW_S", 0.5)
+    monkeypatch.setattr(retry_allowance, "MAX_PAUSE_S", 0.25)
     broken, sent = {}, 0
     for seed in range(PLAYS):
         fleet = Fleet(members)
@@ -182,6 +185,14 @@
     assert len(fleet.repeats) >= least * allowed
 
 
+def test_a_gateway_that_holds_its_share_does_not_ask_the_store_at_each_repeat() -> None:
+    fleet = Fleet(1)
+    for _ in range(400):
+        fleet.clock.advance(0.05)
+        fleet.repeat(0)
+    assert 0 < fleet.store.calls <= MAX_CALLS
+
+
 def test_requests_that_fail_at_one_moment_send_no_more_repeats_than_are_left(
     site: gatewaysite.GatewaySite,
 ) -> None:
