Keep the thread of the allowance running after a fault in one call

What callers would see: each repeat that lacks a part waits 0.2 s for an answer that never comes, and the process has no part of the allowance any more.

Cause: an exception other than the store's own, as from an answer that it cannot decode, ended the thread; found by reading the change.

Change: it is logged like a failed task, and asked again later. The test fails on the code before with that exception.

--- a/gaprock/retry_allowance.py
+++ b/gaprock/retry_allowance.py
@@ -225,6 +225,10 @@
         except gateway_api.StoreError as exc:
             eventlog.warning("allowance-unknown", service=service, error=exc)
             return max(ERROR_PAUSE_S, exc.retry_after_s)
+        except Exception as exc:
+            # A fault in one call must not end the thread.
+            eventlog.warning("task-failed", task="allowance", error=repr(exc))
+            return ERROR_PAUSE_S
 
     def _take(self, service: str, is_short: bool) -> float:
         """Take a part, or renew those that we hold.
--- a/gaprock/test/testretrybudget.py
+++ b/gaprock/test/testretrybudget.py
@@ -193,6 +193,19 @@
     assert 0 < fleet.store.calls <= MAX_CALLS
 
 
+def test_a_fault_in_one_call_leaves_the_allowance_to_later_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fleet = Fleet(1)
+    with monkeypatch.context() as odd:
+        odd.setattr(budgetcase.Store, "read", lambda store, table: 1 // 0)
+        fleet.repeat(0)
+    fleet.clock.advance(1.0)
+    fleet.repeat(0)
+    fleet.repeat(0)
+    assert len(fleet.repeats) == 1
+
+
 def test_requests_that_fail_at_one_moment_send_no_more_repeats_than_are_left(
     site: gatewaysite.GatewaySite,
 ) -> None:
