Let the test of a gateway's share of the allowance see the gateways it counts

Cause: the task of the allowance kept the mesh's method as it was at its start, so the test's number of gateways never reached it, and its requests for parts came within one pause; the proof that switches the share off passed.

Change: the number is asked of the mesh at each use, like elsewhere, and the test waits between its requests. With the share off, the test now fails; product behaviour is the same.

--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -201,7 +201,7 @@
             self.epochs,
             bounds.budget_allowance,
             bounds.budget_window_s,
-            self.mesh.peak_gateways,
+            lambda: self.mesh.peak_gateways(),
             lambda service, parts: self.budget.hold(service, parts),
         )
         self.budget = retry_budget.RetryBudget(
--- a/gaprock/test/testhalls.py
+++ b/gaprock/test/testhalls.py
@@ -1,6 +1,7 @@
 """Tests of gossip between halls, and of the relays that carry it."""
 
 import random
+import time
 import typing
 
 import msgspec
@@ -15,6 +16,7 @@
     mesh_peers,
     mesh_plan,
     messages,
+    retry_allowance,
 )
 from gaprock.test import budgetcase, fleetcase, gatewaysite
 
@@ -395,6 +397,6 @@
         )
         for _ in range(20):
             site.gateway.allowance.request("s", True)
-            site.gateway.allowance.step()
+            time.sleep(retry_allowance.PAUSE_S)
         held = site.gateway.budget.state("s").held
         assert held <= site.cfg.bounds.budget_allowance / 10
--- a/misc/proofs_gateway_mesh.py
+++ b/misc/proofs_gateway_mesh.py
@@ -42,8 +42,8 @@
         "testhalls.py::test_a_gateways_budget_goes_by_the_most_gateways_that_were"
         "_known",
         "gateway_node.py",
-        "            self.mesh.peak_gateways,\n            lambda service, parts",
-        "            self.mesh.members,\n            lambda service, parts",
+        "lambda: self.mesh.peak_gateways(),\n            lambda service, parts",
+        "lambda: self.mesh.members(),\n            lambda service, parts",
     ),
     proofs.gateway(
         "a stopping gateway refuses new requests at the end",
