Let a stand-in's sends take the charge of a repeat

Change: the real budget, with a part that is never used up; and its sends assert that each one after the first is charged, and the first is not.

--- a/gaprock/test/testgone.py
+++ b/gaprock/test/testgone.py
@@ -21,6 +21,7 @@
     paced_queue,
     quarantine,
     rate_pacing,
+    retry_budget,
     routes,
     suspicion,
 )
@@ -64,6 +65,8 @@
         end = self.ends.pop(0) if self.ends else "refused"
         if end == "unsent":
             raise gateway_attempt.NotRun("unreachable")
+        charge, call.charge = call.charge, None
+        assert (charge is not None) == (call.sends > 0)
         call.sends += 1
         if end == "refused":
             raise gateway_attempt.NotRun("refused with status 503")
@@ -112,16 +115,6 @@
         return 0.0
 
 
-class Budget:
-    """A retry budget that is never used up."""
-
-    def left(self, service: str, now: float) -> float:
-        return 5.0
-
-    def spend(self, service: str, now: float) -> None:
-        pass
-
-
 class Counts:
     """Metrics that count nothing."""
 
@@ -148,12 +141,15 @@
     time = clock.ManualClock(100.0)
     server = object.__new__(gateway_serve.Server)
     sends = Sends(list(ends))
+    budget = retry_budget.RetryBudget(1.0, 10.0, time)
+    budget.hold(callcase.SERVICE, [retry_budget.HeldPart(50, 0.0, 1e9)])
     parts: dict[str, object] = {
         "_clock": time,
         "_finder": Finds(time, finds, next_at),
         "_sender": sends,
         "_gate": Gate(),
-        "_budget": Budget(),
+        "_budget": budget,
+        "_started_at": time.now(),
         "_metrics": Counts(),
     }
     for name, part in parts.items():
