Wait for requests for a part by the project's clock

Cause: the allowance's thread waited on its condition without the clock's slices, which the check of steady clocks in testsuspended forbids; found by running all test files on the final code.

Change: clock.wait_for. testsuspended, testretrybudget, testhalls and testgateway pass on it.

--- a/gaprock/retry_allowance.py
+++ b/gaprock/retry_allowance.py
@@ -198,7 +198,12 @@
     def _run(self) -> None:
         while True:
             with self._changed:
-                self._changed.wait_for(lambda: self._stopped or self._wanted)
+                clock.wait_for(
+                    self._changed,
+                    lambda: self._stopped or bool(self._wanted),
+                    clock.NEVER,
+                    self._clock,
+                )
             if self._stopped:
                 return
             spread_s = SPREAD_S * self._count_gateways()
