--- a/gaprock/gateway_api.py
+++ b/gaprock/gateway_api.py
@@ -139,7 +139,7 @@
     outcomes: str
     # The gateway's own rows.
     own: str
-    # Reserved parts of the retry budgets' allowances.
+    # The parts of the retry budgets' allowances that gateways hold.
     allowances: str
 
 
--- a/gaprock/retry_allowance.py
+++ b/gaprock/retry_allowance.py
@@ -96,10 +96,6 @@
         """Convert a time of ours to the store's clock, as the latest it can be."""
         return self.store_now + at - self.asked_at
 
-    def local_time(self, at: float) -> float:
-        """Convert a time of the store to our clock, as the earliest it can be."""
-        return at - self.store_now + self.asked_at
-
 
 class AllowanceTask:
     """Holds parts of the allowances; works on a thread of its own.
