Count the answers of a rollout by their relative time, and log it

The logs could not tell whether a slow version was missed by the test, by the number of answers or by the endpoint that gave them. Each gateway counts answers by bins of their time over the stable version's usual one, by period of the rollout and group of endpoints; heartbeats carry the counts. rollout-exposure and gaprock_rollout_answers show them. No decision uses them.

--- a/gaprock/evidence.py
+++ b/gaprock/evidence.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from gaprock import messages
+from gaprock import messages, relative_times
 
 # Maximum number of records; the least recently changed are evicted first.
 MAX_RECORDS: typing.Final = 20_000
@@ -53,17 +53,27 @@
         """The source name of this process."""
         return self._source
 
-    def count(self, version: str, bad: bool, rated: bool) -> None:
-        """Count one judged answer of this process."""
+    def count(
+        self, version: str, bad: bool, rated: bool, number: int | None = None
+    ) -> None:
+        """Count one judged answer of this process.
+
+        :param number: its bin, as in ``relative_times``.
+        """
         with self._lock:
             old = self._records.get((self._source, version))
             answers, bads, rates = 0, 0, 0
+            bins: relative_times.Counts = ()
             if old is not None:
                 answers, bads = old.counts.answers, old.counts.bad
-                rates = old.counts.rated
+                rates, bins = old.counts.rated, old.counts.bins
+            if number is not None:
+                one = [0] * relative_times.COUNT
+                one[number] = 1
+                bins = relative_times.add(bins, tuple(one))
             self._store(
                 messages.Evidence(
-                    self._source, version, answers + 1, bads + bad, rates + rated
+                    self._source, version, answers + 1, bads + bad, rates + rated, bins
                 )
             )
 
@@ -120,11 +130,13 @@
                 continue
             old = sums.get(counts.version)
             answers, bad, rated = counts.answers, counts.bad, counts.rated
+            bins = counts.bins
             if old is not None:
                 answers, bad = answers + old.answers, bad + old.bad
                 rated += old.rated
+                bins = relative_times.add(bins, old.bins)
             sums[counts.version] = messages.Evidence(
-                name, counts.version, answers, bad, rated
+                name, counts.version, answers, bad, rated, bins
             )
         return list(sums.values())
 
@@ -138,6 +150,18 @@
             sum(c.rated for c in found),
         )
 
+    def binned(self, prefix: str) -> dict[str, relative_times.Counts]:
+        """Sum the answers by bin of all versions with a prefix over all sources."""
+        with self._lock:
+            found = [
+                r.counts for (_, v), r in self._records.items() if v.startswith(prefix)
+            ]
+        sums: dict[str, relative_times.Counts] = {}
+        for counts in found:
+            before = sums.get(counts.version, ())
+            sums[counts.version] = relative_times.add(before, counts.bins)
+        return sums
+
     def own_totals(self, version: str) -> Totals:
         """Return a version's counters of this process."""
         with self._lock:
--- a/gaprock/gateway_gauges.py
+++ b/gaprock/gateway_gauges.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from gaprock import endpoint_notices, eventlog, gateway_metrics
+from gaprock import endpoint_notices, eventlog, gateway_metrics, relative_times
 
 if typing.TYPE_CHECKING:
     from gaprock import gateway_node
@@ -43,6 +43,10 @@
         metrics.rollout_exposure.labels(service).set(exposed)
         allowed = gateway.rollouts.allowed_exposure(rollout)
         metrics.rollout_allowance.labels(service).set(allowed)
+        for side, counts in gateway.rollouts.answers(rollout).items():
+            for number, count in enumerate(counts):
+                time = relative_times.bin_name(number)
+                metrics.rollout_answers.labels(service, side, time).set(count)
     for follower in gateway.followers:
         gauge = metrics.store_connected.labels(follower.table)
         gauge.set(follower.connected)
--- a/gaprock/gateway_judge.py
+++ b/gaprock/gateway_judge.py
@@ -67,6 +67,7 @@
             took_s,
             self._expected_s(call, attempt),
             pace=1.0 if took_s is None else self._pace(attempt, took_s),
+            endpoint=attempt.endpoint.name,
         )
         self._judge(call, attempt, call.route.name, sample)
 
@@ -93,6 +94,7 @@
             self._expected_s(call, attempt),
             is_open=True,
             pace=self._pace(attempt, elapsed_s),
+            endpoint=attempt.endpoint.name,
         )
         if self._judge(call, attempt, call.route.name, sample):
             attempt.is_judged = True
@@ -117,7 +119,9 @@
         if not is_reachable or not self.judges_breaks(call):
             return
         attempt.is_judged = True
-        sample = rollout_latency.VersionSample(True, None)
+        sample = rollout_latency.VersionSample(
+            True, None, endpoint=attempt.endpoint.name
+        )
         self._judge(call, attempt, call.route.name, sample)
 
     def judge_event_gaps(
@@ -137,6 +141,7 @@
             gap_s,
             pace=self._pace(attempt, stream_s),
             floor_s=rollout_latency.SLOW_GAP_FLOOR_S,
+            endpoint=attempt.endpoint.name,
         )
         self._judge(call, attempt, f"{call.route.name}~pace", sample)
 
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -66,6 +66,7 @@
         "workspace_use",
         "rollout_exposure",
         "rollout_allowance",
+        "rollout_answers",
     )
 
     def __init__(self) -> None:
@@ -145,6 +146,13 @@
             ["service"],
             registry=registry,
         )
+        self.rollout_answers = prometheus_client.Gauge(
+            "gaprock_rollout_answers",
+            "Answers in a rollout by service, side (new, old), and time relative to the"
+            " usual one, or 'failed' or 'untimed'",
+            ["service", "side", "time"],
+            registry=registry,
+        )
         self.open_calls = prometheus_client.Gauge(
             "gaprock_open_calls", "Requests open now", registry=registry
         )
--- a/gaprock/messages.py
+++ b/gaprock/messages.py
@@ -86,6 +86,8 @@
     bad: int
     # Answers that the rating service judged.
     rated: int
+    # The answers by ``relative_times``; empty if they are not counted by these.
+    bins: tuple[int, ...] = ()
 
 
 class Known(msgspec.Struct, array_like=True, frozen=True):
--- a/gaprock/rollout_evidence.py
+++ b/gaprock/rollout_evidence.py
@@ -2,8 +2,9 @@
 
 import threading
 import typing
+import zlib
 
-from gaprock import evidence, messages, policy_api, rollout_latency
+from gaprock import evidence, messages, policy_api, relative_times, rollout_latency
 
 # The share of sends whose answers must be known.
 MIN_ANSWERED_SHARE: typing.Final = 0.5
@@ -13,6 +14,53 @@
 # Under this route the evidence has failures alone.  Slow endpoints of the old version
 # would otherwise hide a new version that fails.
 FAILURES: typing.Final = "~failures"
+# Endpoints are told apart by this many groups, which bounds the number of counters.
+GROUPS: typing.Final = 32
+# The group of answers whose endpoint is not known.
+NO_GROUP: typing.Final = -1
+# Separates the parts of a cell's name; no other name contains it.
+SEPARATOR: typing.Final = "\x1f"
+
+
+class Verdict(typing.NamedTuple):
+    """What an answer holds against its version, and how it is counted.
+
+    :param against: ``"failed"``, ``"slow"``, or empty for nothing.
+    :param number: its bin, as in ``relative_times``.
+    """
+
+    against: str
+    number: int
+
+
+class Cell(typing.NamedTuple):
+    """Answers that are counted together.
+
+    :param is_new: whether they are of the new version.
+    :param period: the part of the rollout's time in which they came.
+    :param group: the group of their endpoint; those of the old version are not told
+        apart.
+    """
+
+    is_new: bool
+    period: int
+    group: int
+    route: str
+
+
+def group_of(endpoint: str) -> int:
+    """Return the group of an endpoint."""
+    return zlib.crc32(endpoint.encode()) % GROUPS if endpoint else NO_GROUP
+
+
+def _cell_name(label: str, cell: Cell) -> str:
+    side = "new" if cell.is_new else "old"
+    return SEPARATOR.join((label, side, str(cell.period), str(cell.group), cell.route))
+
+
+def _parse_cell(name: str) -> Cell:
+    _, side, period, group, route = name.split(SEPARATOR, 4)
+    return Cell(side == "new", int(period), int(group), route)
 
 
 class RolloutEvidence:
@@ -36,14 +84,13 @@
         kind: str,
         answer: rollout_latency.VersionSample,
         is_new: bool,
-    ) -> str | None:
+    ) -> Verdict | None:
         """Return what a sample holds against its version.
 
         :param kind: groups answers whose latencies are comparable.
         :param is_new: whether the sample is of the new version.  Latencies are learned
             from the stable version only.
-        :returns: ``"failed"``, ``"slow"``, or empty for nothing; ``None`` for a send
-            that has no answer and is not late yet.
+        :returns: ``None`` for a send that has no answer and is not late yet.
         """
         # Seconds and multiples of the expected time are not comparable.
         unit = "seconds" if answer.expected_s is None else "multiple"
@@ -55,16 +102,17 @@
             return None
         if answer.relative_time is not None and not is_new and not answer.failed:
             latency.add(answer.relative_time, answer.pace)
+        number = answer.bin(latency)
         if answer.failed:
-            return FAILED
-        return "slow" if is_slow else ""
-
-    def count(self, label: str, route: str, is_new: bool, against: str) -> None:
-        """Count an answer, in total, for its route, and as failed or not.
-
-        :param against: what ``weigh`` returned.
-        """
-        side = "new" if is_new else "old"
+            return Verdict(FAILED, number)
+        return Verdict("slow" if is_slow else "", number)
+
+    def count(self, label: str, cell: Cell, verdict: Verdict) -> None:
+        """Count an answer, in total, for its route, as failed or not, and by bin."""
+        against, route = verdict.against, cell.route
+        side = "new" if cell.is_new else "old"
+        name = _cell_name(label, cell)
+        self._book.count(name, against == FAILED, False, verdict.number)
         self._book.count(f"{label}/{side}", bool(against), False)
         for part, bad in ((route, bool(against)), (FAILURES, against == FAILED)):
             self._book.count(f"{label}/{side}/{part}", bad, False)
@@ -73,6 +121,7 @@
     def rename(self, label: str, new_label: str) -> None:
         """Copy the evidence of a rollout to its new label."""
         self._book.copy(f"{label}/", f"{new_label}/")
+        self._book.copy(label + SEPARATOR, new_label + SEPARATOR)
         routes = self._routes.get(label, set())
         self._routes.setdefault(new_label, set()).update(routes)
 
@@ -118,6 +167,28 @@
             "old_bad": old.bad,
         }
 
+    def cells(self, label: str) -> dict[Cell, relative_times.Counts]:
+        """Return the answers of both versions by bin."""
+        found = self._book.binned(label + SEPARATOR)
+        return {_parse_cell(name): counts for name, counts in found.items()}
+
+    def by_side(self, label: str) -> dict[str, relative_times.Counts]:
+        """Return the answers of each version by bin."""
+        sums = {"new": relative_times.EMPTY, "old": relative_times.EMPTY}
+        for cell, counts in self.cells(label).items():
+            side = "new" if cell.is_new else "old"
+            sums[side] = relative_times.add(sums[side], counts)
+        return sums
+
+    def times(self, label: str) -> dict[str, str | int]:
+        """Return the relative times of the answers on both versions, for the log."""
+        sums = self.by_side(label)
+        return {
+            "new_times": relative_times.text(sums["new"]),
+            "old_times": relative_times.text(sums["old"]),
+            "new_endpoints": len({c.group for c in self.cells(label) if c.is_new}),
+        }
+
     def is_proved(self, label: str, odds: float) -> bool:
         """Whether the evidence is for the new version, and not only not against it.
 
--- a/gaprock/rollout_latency.py
+++ b/gaprock/rollout_latency.py
@@ -6,8 +6,11 @@
 """
 
 import collections
+import statistics
 import typing
 
+from gaprock import relative_times
+
 # An answer is slow if it takes longer than this multiple of the stable version's faster
 # answers.  The canary's endpoints carry more load, so the factor has to be well above
 # one.
@@ -23,6 +26,8 @@
 SLOW_FLOOR_S: typing.Final = 0.15
 # The same for the mean time between the events of a stream.
 SLOW_GAP_FLOOR_S: typing.Final = 0.03
+# This share of the floor is added to the times whose ratio is counted.
+ADDED_SHARE: typing.Final = 1 / 3
 # Up to this pace, an endpoint counts as usual or fast: its pace excuses nothing. Beside
 # a stable version at 0.55, a good version takes at most twice as long there, which is
 # well below ``SLOW_FACTOR``.
@@ -53,6 +58,13 @@
         self._at_usual_pace.append(relative_time)
         self._as_taken.append(relative_time * pace)
 
+    @property
+    def median(self) -> float | None:
+        """The usual time at pace 1.0; ``None`` until there are enough samples."""
+        if len(self._at_usual_pace) < MIN_SAMPLES:
+            return None
+        return statistics.median(self._at_usual_pace)
+
     def typical(self, pace: float) -> float | None:
         """Return the time of the faster answers at a pace.
 
@@ -82,6 +94,7 @@
         it is late already.
     :param pace: the endpoint's pace during that time.
     :param floor_s: a time longer than usual by less than this is never slow.
+    :param endpoint: the endpoint's name; empty if it is not known.
     """
 
     failed: bool
@@ -90,6 +103,7 @@
     is_open: bool = False
     pace: float = 1.0
     floor_s: float = SLOW_FLOOR_S
+    endpoint: str = ""
 
     @property
     def relative_time(self) -> float | None:
@@ -101,6 +115,20 @@
             return usual_s
         return usual_s / max(1e-3, self.expected_s)
 
+    def bin(self, latency: StableLatency) -> int:
+        """Return the bin of the answer, as in ``relative_times``."""
+        if self.failed:
+            return relative_times.FAILED
+        median = latency.median
+        if self.took_s is None or median is None:
+            return relative_times.UNTIMED
+        usual_s = median if self.expected_s is None else median * self.expected_s
+        # Differences far below the floor count little, however short the times are.
+        added_s = ADDED_SHARE * self.floor_s
+        return relative_times.time_bin(
+            (self.took_s / self.pace + added_s) / (usual_s + added_s)
+        )
+
     def is_slow(self, latency: StableLatency) -> bool:
         """Whether the send took much longer than those of the stable version."""
         if self.took_s is None:
--- a/gaprock/rollout_state.py
+++ b/gaprock/rollout_state.py
@@ -15,6 +15,8 @@
 CANARY_SLACK: typing.Final = 0.3
 ALL_SLACK: typing.Final = 0.7
 SESSION_SLACK: typing.Final = 0.15
+# The rollout's time is divided into so many periods of equal length.
+PERIODS: typing.Final = 8
 # After the order every session stays on the old version for this share of the
 # rollout's time, and at most ``HOLD_S``: heartbeats between halls take up to two
 # seconds to report the active sessions to all gateways.
@@ -137,6 +139,11 @@
         """Return the share of the rollout's time that has passed."""
         return (now - self.started_at) / max(0.001, self.order.finish_s)
 
+    def period(self, now: float) -> int:
+        """Return the number of the period at a time; the last one does not end."""
+        share = max(0.0, self.elapsed_share(now))
+        return min(PERIODS - 1, int(PERIODS * share))
+
     @property
     def is_known_whole(self) -> bool:
         """Whether this process has known the rollout since its order."""
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -31,6 +31,7 @@
     mechanisms,
     messages,
     policy_api,
+    relative_times,
     rollout_evidence,
     rollout_exposure,
     rollout_growth,
@@ -340,14 +341,19 @@
         """
         rollout = self._by_service.get(service)
         is_new = rollout is not None and version == rollout.order.to_version
-        against = self._evidence.weigh(service, f"{route}/{kind}", answer, is_new)
-        if against is None:
+        verdict = self._evidence.weigh(service, f"{route}/{kind}", answer, is_new)
+        if verdict is None:
             return ""
         if rollout is not None and rollout.state is rollout_state.State.RUNNING:
-            self._evidence.count(rollout.label, route, is_new, against)
+            group = rollout_evidence.NO_GROUP
+            if is_new:
+                group = rollout_evidence.group_of(answer.endpoint)
+            period = rollout.period(self._clock.now())
+            cell = rollout_evidence.Cell(is_new, period, group, route)
+            self._evidence.count(rollout.label, cell, verdict)
             if is_new:
                 self._judge(rollout)
-        return against
+        return verdict.against
 
     def record_send(self, service: str, version: str) -> None:
         """Count a send to a version of a service."""
@@ -364,6 +370,12 @@
         """Return how many sends to the new version these sends allow."""
         return self._allowance.limit(self.exposure(rollout).total)
 
+    def answers(
+        self, rollout: rollout_state.Rollout
+    ) -> dict[str, relative_times.Counts]:
+        """Return the answers of each version by bin, as far as known here."""
+        return self._evidence.by_side(rollout.label)
+
     def log_exposure(self) -> None:
         """Log the exposure of each rollout under way."""
         now = self._clock.now()
@@ -385,6 +397,7 @@
                 own_sends=own.total,
                 own_exposed=own.exposed,
                 **self._evidence.counts(rollout.label),
+                **self._evidence.times(rollout.label),
             )
 
     def _on_renamed(self, label: str, new_label: str) -> None:
--- a/gaprock/test/testrestoredrollouts.py
+++ b/gaprock/test/testrestoredrollouts.py
@@ -13,6 +13,8 @@
     gateway_api,
     gateway_rows,
     mesh_messages,
+    relative_times,
+    rollout_evidence,
     rollout_state,
     store_epochs,
 )
@@ -82,12 +84,15 @@
     one: Gateway, number: int
 ) -> None:
     rollout = one.rollout
-    one.book._evidence.count(rollout.label, "r", True, "failed")
+    cell = rollout_evidence.Cell(True, 0, rollout_evidence.NO_GROUP, "r")
+    failed = rollout_evidence.Verdict("failed", relative_times.FAILED)
+    one.book._evidence.count(rollout.label, cell, failed)
     one.book.halt(SERVICE, 20, "bad", 1)
     one.order(2, number, "v2", whole=True)
     assert one.rollout is rollout and one.book.share(rollout) == 0.0
     totals = one.book._evidence._book.totals(f"{rollout.label}/new/r")
     assert (totals.answers, totals.bad) == (1, 1)
+    assert list(one.book._evidence.cells(rollout.label)) == [cell]
 
 
 def test_a_halt_counts_by_the_name_before_and_after_a_restore(one: Gateway) -> None:
