--- a/gaprock/test/exposurecase.py
+++ b/gaprock/test/exposurecase.py
@@ -1,6 +1,7 @@
 """A rollout played by several gateways, whose endpoints, store and links misbehave."""
 
 import collections
+import heapq
 import random
 import typing
 import zlib
@@ -31,7 +32,9 @@
 SLACK: typing.Final = 30.0
 TICK_S: typing.Final = 0.1
 BEAT_S: typing.Final = 0.2
+# The usual time of an answer, and the spread of the logarithm of times.
 ANSWER_S: typing.Final = 0.3
+SPREAD: typing.Final = 0.35
 OLD_BAD: typing.Final = 0.02
 # Traffic before the order, in which gateways know each other and sessions begin.
 BEFORE_S: typing.Final = 8.0
@@ -40,7 +43,7 @@
 class Badness(typing.NamedTuple):
     """How a new version fails.
 
-    :param rate: the share of its answers that fail.
+    :param rate: the share of its answers that are bad.
     :param since_s: when that begins, after the order.
     :param above: the share of the sends above which it fails.
     """
@@ -48,6 +51,8 @@
     rate: float
     since_s: float = 0.0
     above: float = 0.0
+    #: How many times longer a bad answer takes; with 1.0, it fails instead.
+    slow_x: float = 1.0
 
 
 class Trouble(typing.NamedTuple):
@@ -114,6 +119,10 @@
     :param named: the share of requests that belong to a session.
     :param mixed: the share of a session's requests that come through any gateway; the
         others come through one.
+    :param endpoints: how many each version has.
+    :param slow_endpoints: how many of the new version's endpoints are slow by
+        themselves.
+    :param slow_x: how many times longer these take.
     """
 
     def __init__(
@@ -127,8 +136,15 @@
         beat_lag_s: float = 0.1,
         named: float = 0.5,
         mixed: float = 0.1,
+        endpoints: int = 6,
+        slow_endpoints: int = 0,
+        slow_x: float = 1.0,
     ) -> None:
         self.rng = random.Random(seed)
+        self._times = random.Random(seed + 1)
+        self._names = [f"e{n}" for n in range(endpoints)]
+        slow = self._times.sample(self._names, slow_endpoints)
+        self._endpoint_x = dict.fromkeys(slow, slow_x)
         self.clock = clock.ManualClock(100.0)
         self.rate, self.finish_s, self.badness = rate, finish_s, badness
         self.troubles = troubles
@@ -144,9 +160,10 @@
         self.completed_at = clock.NEVER
         self._versions: dict[str, tuple[str, float]] = {}
         self._recent: collections.deque[bool] = collections.deque(maxlen=40)
-        self._answers: collections.deque[tuple[float, Member, str, bool]] = (
-            collections.deque()
-        )
+        # Answers that are to come: when, a number, the gateway, and the answer.
+        self._answers: list[
+            tuple[float, int, Member, str, rollout_latency.VersionSample]
+        ] = []
         self._beats: collections.deque[tuple[float, int, typing.Any]] = (
             collections.deque()
         )
@@ -251,11 +268,15 @@
         if is_named and self.rng.random() >= self.mixed:
             n = zlib.crc32(session.encode()) % len(self.members)
         member = self.members[n]
+        names: typing.Collection[str] = self._names
         if self.order is None or self.completed_at < clock.NEVER:
             is_new = self.order is not None
         else:
             assignment = member.rollouts.assignment(SERVICE, session, is_named)
             is_new = assignment is not None and assignment.on_new
+            if is_new:
+                near = self._names[n :: len(self.members)]
+                names = member.rollouts.allowed_endpoints(assignment, self._names, near)
         version = "v2" if is_new else "v1"
         if is_named:
             self._record_move(session, version, member)
@@ -265,7 +286,20 @@
             self.sends += 1
             self.exposed += is_new
         self._recent.append(is_new)
-        self._answers.append((now + ANSWER_S, member, version, self._fails(is_new)))
+        endpoint = self._times.choice(sorted(names))
+        is_bad = self._is_bad(is_new)
+        is_slow = is_bad and self.badness is not None and self.badness.slow_x > 1.0
+        took_s = ANSWER_S * self._times.lognormvariate(0.0, SPREAD)
+        if is_new:
+            took_s *= self._endpoint_x.get(endpoint, 1.0)
+        if is_slow and is_new:
+            assert self.badness is not None
+            took_s *= self.badness.slow_x
+        sample = rollout_latency.VersionSample(
+            is_bad and not (is_slow and is_new), took_s, endpoint=endpoint
+        )
+        entry = (now + took_s, self._numbers + self.sends, member, version, sample)
+        heapq.heappush(self._answers, entry)
 
     def _record_move(self, session: str, version: str, member: Member) -> None:
         """Count a move, unless the gateway was killed since the session's last request.
@@ -280,7 +314,7 @@
             half_at = self.ordered_at + self.finish_s / 2
             self.moved_early += version == "v2" and now < half_at
 
-    def _fails(self, is_new: bool) -> bool:
+    def _is_bad(self, is_new: bool) -> bool:
         badness, rate = self.badness, OLD_BAD
         if is_new and badness is not None:
             is_due = self.clock.now() >= self.ordered_at + badness.since_s
@@ -291,9 +325,8 @@
 
     def _answer(self) -> None:
         while self._answers and self._answers[0][0] <= self.clock.now():
-            _, member, version, failed = self._answers.popleft()
+            _, _, member, version, sample = heapq.heappop(self._answers)
             if member in self.members:
-                sample = rollout_latency.VersionSample(failed, 0.1)
                 member.rollouts.judge_answer(SERVICE, version, "r1", "m", sample)
 
     def _beat(self) -> None:
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -260,7 +260,7 @@
         "slow answers count as evidence against a version",
         "testrollouts.py::test_a_version_that_is_slow_is_stopped",
         "rollout_evidence.py",
-        'return "slow" if is_slow else ""',
+        'Verdict("slow" if is_slow else "", number)',
         'return ""',
     ),
     proofs.gateway(
