Judge a new version by its relative times, by endpoint, and give it a canary that is enough

Cause: each answer counted as one bit (above five times the usual time or not), all answers of one endpoint as independent ones, a fixed share of the sends whatever they show, and the allowance was spent before the move. Class: a decision that cannot be taken back, on evidence whose amount nobody asked for.

Change: log-spaced bins of relative times from both versions, a mean of likelihood ratios over ways to be slow or to fail, one endpoint capped, turns of endpoints; completed only if the answers of sends that had time to be answered speak for it; the canary gets 60 sends where the allowance has room; the move leaves time for settling and the write.

--- a/bench/herd.py
+++ b/bench/herd.py
@@ -69,8 +69,7 @@
                 time, name, lambda: cfg.bounds, lambda: services, lambda: fleet
             ),
         )
-        guard = plugin.find(policy_api.Guard, cfg.guard)()
-        book = rollouts.Rollouts(time, 0.1, guard, evidence.EvidenceBook(name))
+        book = rollouts.Rollouts(time, 0.1, evidence.EvidenceBook(name))
         self.chooser = gateway_choose.Chooser(
             "h1",
             time,
--- a/bench/placing_player.py
+++ b/bench/placing_player.py
@@ -425,8 +425,7 @@
         self.directory.replace({e.name: e.row for e in player.engines.values()})
         self.directory.set_memory({SERVICE: site.memory})
         book = evidence.EvidenceBook(name)
-        guard = plugin.find(policy_api.Guard, "sequential")()
-        rolls = rollouts.Rollouts(time, 0.15, guard, book)
+        rolls = rollouts.Rollouts(time, 0.15, book)
         costs = [routes.ModelCost(model, cost) for model, cost, _ in MODELS]
         if any(kind.is_plain for kind in site.kinds):
             costs = []
--- a/gaprock/gateway_judge.py
+++ b/gaprock/gateway_judge.py
@@ -14,6 +14,7 @@
     eventlog,
     gateway_attempt,
     gateway_call,
+    rollout_evidence,
     rollout_latency,
     rollouts,
 )
@@ -68,6 +69,7 @@
             self._expected_s(call, attempt),
             pace=1.0 if took_s is None else self._pace(attempt, took_s),
             endpoint=attempt.endpoint.name,
+            age_s=self._elapsed_s(attempt),
         )
         self._judge(call, attempt, call.route.name, sample)
 
@@ -95,6 +97,7 @@
             is_open=True,
             pace=self._pace(attempt, elapsed_s),
             endpoint=attempt.endpoint.name,
+            age_s=elapsed_s,
         )
         if self._judge(call, attempt, call.route.name, sample):
             attempt.is_judged = True
@@ -120,7 +123,10 @@
             return
         attempt.is_judged = True
         sample = rollout_latency.VersionSample(
-            True, None, endpoint=attempt.endpoint.name
+            True,
+            None,
+            endpoint=attempt.endpoint.name,
+            age_s=self._elapsed_s(attempt),
         )
         self._judge(call, attempt, call.route.name, sample)
 
@@ -142,8 +148,9 @@
             pace=self._pace(attempt, stream_s),
             floor_s=rollout_latency.SLOW_GAP_FLOOR_S,
             endpoint=attempt.endpoint.name,
+            age_s=self._elapsed_s(attempt),
         )
-        self._judge(call, attempt, f"{call.route.name}~pace", sample)
+        self._judge(call, attempt, call.route.name + rollout_evidence.GAPS, sample)
 
     def _elapsed_s(self, attempt: gateway_attempt.Attempt) -> float:
         return self._clock.now() - attempt.sent_at
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -142,7 +142,6 @@
         self.rollouts = rollouts.Rollouts(
             clock_,
             bounds.canary_share,
-            plugin.find(policy_api.Guard, cfg.guard)(),
             evidence_,
             bounds.session_s,
             bounds.canary_slack,
--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -385,7 +385,6 @@
         for news in beat.rollouts:
             self._rollouts.merge_reported(news, now, beat.sender)
         if beat.evidence and self._evidence.merge(beat.evidence):
-            self._rollouts.learn_routes(beat.evidence)
             self._rollouts.judge_all()
         self._exchange_tables(peer, now)
 
--- a/gaprock/relative_times.py
+++ b/gaprock/relative_times.py
@@ -1,5 +1,6 @@
-"""Bins for the outcome of an answer: its time, relative to the stable version's usual
-time, or a failure.
+"""Bins for the outcome of an answer: a failure, or its time.
+
+Times are relative to those of the stable version's faster answers.
 
 The bins of times have equal widths on a logarithmic scale. Counts by bin add up over
 gateways, so that the distributions of both versions are known to all of them.
--- a/gaprock/rollout_evidence.py
+++ b/gaprock/rollout_evidence.py
@@ -1,19 +1,33 @@
-"""Evidence on the versions of a rollout, for each route and in total."""
+"""Evidence on the versions of a rollout: answers by outcome, and what they show."""
 
-import threading
+import math
 import typing
 import zlib
 
-from gaprock import evidence, messages, policy_api, relative_times, rollout_latency
+from gaprock import evidence, relative_times, rollout_latency, rollout_odds
 
 # The share of sends whose answers must be known.
 MIN_ANSWERED_SHARE: typing.Final = 0.5
 
 # What a failed answer holds against its version.
 FAILED: typing.Final = "failed"
-# Under this route the evidence has failures alone.  Slow endpoints of the old version
-# would otherwise hide a new version that fails.
-FAILURES: typing.Final = "~failures"
+# Logs of the odds (``rollout_odds``) by all answers from which a version is halted, and
+# from which it is in doubt and does not get all requests.
+HALT_ODDS: typing.Final = math.log(200)
+DOUBT_ODDS: typing.Final = math.log(2)
+# The same for the odds by the latest answers, which are weighed from many beginnings.
+RECENT_HALT_ODDS: typing.Final = math.log(1e7)
+SUSPICION_ODDS: typing.Final = math.log(20)
+# Ends the name under which a route's times between events are counted.
+GAPS: typing.Final = "~pace"
+# How much likelier the answers must be with a good version than with a failing one.
+PROOF_OF_SUCCESS: typing.Final = 2.0
+# Stands for the first parts of answers on all routes; ``GAPS`` stands for the times
+# between events on all of them.
+FIRST_PARTS: typing.Final = ""
+TOTALS: typing.Final = (FIRST_PARTS, GAPS)
+# With so many answers of one endpoint, others are not waited for.
+MAX_OF_ONE: typing.Final = 20
 # Endpoints are told apart by this many groups, which bounds the number of counters.
 GROUPS: typing.Final = 32
 # The group of answers whose endpoint is not known.
@@ -37,7 +51,7 @@
     """Answers that are counted together.
 
     :param is_new: whether they are of the new version.
-    :param period: the part of the rollout's time in which they came.
+    :param period: the part of the rollout's time in which their requests were sent.
     :param group: the group of their endpoint; those of the old version are not told
         apart.
     """
@@ -66,17 +80,14 @@
 class RolloutEvidence:
     """The evidence on all rollouts, by their labels; thread-safe."""
 
-    __slots__ = ("_guard", "_book", "_lock", "_latencies", "_routes")
+    __slots__ = ("_book", "_latencies", "_monitors")
 
-    def __init__(self, guard: policy_api.Guard, book: evidence.EvidenceBook) -> None:
-        self._guard = guard
+    def __init__(self, book: evidence.EvidenceBook) -> None:
         self._book = book
-        # Protects the records of the guard.
-        self._lock = threading.Lock()
         # Latencies of the stable version, by service and kind of answer.
         self._latencies: dict[tuple[str, str], rollout_latency.StableLatency] = {}
-        # Routes with evidence of their own, by label.
-        self._routes: dict[str, set[str]] = {}
+        # By label and route.
+        self._monitors: dict[tuple[str, str], rollout_odds.Monitor] = {}
 
     def weigh(
         self,
@@ -108,54 +119,56 @@
         return Verdict("slow" if is_slow else "", number)
 
     def count(self, label: str, cell: Cell, verdict: Verdict) -> None:
-        """Count an answer, in total, for its route, as failed or not, and by bin."""
-        against, route = verdict.against, cell.route
+        """Count an answer, in total and by bin."""
         side = "new" if cell.is_new else "old"
         name = _cell_name(label, cell)
-        self._book.count(name, against == FAILED, False, verdict.number)
-        self._book.count(f"{label}/{side}", bool(against), False)
-        for part, bad in ((route, bool(against)), (FAILURES, against == FAILED)):
-            self._book.count(f"{label}/{side}/{part}", bad, False)
-            self._routes.setdefault(label, set()).add(part)
+        self._book.count(name, verdict.against == FAILED, False, verdict.number)
+        self._book.count(f"{label}/{side}", bool(verdict.against), False)
 
     def rename(self, label: str, new_label: str) -> None:
         """Copy the evidence of a rollout to its new label."""
         self._book.copy(f"{label}/", f"{new_label}/")
         self._book.copy(label + SEPARATOR, new_label + SEPARATOR)
-        routes = self._routes.get(label, set())
-        self._routes.setdefault(new_label, set()).update(routes)
-
-    def learn_routes(self, counters: list[messages.Evidence]) -> None:
-        """Learn from the evidence of peers which routes a rollout has."""
-        for counts in counters:
-            label, _, rest = counts.version.partition("/")
-            route = rest.partition("/")[2]
-            if route:
-                self._routes.setdefault(label, set()).add(route)
-
-    def reason_to_stop(self, label: str) -> str:
-        """Return why the new version must be halted; empty if it need not be."""
-        for tail in self._tails(label):
-            new = self._book.totals(f"{label}/new{tail}")
-            old = self._book.totals(f"{label}/old{tail}")
-            with self._lock:
-                bad = self._guard.is_bad(
-                    f"{label}{tail}",
-                    policy_api.Counts(new.answers, new.bad),
-                    policy_api.Counts(old.answers, old.bad),
-                )
-            if bad:
-                reason = f"{new.bad} of {new.answers} answers bad{tail}"
-                return f"{reason}, stable {old.bad} of {old.answers}"
+
+    def judge(self, label: str, is_alone: bool) -> str:
+        """Judge the new version by all answers known now.
+
+        :param is_alone: whether it has a single endpoint.
+        :returns: why it must be halted; empty if it need not be.
+        """
+        cells = self.cells(label)
+        routes = {cell.route for cell in cells if cell.is_new}
+        for route in (FIRST_PARTS, GAPS, *sorted(routes)):
+            monitor = self._monitors.setdefault((label, route), rollout_odds.Monitor())
+            odds = monitor.update(*_by_side(cells, route), is_alone)
+            if odds.from_start > HALT_ODDS or odds.recent > RECENT_HALT_ODDS:
+                return self._reason(label, odds, route)
+            if route in TOTALS and _is_of_one(odds) and odds.strongest > DOUBT_ODDS:
+                return self._reason(label, odds, route)
         return ""
 
+    def _reason(self, label: str, odds: rollout_odds.Odds, route: str) -> str:
+        sums = self.by_side(label)
+        return (
+            f"log odds {odds.from_start:.1f}, of the latest answers {odds.recent:.1f};"
+            f" {odds.answers} answers at {odds.endpoints} endpoints"
+            f"{f' on route {route}' if route else ''};"
+            f" new {relative_times.text(sums['new'])};"
+            f" old {relative_times.text(sums['old'])}"
+        )
+
+    def odds(self, label: str, route: str = FIRST_PARTS) -> rollout_odds.Odds:
+        """Return the odds by the answers on a route, as last judged."""
+        monitor = self._monitors.get((label, route))
+        return rollout_odds.NO_ODDS if monitor is None else monitor.odds
+
     def is_suspected(self, label: str) -> bool:
-        """Whether the latest evidence speaks against the new version."""
-        with self._lock:
-            return any(
-                self._guard.is_suspected(f"{label}{tail}")
-                for tail in self._tails(label)
-            )
+        """Whether the latest answers were against it when last judged, on any route."""
+        return any(
+            monitor.odds.recent > SUSPICION_ODDS
+            for (name, _), monitor in list(self._monitors.items())
+            if name == label
+        )
 
     def counts(self, label: str) -> dict[str, int]:
         """Return the answers on both versions in total, for the log."""
@@ -189,17 +202,18 @@
             "new_endpoints": len({c.group for c in self.cells(label) if c.is_new}),
         }
 
-    def is_proved(self, label: str, odds: float) -> bool:
+    def is_proved(self, label: str, odds: float, periods: int) -> bool:
         """Whether the evidence is for the new version, and not only not against it.
 
-        :param odds: as for ``policy_api.Guard.is_proved``.
+        :param odds: how much likelier its answers must be with a good version than with
+            a slow one.
+        :param periods: only sends in so many periods count. Of later sends the fast
+            answers alone would be known.
         """
-        new, old = (self._book.totals(f"{label}/{side}") for side in ("new", "old"))
-        return self._guard.is_proved(
-            policy_api.Counts(new.answers, new.bad),
-            policy_api.Counts(old.answers, old.bad),
-            odds,
-        )
+        new, stable = _by_side(self.cells(label), FIRST_PARTS)
+        known = {key: counts for key, counts in new.items() if key[1] < periods}
+        slow, failing = rollout_odds.measure(known, stable)
+        return slow < -math.log(odds) and failing < -math.log(PROOF_OF_SUCCESS)
 
     def is_answered(self, label: str, sends: int) -> bool:
         """Whether most of so many sends to the new version have been answered."""
@@ -207,15 +221,36 @@
         return answers >= sends * MIN_ANSWERED_SHARE
 
     def is_doubted(self, label: str) -> bool:
-        """Whether the latest evidence in total, or that of failures, is against it.
+        """Whether all evidence was against it when last judged, even weakly.
 
         Weak evidence of single routes would cast doubt on many good versions.
         """
-        with self._lock:
-            return any(
-                self._guard.is_doubted(name) for name in (label, f"{label}/{FAILURES}")
-            )
-
-    def _tails(self, label: str) -> list[str]:
-        """Return the suffixes under which evidence is kept: in total, and by route."""
-        return ["", *(f"/{route}" for route in sorted(self._routes.get(label, ())))]
+        return any(self.odds(label, t).strongest > DOUBT_ODDS for t in TOTALS)
+
+
+def _by_side(
+    cells: typing.Mapping[Cell, relative_times.Counts], route: str
+) -> tuple[rollout_odds.Cells, dict[int, relative_times.Counts]]:
+    """Return the answers of the new version, and those of the stable one by period.
+
+    :param route: the route whose answers are included, or one of ``TOTALS``.
+    """
+    new: dict[tuple[int | None, int], relative_times.Counts] = {}
+    stable: dict[int, relative_times.Counts] = {}
+    for cell, counts in cells.items():
+        total = GAPS if cell.route.endswith(GAPS) else FIRST_PARTS
+        if route not in (total, cell.route):
+            continue
+        if cell.is_new:
+            group = None if cell.group == NO_GROUP else cell.group
+            key = (group, cell.period)
+            new[key] = relative_times.add(new.get(key, ()), counts)
+        else:
+            of_period = stable.get(cell.period, ())
+            stable[cell.period] = relative_times.add(of_period, counts)
+    return new, stable
+
+
+def _is_of_one(odds: rollout_odds.Odds) -> bool:
+    """Whether all answers are of one endpoint, and too many to wait for others."""
+    return odds.endpoints == 1 and odds.answers >= MAX_OF_ONE
--- a/gaprock/rollout_exposure.py
+++ b/gaprock/rollout_exposure.py
@@ -43,7 +43,7 @@
     share: float
     slack: float
 
-    def limit(self, total: int) -> float:
+    def limit(self, total: float) -> float:
         """Return the exposure that is allowed by so many sends."""
         return self.share * total + self.slack
 
--- a/gaprock/rollout_growth.py
+++ b/gaprock/rollout_growth.py
@@ -1,6 +1,7 @@
-"""When a new version gets all of its service's requests.
+"""How the share of a new version in its service's requests grows.
 
-Until then it has a small share, the *canary*.  It gets all requests once the rest of
+At first it has a small share, the *canary*: as large as is needed to judge it, and as
+the allowed exposure admits.  It gets all requests once the rest of
 the rollout's time fits into the exposure that is still allowed (``rollout_exposure``),
 and not before half of the time.  Exposure is therefore bounded by a count, whatever the
 evidence says or lacks: a version may fail only under load, only from some time on, or
@@ -18,6 +19,23 @@
 
 # In this first share of the time no session changes its version.
 PINNED_SHARE: typing.Final = 0.5
+# A canary gets about so many sends if the allowance has room for them: as many as show
+# whether the version is good.
+CANARY_SENDS: typing.Final = 60
+# After this share of the time the canary does not grow.
+CANARY_TIME: typing.Final = 0.75
+# The largest share of sessions of a canary; the other version's answers are needed too.
+MAX_CANARY: typing.Final = 0.5
+# The canary leaves room for all sends from the move to the end: during this share of
+# the time, within bounds.
+FULL_SHARE: typing.Final = 0.12
+MIN_FULL_S: typing.Final = 1.8
+MAX_FULL_S: typing.Final = 2.5
+# But it gets this part of the allowance, if that is less.
+MIN_CANARY_PART: typing.Final = 0.3
+# The rate of sends is not used before this time after the order: peers report theirs
+# late.
+RATE_KNOWN_S: typing.Final = 2.5
 # The share of sessions that a version in doubt gets at the end.
 DOUBT_SHARE: typing.Final = 0.3
 # All requests must have gone to the new version this long before it is the only one.
@@ -117,6 +135,59 @@
     return Forecast(sends, allowance.limit(sends.total), needed)
 
 
+def full_time_s(finish_s: float) -> float:
+    """Return for how long all requests are to go to the new version, seconds."""
+    return max(MIN_FULL_S, min(MAX_FULL_S, FULL_SHARE * finish_s))
+
+
+def canary_room(
+    allowance: rollout_exposure.Allowance,
+    sends: rollout_exposure.Sends,
+    per_s: float,
+    finish_s: float,
+    left_s: float,
+) -> float:
+    """Return how many more sends a canary may get until the end.
+
+    :param allowance: what may be exposed until the end.
+    :param per_s: the rate of sends.
+    :param finish_s: the rollout's time, and what is left of it, seconds.
+    """
+    limit = allowance.limit(sends.total + per_s * left_s)
+    at_end = RATE_MARGIN * per_s * full_time_s(finish_s) * (1.0 - allowance.share)
+    return max(limit - at_end, MIN_CANARY_PART * limit) - sends.exposed
+
+
+def canary_share(
+    allowance: rollout_exposure.Allowance,
+    sends: rollout_exposure.Sends,
+    per_s: float,
+    finish_s: float,
+    left_s: float,
+    is_pinned: bool,
+) -> float:
+    """Return the share of sessions that gives the canary the sends that it needs.
+
+    The parameters are those of ``canary_room``.
+
+    :param is_pinned: whether active sessions stay on the old version. The sends that
+        the canary lacks for that reason are not made up for by a larger share: all of
+        these sessions would move at once.
+    """
+    if per_s <= 0.0:
+        return 0.0
+    if left_s < (1.0 - CANARY_TIME) * finish_s:
+        return 0.0
+    room = canary_room(allowance, sends, per_s, finish_s, left_s)
+    wanted = min(CANARY_SENDS - sends.exposed, room)
+    until_full_s = left_s - full_time_s(finish_s)
+    if is_pinned:
+        wanted += sends.exposed
+        until_full_s = finish_s - full_time_s(finish_s)
+    share = wanted / (per_s * max(1.0, until_full_s))
+    return min(MAX_CANARY, max(0.0, share))
+
+
 class Growth:
     """The share of one rollout's new version; it never shrinks.
 
@@ -159,9 +230,9 @@
         self._updated_at = now
         return True
 
-    def start(self, canary: float) -> None:
-        """Give the version its first share."""
-        self.reached = max(self.reached, canary)
+    def raise_canary(self, share: float) -> None:
+        """Give the version a share of sessions, unless it has a larger one."""
+        self.reached = max(self.reached, share)
 
     def plan(
         self,
--- a/gaprock/rollout_latency.py
+++ b/gaprock/rollout_latency.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import statistics
 import typing
 
 from gaprock import relative_times
@@ -59,11 +58,14 @@
         self._as_taken.append(relative_time * pace)
 
     @property
-    def median(self) -> float | None:
-        """The usual time at pace 1.0; ``None`` until there are enough samples."""
+    def usual(self) -> float | None:
+        """The time of the faster answers at pace 1.0.
+
+        It is ``None`` until there are enough samples.
+        """
         if len(self._at_usual_pace) < MIN_SAMPLES:
             return None
-        return statistics.median(self._at_usual_pace)
+        return _faster(self._at_usual_pace)
 
     def typical(self, pace: float) -> float | None:
         """Return the time of the faster answers at a pace.
@@ -95,6 +97,7 @@
     :param pace: the endpoint's pace during that time.
     :param floor_s: a time longer than usual by less than this is never slow.
     :param endpoint: the endpoint's name; empty if it is not known.
+    :param age_s: seconds since it was sent.
     """
 
     failed: bool
@@ -104,6 +107,7 @@
     pace: float = 1.0
     floor_s: float = SLOW_FLOOR_S
     endpoint: str = ""
+    age_s: float = 0.0
 
     @property
     def relative_time(self) -> float | None:
@@ -119,10 +123,10 @@
         """Return the bin of the answer, as in ``relative_times``."""
         if self.failed:
             return relative_times.FAILED
-        median = latency.median
-        if self.took_s is None or median is None:
+        usual = latency.usual
+        if self.took_s is None or usual is None:
             return relative_times.UNTIMED
-        usual_s = median if self.expected_s is None else median * self.expected_s
+        usual_s = usual if self.expected_s is None else usual * self.expected_s
         # Differences far below the floor count little, however short the times are.
         added_s = ADDED_SHARE * self.floor_s
         return relative_times.time_bin(
--- a/gaprock/rollout_state.py
+++ b/gaprock/rollout_state.py
@@ -12,11 +12,15 @@
 WRITE_BEFORE_S: typing.Final = 1.0
 # Share of the allowed slack planned for the canary, and for the whole time.  The rest
 # is for sends chosen at the same moment, and for sessions on the new version.
-CANARY_SLACK: typing.Final = 0.3
-ALL_SLACK: typing.Final = 0.7
+CANARY_SLACK: typing.Final = 0.4
+ALL_SLACK: typing.Final = 0.78
 SESSION_SLACK: typing.Final = 0.15
 # The rollout's time is divided into so many periods of equal length.
 PERIODS: typing.Final = 8
+# Sends that are not answered after this time count as slow.
+ANSWERED_S: typing.Final = 2.0
+# The endpoints of a canary take turns of this length, at most a period.
+ENDPOINT_TURN_S: typing.Final = 2.0
 # After the order every session stays on the old version for this share of the
 # rollout's time, and at most ``HOLD_S``: heartbeats between halls take up to two
 # seconds to report the active sessions to all gateways.
@@ -85,6 +89,8 @@
         "state",
         "halted",
         "written",
+        "judged_at",
+        "endpoints",
     )
 
     def __init__(
@@ -114,6 +120,11 @@
         self.halted = False
         # The state in the outcome row; ``None`` while there is no row.
         self.written: State | None = None
+        # When the evidence was judged last.
+        self.judged_at = -clock.NEVER
+        # The largest number of usable endpoints that the new version has had; 0 if
+        # that is not known.
+        self.endpoints = 0
 
     def rename(self, epoch: int, revision: int) -> None:
         """Set the version that the order's row has after a restore of the store."""
@@ -144,6 +155,19 @@
         share = max(0.0, self.elapsed_share(now))
         return min(PERIODS - 1, int(PERIODS * share))
 
+    def answered_periods(self, now: float) -> int:
+        """Return the number of periods whose sends are answered by now, if ever."""
+        return self.period(now - ANSWERED_S)
+
+    def endpoint_turn(self, now: float) -> int:
+        """Return the number of the turn in which a canary's endpoints are used."""
+        turn_s = min(ENDPOINT_TURN_S, self.order.finish_s / PERIODS)
+        return max(0, int((now - self.started_at) / max(0.1, turn_s)))
+
+    def is_rate_known(self, now: float) -> bool:
+        """Whether the rate of sends since the order can be known by all gateways."""
+        return now >= self.started_at + rollout_growth.RATE_KNOWN_S
+
     @property
     def is_known_whole(self) -> bool:
         """Whether this process has known the rollout since its order."""
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -96,7 +96,7 @@
         due_at = self._move_due.setdefault(rollout.label, now)
         turn_at = due_at + RANK_DELAY_S * self._mesh.duty_rank(rollout.label)
         # If little time is left, none waits for another.
-        turn_at = min(turn_at, rollout.ends_at - rollout_growth.MIN_LEFT_S)
+        turn_at = min(turn_at, rollout.ends_at - rollout_growth.MIN_FULL_S)
         if now < turn_at or now < self._paused_until:
             return
         start = self._start_write(rollout, moved=True)
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -29,8 +29,6 @@
     eventlog,
     evidence,
     mechanisms,
-    messages,
-    policy_api,
     relative_times,
     rollout_evidence,
     rollout_exposure,
@@ -41,16 +39,18 @@
     rollout_state,
 )
 
-# Share of the allowed exposure that a canary uses.  The rest is for the time in which
-# the new version gets all requests before it is completed.
-CANARY_USED_SHARE: typing.Final = 0.5
+# A canary begins with this part of the allowed share, until the rate of sends is known.
+FIRST_USED_SHARE: typing.Final = 0.5
 # A service with fewer sends than this during a rollout cannot prove a version.
 MIN_SENDS: typing.Final = 20
 
-# How much likelier the evidence must be with a good version than with a much worse one:
+# Evidence is judged at most this often, but each answer while there are only a few.
+JUDGE_S: typing.Final = 0.1
+FEW_ANSWERS: typing.Final = 40
+# How much likelier the evidence must be with a good version than with a slow one:
 # where all of it is known, and where a part may have been lost.
-WHOLE_ODDS: typing.Final = 1.0
-PARTIAL_ODDS: typing.Final = 5.0
+WHOLE_ODDS: typing.Final = 5.0
+PARTIAL_ODDS: typing.Final = 10.0
 
 
 class Rollouts(rollout_orders.OrderBook):
@@ -66,7 +66,6 @@
         self,
         clock_: clock.Clock,
         canary_share: float,
-        guard: policy_api.Guard,
         evidence_: evidence.EvidenceBook,
         session_s: float = 5.0,
         canary_slack: float = 0.0,
@@ -74,8 +73,8 @@
     ) -> None:
         super().__init__(clock_, session_s)
         self._sessions = rollout_sessions.RecentSessions(session_s)
-        self._canary = canary_share * CANARY_USED_SHARE
-        self._evidence = rollout_evidence.RolloutEvidence(guard, evidence_)
+        self._canary = canary_share * FIRST_USED_SHARE
+        self._evidence = rollout_evidence.RolloutEvidence(evidence_)
         self._sends = rollout_exposure.SendCounter(evidence_)
         self._allowance = rollout_exposure.Allowance(canary_share, canary_slack)
         self._count_gateways = count_gateways
@@ -96,18 +95,30 @@
     def _grow(self, rollout: rollout_state.Rollout, now: float) -> None:
         """Update the share of a rollout under way."""
         growth, label = rollout.growth, rollout.label
-        growth.start(self._canary)
+        growth.raise_canary(self._canary)
         rollout.gateways = max(rollout.gateways, self._count_gateways())
         growth.fleet_rate.add(now, self._sends.fleet(label).total)
         growth.own_rate.add(now, self._sends.own(label).total)
-        if rollout.elapsed_share(now) < rollout_growth.PINNED_SHARE:
-            return
         left_s = rollout.ends_at - now
         planned = rollout.planned_slack(is_moved=True)
+        fleet_s = growth.fleet_rate.per_s
+        if fleet_s is not None and growth.reached < 1.0 and rollout.is_rate_known(now):
+            share = rollout_growth.canary_share(
+                self._allowance.with_slack(planned),
+                self._sends.fleet(label),
+                fleet_s,
+                rollout.order.finish_s,
+                left_s,
+                rollout.pins_sessions(now),
+            )
+            if not self.is_doubted(rollout):
+                growth.raise_canary(share)
+        if rollout.elapsed_share(now) < rollout_growth.PINNED_SHARE:
+            return
         own = self._sends.own(label)
         own_allowance = self._allowance.with_slack(planned / rollout.gateways)
         forecasts = (
-            self._forecast(rollout, now, planned, growth.fleet_rate.per_s),
+            self._forecast(rollout, now, planned, fleet_s),
             rollout_growth.forecast(own_allowance, own, growth.own_rate.per_s, left_s),
         )
         is_doubted = self.is_doubted(rollout) or self.is_suspected(rollout)
@@ -129,7 +140,7 @@
             self._allowance.with_slack(used_slack),
             self._sends.fleet(rollout.label),
             per_s,
-            rollout.ends_at - now + rollout_growth.REPORT_LAG_S,
+            rollout.ends_at - now,
         )
 
     def reason_against(self, rollout: rollout_state.Rollout) -> str:
@@ -137,12 +148,13 @@
         now = self._clock.now()
         if self.share(rollout) < 1.0:
             return "not at the full share"
+        self._judge(rollout)
         if self.is_suspected(rollout) or self.is_doubted(rollout):
             return "in doubt"
         sends, label = self.exposure(rollout), rollout.label
         if not rollout.is_known_whole or sends.total >= MIN_SENDS:
             odds = WHOLE_ODDS if rollout.is_known_whole else PARTIAL_ODDS
-            if not self._evidence.is_proved(label, odds):
+            if not self._evidence.is_proved(label, odds, rollout.answered_periods(now)):
                 return "too little evidence for it"
         elif not self._evidence.is_answered(label, sends.exposed):
             return "too few answers"
@@ -182,8 +194,10 @@
         own = self._sends.own(rollout.label)
         planned = rollout.planned_slack(rollout.growth.reached >= 1.0)
         allowance = self._allowance.with_slack(planned / rollout.gateways)
-        if allowance.admits(own, self._reserve(rollout, now)):
-            return True
+        # A session may be on the new version at another gateway, so it is not sent back.
+        if session or self._has_canary_room(rollout, own, now):
+            if allowance.admits(own, self._reserve(rollout, now)):
+                return True
         order = rollout.order
         version = self._sessions.version(order.service, session, now)
         if not session or version != order.to_version:
@@ -202,6 +216,23 @@
             )
         return False
 
+    def _has_canary_room(
+        self, rollout: rollout_state.Rollout, own: rollout_exposure.Sends, now: float
+    ) -> bool:
+        """Whether this gateway keeps enough of its part for the move at the end."""
+        per_s = rollout.growth.own_rate.per_s
+        if rollout.growth.reached >= 1.0 or per_s is None:
+            return True
+        planned = rollout.planned_slack(is_moved=True)
+        room = rollout_growth.canary_room(
+            self._allowance.with_slack(planned / rollout.gateways),
+            own,
+            per_s,
+            rollout.order.finish_s,
+            rollout.ends_at - now,
+        )
+        return room >= 1.0
+
     def _unreported(self, rollout: rollout_state.Rollout) -> float:
         """Return the exposure that peers may not have reported yet."""
         growth = rollout.growth
@@ -279,7 +310,7 @@
         self, rollout: rollout_state.Rollout, session: str, seen_at: float
     ) -> None:
         session_hash = rollout_sessions.hash_session(session, rollout.label)
-        if session_hash < self._canary * rollout_sessions.HASH_RANGE:
+        if session_hash < rollout_growth.MAX_CANARY * rollout_sessions.HASH_RANGE:
             rollout.pinned.record(session_hash, seen_at)
 
     def pinned_sessions(self, rollout: rollout_state.Rollout) -> list[int]:
@@ -311,17 +342,25 @@
         fails only under load then shows it while few requests are exposed.  If this
         hall has enough of the endpoints, a share of those is used: the load that peers
         put on them is known best, and waiting behind it is no fault of the version.
+        The endpoints take turns, so that none of them stands for the version.
 
         :param assignment: assignment of the request's session.
         :param names: the usable endpoints of the session's version.
         :param near: those of them in this hall.
         """
-        if assignment is None or not self.is_canary_limited(assignment):
+        if assignment is None:
+            return names
+        if assignment.on_new:
+            rollout = assignment.rollout
+            rollout.endpoints = max(rollout.endpoints, len(names))
+        if not self.is_canary_limited(assignment):
             return names
-        share = self.share(assignment.rollout)
+        rollout = assignment.rollout
+        share = self.share(rollout)
+        turn = rollout.endpoint_turn(self._clock.now())
         if in_hall := round(share * len(near)):
-            return sorted(near)[:in_hall]
-        return sorted(names)[: max(1, int(share * len(names)))]
+            return _in_turn(sorted(near), in_hall, turn)
+        return _in_turn(sorted(names), max(1, int(share * len(names))), turn)
 
     # -- Evidence --
 
@@ -348,10 +387,10 @@
             group = rollout_evidence.NO_GROUP
             if is_new:
                 group = rollout_evidence.group_of(answer.endpoint)
-            period = rollout.period(self._clock.now())
+            period = rollout.period(self._clock.now() - answer.age_s)
             cell = rollout_evidence.Cell(is_new, period, group, route)
             self._evidence.count(rollout.label, cell, verdict)
-            if is_new:
+            if is_new and (verdict.against or self._is_judgement_due(rollout)):
                 self._judge(rollout)
         return verdict.against
 
@@ -419,11 +458,8 @@
     def judge_all(self) -> None:
         """Judge all rollouts again, after evidence from peers."""
         for rollout in self.all():
-            self._judge(rollout)
-
-    def learn_routes(self, counters: list[messages.Evidence]) -> None:
-        """Learn from the evidence of peers which routes a rollout has."""
-        self._evidence.learn_routes(counters)
+            if self._is_judgement_due(rollout):
+                self._judge(rollout)
 
     def is_doubted(self, rollout: rollout_state.Rollout) -> bool:
         """Whether the evidence was against the new version at all, even weakly."""
@@ -433,9 +469,23 @@
         """Whether the evidence was against the new version when last judged."""
         return self._evidence.is_suspected(rollout.label)
 
+    def _is_judgement_due(self, rollout: rollout_state.Rollout) -> bool:
+        """Whether new evidence is to be judged now, which takes processor time."""
+        if self._clock.now() >= rollout.judged_at + JUDGE_S:
+            return True
+        return self._evidence.counts(rollout.label)["new_answers"] <= FEW_ANSWERS
+
     def _judge(self, rollout: rollout_state.Rollout) -> None:
         if rollout.state is not rollout_state.State.RUNNING or rollout.halted:
             return
-        reason = self._evidence.reason_to_stop(rollout.label)
+        rollout.judged_at = self._clock.now()
+        is_alone = rollout.endpoints == 1
+        reason = self._evidence.judge(rollout.label, is_alone)
         if reason:
             self.halt(rollout.order.service, rollout.revision, reason)
+
+
+def _in_turn(names: list[str], count: int, turn: int) -> list[str]:
+    """Return so many of the names, others in each turn."""
+    first = turn * count % len(names)
+    return (names[first:] + names[:first])[:count]
--- a/gaprock/test/exposurecase.py
+++ b/gaprock/test/exposurecase.py
@@ -16,7 +16,6 @@
     gateway_api,
     gateway_rows,
     mesh,
-    policy_guard,
     quarantine,
     rollout_latency,
     rollout_state,
@@ -78,7 +77,6 @@
         self.rollouts = rollouts.Rollouts(
             play.clock,
             SHARE,
-            policy_guard.Sequential(),
             self.book,
             canary_slack=SLACK,
             count_gateways=lambda: play.gateways,
@@ -296,7 +294,10 @@
             assert self.badness is not None
             took_s *= self.badness.slow_x
         sample = rollout_latency.VersionSample(
-            is_bad and not (is_slow and is_new), took_s, endpoint=endpoint
+            is_bad and not (is_slow and is_new),
+            took_s,
+            endpoint=endpoint,
+            age_s=took_s,
         )
         entry = (now + took_s, self._numbers + self.sends, member, version, sample)
         heapq.heappush(self._answers, entry)
@@ -346,5 +347,4 @@
                     continue
                 for roll in news:
                     member.rollouts.merge_reported(roll, now, f"g{sender}")
-                if member.book.merge(counters):
-                    member.rollouts.learn_routes(counters)
+                member.book.merge(counters)
--- a/gaprock/test/rolloutcase.py
+++ b/gaprock/test/rolloutcase.py
@@ -11,7 +11,6 @@
     freshness,
     gateway_api,
     mesh,
-    policy_guard,
     quarantine,
     rollout_writer,
     rollouts,
@@ -123,8 +122,7 @@
 
 def make_rollouts(time: clock.Clock) -> rollouts.Rollouts:
     book = evidence.EvidenceBook("me")
-    guard = policy_guard.Sequential()
-    return rollouts.Rollouts(time, 0.15, guard, book, canary_slack=SLACK)
+    return rollouts.Rollouts(time, 0.15, book, canary_slack=SLACK)
 
 
 class WriterCase:
--- a/gaprock/test/testemptied.py
+++ b/gaprock/test/testemptied.py
@@ -207,12 +207,11 @@
     plugin.load_all(plugin.GATEWAY_MODULES)
     time = clock.ManualClock(100.0)
     cfg = options.Options()
-    guard = plugin.find(policy_api.Guard, cfg.guard)()
     return gateway_choose.Chooser(
         "h1",
         time,
         book,
-        rollouts.Rollouts(time, 0.1, guard, evidence.EvidenceBook("x")),
+        rollouts.Rollouts(time, 0.1, evidence.EvidenceBook("x")),
         plugin.find(policy_api.Routing, cfg.gateway_routing)(),
         dict,
         lambda: REGIONS,
--- a/gaprock/test/testrestoredrollouts.py
+++ b/gaprock/test/testrestoredrollouts.py
@@ -90,7 +90,7 @@
     one.book.halt(SERVICE, 20, "bad", 1)
     one.order(2, number, "v2", whole=True)
     assert one.rollout is rollout and one.book.share(rollout) == 0.0
-    totals = one.book._evidence._book.totals(f"{rollout.label}/new/r")
+    totals = one.book._evidence._book.totals(f"{rollout.label}/new")
     assert (totals.answers, totals.bad) == (1, 1)
     assert list(one.book._evidence.cells(rollout.label)) == [cell]
 
--- a/gaprock/test/testtakeover.py
+++ b/gaprock/test/testtakeover.py
@@ -20,7 +20,6 @@
     gateway_api,
     gateway_rows,
     mesh,
-    policy_guard,
     quarantine,
     rollout_state,
     rollout_writer,
@@ -41,9 +40,7 @@
     def __init__(self, name: str, world: "Takeover") -> None:
         self.time = world.clock
         book = evidence.EvidenceBook(name)
-        self.rollouts = rollouts.Rollouts(
-            self.time, 0.15, policy_guard.Sequential(), book
-        )
+        self.rollouts = rollouts.Rollouts(self.time, 0.15, book)
         endpoints = directory.Directory(self.time, 2.0)
         self.mesh = mesh.Mesh(
             name,
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -253,21 +253,45 @@
         "evidence is judged separately for each route",
         "testrollouts.py::test_a_version_that_fails_on_one_route_is_stopped",
         "rollout_evidence.py",
-        'return ["", *(f"/{route}" for route in sorted(self._routes.get(label, ())))]',
-        'return [""]',
+        "for route in (FIRST_PARTS, GAPS, *sorted(routes)):",
+        "for route in TOTALS:",
     ),
     proofs.gateway(
         "slow answers count as evidence against a version",
         "testrollouts.py::test_a_version_that_is_slow_is_stopped",
-        "rollout_evidence.py",
-        'Verdict("slow" if is_slow else "", number)',
-        'return ""',
+        "rollout_odds.py",
+        "return log_mean(sums[:SLOW_WAYS]), log_mean(sums[SLOW_WAYS:])",
+        "return log_mean(sums[SLOW_WAYS:]), log_mean(sums[SLOW_WAYS:])",
+    ),
+    proofs.gateway(
+        "an endpoint is not taken for its version",
+        "testslowversions.py::"
+        "test_a_good_version_with_one_slow_endpoint_is_not_halted",
+        "rollout_odds.py",
+        "slow = [min(limit, one - good) for one in self.slow]",
+        "slow = [one - good for one in self.slow]",
+    ),
+    proofs.gateway(
+        "the endpoints of a canary take turns",
+        "testslowversions.py::"
+        "test_a_good_version_with_one_slow_endpoint_is_not_halted",
+        "rollouts.py",
+        "first = turn * count % len(names)",
+        "first = 0",
+    ),
+    proofs.gateway(
+        "a version is completed only if its answers speak for it",
+        "testslowversions.py::"
+        "test_a_version_that_is_several_times_slower_is_not_completed",
+        "rollouts.py",
+        "if not self._evidence.is_proved(label, odds, rollout.answered_periods(now)):",
+        "if False:",
     ),
     proofs.gateway(
         "a canary gets the same share of endpoints as of requests",
         "testrollouts.py::test_an_unproved_version_is_as_loaded_as_it_will_be",
         "rollouts.py",
-        "return sorted(names)[: max(1, int(share * len(names)))]",
+        "return _in_turn(sorted(names), max(1, int(share * len(names))), turn)",
         "return names",
     ),
     proofs.gateway(
