End every wait for an endpoint at its deadline, whatever bytes arrive

What callers saw: a request whose endpoint sent interim heads, chunks or events without end was held beyond its deadline, and the caller's leaving was not seen. Cause: after the deadline the connection was polled once more for each read, so a wait never ended while bytes came; the caller was looked at only while the endpoint was silent. Not done: the sizes as settings, own mode, store, heartbeats.

--- a/gaprock/event_source.py
+++ b/gaprock/event_source.py
@@ -39,6 +39,9 @@
                     raise Broken("ended in the middle of an event")
                 return []
             self._directory.record_seen(self.attempt.endpoint)
-            events = self._splitter.feed(data)
+            try:
+                events = self._splitter.feed(data)
+            except event_stream.EventTooLarge as exc:
+                raise Broken(str(exc)) from exc
             if events:
                 return events
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.45
 # Time-out of a connection that only checks whether a silent endpoint is there.
 CHECK_TIMEOUT_S: typing.Final = 0.25
+# The largest answer that is held as a whole.
+MAX_WHOLE_BYTES: typing.Final = 64 * 1024 * 1024
 # Interval between two checks of an endpoint that has not answered.
 CHECK_INTERVAL_S: typing.Final = 0.15
 # The wait for a whole answer may be given up after a silence of this share of the
@@ -281,6 +283,9 @@
             pieces.append(data)
             last_data_at = self._clock.now()
             size += len(data)
+            if size > MAX_WHOLE_BYTES:
+                self.record_break(call, attempt)
+                raise gateway_attempt.Failed(f"body: over {MAX_WHOLE_BYTES} bytes")
             self._record_held(call, size)
 
     def _record_held(self, call: gateway_call.Call, count: int) -> None:
--- a/gaprock/http_exchange.py
+++ b/gaprock/http_exchange.py
@@ -33,6 +33,8 @@
 KEEPALIVE_INTERVAL_S: typing.Final = 1
 KEEPALIVE_PROBES: typing.Final = 3
 # Headers that tell where an answer ends.
+# More interim answers than this are no answer.
+MAX_INTERIM: typing.Final = 32
 FRAMING: typing.Final = frozenset((b"content-length", b"transfer-encoding"))
 HUNG_UP: typing.Final = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
@@ -160,6 +162,7 @@
         "sent",
         "progress_at",
         "ends_with_connection",
+        "_overdue",
     )
 
     def __init__(
@@ -182,6 +185,8 @@
         self.sent = False
         # Whether only the end of the connection marks the end of the answer.
         self.ends_with_connection = False
+        # The deadline after which bytes were accepted once.
+        self._overdue: float | None = None
 
     def connect(self, deadline: float) -> None:
         """Open the connection.
@@ -272,7 +277,7 @@
         :raises Broken: when no answer came.
         :raises TimedOut: when the deadline passed.
         """
-        while True:
+        for _ in range(MAX_INTERIM):
             event = self._next_event(deadline)
             if isinstance(event, h11.Response):
                 self._end_slow_read()
@@ -282,6 +287,7 @@
                 return Head(event.status_code, list(event.headers.raw_items()))
             if not isinstance(event, h11.InformationalResponse):
                 raise Broken("no answer")
+        raise Broken("too many interim answers")
 
     def read_data(self, deadline: float) -> bytes | None:
         """Wait for bytes of the answer's body; ``None`` at its complete end.
@@ -363,21 +369,33 @@
             poller.register(endpoint_fd, wanted)
             self._caller.watch(poller)
             left = deadline - self._clock.now()
-            # Polled once even if the deadline has passed: on a busy machine this
-            # thread may run late, and the answer may have been there in time.
+            if left <= 0:
+                # Polled once although the deadline has passed: on a busy machine this
+                # thread may run late, and the answer may have been there in time.
+                if self._overdue == deadline:
+                    raise TimedOut
+                self._overdue = deadline
             ready = dict(poller.poll(max(0.0, left) * 1000))
-            if endpoint_fd in ready:
-                return ready[endpoint_fd]
+            got = ready.pop(endpoint_fd, 0)
+            # Also if the endpoint is ready: it may always be.
+            for mask in ready.values():
+                self._handle_caller(mask)
+            if got:
+                return got
             if left <= 0:
                 raise TimedOut
-            if ready:
-                mask = next(iter(ready.values()))
-                if mask & (select.POLLRDHUP | HUNG_UP):
-                    raise CallerGone
-                if mask & select.POLLOUT:
-                    self._caller.send_some()
-                if mask & select.POLLIN:
-                    self._caller.check()
+
+    def _handle_caller(self, mask: int) -> None:
+        """Handle what polling found of the caller's connection.
+
+        :raises CallerGone: when the caller left.
+        """
+        if mask & (select.POLLRDHUP | HUNG_UP):
+            raise CallerGone
+        if mask & select.POLLOUT:
+            self._caller.send_some()
+        if mask & select.POLLIN:
+            self._caller.check()
 
 
 def _set_options(sock: socket.socket) -> None:
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -194,7 +194,7 @@
         own = self._sends.own(rollout.label)
         planned = rollout.planned_slack(rollout.growth.reached >= 1.0)
         allowance = self._allowance.with_slack(planned / rollout.gateways)
-        # A session may be on the new version at another gateway, so it is not sent back.
+        # A session may be on the new version at another gateway; it is not sent back.
         if session or self._has_canary_room(rollout, own, now):
             if allowance.admits(own, self._reserve(rollout, now)):
                 return True
