Relate an answer's time to the stable version's from three answers of its route on

By its log 35 of 98 answers of the stable version and 5 of 20 of the new one had no comparable time: each gateway waited for eight answers of a route before it counted any time. Change: three are enough for the bins.

--- a/gaprock/rollout_latency.py
+++ b/gaprock/rollout_latency.py
@@ -21,6 +21,9 @@
 MAX_SAMPLES: typing.Final = 64
 # Answers of the stable version that are needed before slowness is judged.
 MIN_SAMPLES: typing.Final = 8
+# Answers that are needed before times are related to theirs: what few of them err in is
+# the same for both versions.
+MIN_USUAL_SAMPLES: typing.Final = 3
 # An answer that takes longer by less than this is never slow.
 SLOW_FLOOR_S: typing.Final = 0.15
 # The same for the mean time between the events of a stream.
@@ -63,7 +66,7 @@
 
         It is ``None`` until there are enough samples.
         """
-        if len(self._at_usual_pace) < MIN_SAMPLES:
+        if len(self._at_usual_pace) < MIN_USUAL_SAMPLES:
             return None
         return _faster(self._at_usual_pace)
 
