--- a/misc/write_days.py
+++ b/misc/write_days.py
@@ -198,6 +198,23 @@
     "bad-errors": [rollout("rollout_bad", "errors", share=0.35)],
     "bad-slow": [rollout("rollout_bad", "slow")],
     "bad-under-load": [rollout("rollout_bad", "under_load")],
+    # The first service is busy, the second one gets few requests.
+    "short-slow-busy": [
+        rollout("rollout_bad", "slow", x=4.0, for_s=15.0, service="@s0")
+    ],
+    "short-slow-small": [
+        rollout("rollout_bad", "slow", x=4.0, for_s=15.0, service="@s1")
+    ],
+    "short-good-busy": [rollout("rollout_good", for_s=15.0, service="@s0")],
+    "short-good-small": [rollout("rollout_good", for_s=15.0, service="@s1")],
+    "short-good-beside-a-slow-endpoint": [
+        rollout("rollout_good", for_s=15.0, service="@s0"),
+        fault("srv_slow", at=6.0, share=0.1, x=6.0, for_s=10.0),
+    ],
+    "slow-small-beside-kills": [
+        rollout("rollout_bad", "slow", x=4.0, for_s=15.0, service="@s1"),
+        fault("node_kill", at=9.0, share=0.5),
+    ],
     "bad-one-class": [rollout("rollout_bad", "one_class")],
     "bad-late": [rollout("rollout_bad", "late", gap_s=12.0)],
     "bad-while-store-is-down": [
