Judge the evidence on a version under a lock, and name the growth of its canary

Read of the diff: request threads, heartbeats and the writer judge at the same time, and the lock that protected the guard's records had gone with the guard. Nothing was seen of it. Rollouts._grow is split.

--- a/gaprock/rollout_evidence.py
+++ b/gaprock/rollout_evidence.py
@@ -1,6 +1,7 @@
 """Evidence on the versions of a rollout: answers by outcome, and what they show."""
 
 import math
+import threading
 import typing
 import zlib
 
@@ -80,10 +81,12 @@
 class RolloutEvidence:
     """The evidence on all rollouts, by their labels; thread-safe."""
 
-    __slots__ = ("_book", "_latencies", "_monitors")
+    __slots__ = ("_book", "_lock", "_latencies", "_monitors")
 
     def __init__(self, book: evidence.EvidenceBook) -> None:
         self._book = book
+        # Protects the monitors' records.
+        self._lock = threading.Lock()
         # Latencies of the stable version, by service and kind of answer.
         self._latencies: dict[tuple[str, str], rollout_latency.StableLatency] = {}
         # By label and route.
@@ -136,11 +139,18 @@
         :param is_alone: whether it has a single endpoint.
         :returns: why it must be halted; empty if it need not be.
         """
-        cells = self.cells(label)
-        routes = {cell.route for cell in cells if cell.is_new}
-        for route in (FIRST_PARTS, GAPS, *sorted(routes)):
-            monitor = self._monitors.setdefault((label, route), rollout_odds.Monitor())
-            odds = monitor.update(*_by_side(cells, route), is_alone)
+        judged = []
+        # A thread with older counts must not be weighed after one with newer ones.
+        with self._lock:
+            cells = self.cells(label)
+            routes = {cell.route for cell in cells if cell.is_new}
+            for route in (FIRST_PARTS, GAPS, *sorted(routes)):
+                monitor = self._monitors.setdefault(
+                    (label, route), rollout_odds.Monitor()
+                )
+                odds = monitor.update(*_by_side(cells, route), is_alone)
+                judged.append((route, odds))
+        for route, odds in judged:
             if odds.from_start > HALT_ODDS or odds.recent > RECENT_HALT_ODDS:
                 return self._reason(label, odds, route)
             if route in TOTALS and _is_of_one(odds) and odds.strongest > DOUBT_ODDS:
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -99,31 +99,37 @@
         rollout.gateways = max(rollout.gateways, self._count_gateways())
         growth.fleet_rate.add(now, self._sends.fleet(label).total)
         growth.own_rate.add(now, self._sends.own(label).total)
-        left_s = rollout.ends_at - now
-        planned = rollout.planned_slack(is_moved=True)
-        fleet_s = growth.fleet_rate.per_s
-        if fleet_s is not None and growth.reached < 1.0 and rollout.is_rate_known(now):
-            share = rollout_growth.canary_share(
-                self._allowance.with_slack(planned),
-                self._sends.fleet(label),
-                fleet_s,
-                rollout.order.finish_s,
-                left_s,
-                rollout.pins_sessions(now),
-            )
-            if not self.is_doubted(rollout):
-                growth.raise_canary(share)
+        if growth.reached < 1.0 and not self.is_doubted(rollout):
+            self._raise_canary(rollout, now)
         if rollout.elapsed_share(now) < rollout_growth.PINNED_SHARE:
             return
+        left_s = rollout.ends_at - now
+        planned = rollout.planned_slack(is_moved=True)
         own = self._sends.own(label)
         own_allowance = self._allowance.with_slack(planned / rollout.gateways)
         forecasts = (
-            self._forecast(rollout, now, planned, fleet_s),
+            self._forecast(rollout, now, planned, growth.fleet_rate.per_s),
             rollout_growth.forecast(own_allowance, own, growth.own_rate.per_s, left_s),
         )
         is_doubted = self.is_doubted(rollout) or self.is_suspected(rollout)
         growth.plan(now, left_s, forecasts, is_doubted, self._evidence.counts(label))
 
+    def _raise_canary(self, rollout: rollout_state.Rollout, now: float) -> None:
+        """Give the canary the share that its evidence needs, once that is known."""
+        per_s = rollout.growth.fleet_rate.per_s
+        if per_s is None or not rollout.is_rate_known(now):
+            return
+        planned = rollout.planned_slack(is_moved=True)
+        share = rollout_growth.canary_share(
+            self._allowance.with_slack(planned),
+            self._sends.fleet(rollout.label),
+            per_s,
+            rollout.order.finish_s,
+            rollout.ends_at - now,
+            rollout.pins_sessions(now),
+        )
+        rollout.growth.raise_canary(share)
+
     def _forecast(
         self,
         rollout: rollout_state.Rollout,
