Use the guard's bound and mean for the odds of a version, and drop what nothing calls

Cause: rollout_odds had a second copy of policy_guard's bound of usual failures, its constants and log_mean; Guard.is_suspected, is_doubted and is_proved had no caller since the gateway's evidence no longer uses a guard. Change: the odds call stable_bound and log_mean; the three methods, their limits and a record go. No behaviour changes.

--- a/gaprock/policy_api.py
+++ b/gaprock/policy_api.py
@@ -308,28 +308,6 @@
         """
         raise NotImplementedError
 
-    def is_suspected(self, version: str) -> bool:
-        """Whether the evidence is against a version, but too weak to halt it.
-
-        The result is that of the last call of ``is_bad``.
-        """
-        return False
-
-    def is_doubted(self, version: str) -> bool:
-        """Whether the evidence is against a version at all, even weakly.
-
-        The result is that of the last call of ``is_bad``.
-        """
-        return False
-
-    def is_proved(self, seen: Counts, stable: Counts, odds: float) -> bool:
-        """Whether the evidence is for a version.
-
-        :param odds: how much likelier it must be with a good version than with a much
-            worse one.
-        """
-        return True
-
 
 class Move(typing.NamedTuple):
     """A load or unload of a version at an endpoint, as placement plans it."""
--- a/gaprock/policy_guard.py
+++ b/gaprock/policy_guard.py
@@ -20,14 +20,6 @@
 ERROR_CHANCE: typing.Final = 0.005
 # Log of the mean number of good answers between two false alarms of the CUSUM.
 CUSUM_LIMIT: typing.Final = math.log(1e7)
-# The same for a suspicion, which lasts until good answers outweigh the bad ones. A
-# suspected version does not become the only one, since then nothing could halt it.
-SUSPICION_LIMIT: typing.Final = math.log(100)
-# Log of the likelihood ratio from which a version is in doubt, and gets no larger share
-# of the requests.
-DOUBT_LIMIT: typing.Final = math.log(2)
-# A version is proved against a rate of bad answers that is worse by this.
-PROOF_EXCESS: typing.Final = 0.2
 # A version's error rate may exceed that of the stable version by this much.
 TOLERANCE: typing.Final = 0.03
 # The stable version's rate is assumed this many standard deviations above its estimate.
@@ -62,7 +54,7 @@
     return logs
 
 
-def log_mean(logs: list[float]) -> float:
+def log_mean(logs: typing.Sequence[float]) -> float:
     """Return the log of the mean of numbers that are given as logs."""
     top = max(logs)
     return top + math.log(sum(math.exp(x - top) for x in logs) / len(logs))
@@ -94,12 +86,10 @@
 class Sequential(policy_api.Guard):
     """An always-valid sequential test with a CUSUM; see the module's description."""
 
-    __slots__ = ("_cusums", "_from_start")
+    __slots__ = ("_cusums",)
 
     def __init__(self) -> None:
         self._cusums: dict[str, Cusum] = {}
-        # The log of the mean likelihood ratio from the start, by version.
-        self._from_start: dict[str, float] = {}
 
     def is_bad(
         self, version: str, seen: policy_api.Counts, stable: policy_api.Counts
@@ -108,26 +98,9 @@
         highest = self._cusums.setdefault(version, Cusum()).add(seen, bound)
         if not seen.bad:
             return False
-        from_start = self._from_start[version] = log_mean(log_ratios(seen, bound))
+        from_start = log_mean(log_ratios(seen, bound))
         return from_start > -math.log(ERROR_CHANCE) or highest > CUSUM_LIMIT
 
-    def is_suspected(self, version: str) -> bool:
-        cusum = self._cusums.get(version)
-        return cusum is not None and max(cusum.sums) > SUSPICION_LIMIT
-
-    def is_proved(
-        self, seen: policy_api.Counts, stable: policy_api.Counts, odds: float
-    ) -> bool:
-        bound = stable_bound(stable)
-        worse = min(0.95, bound + PROOF_EXCESS)
-        good = seen.answers - seen.bad
-        ratio = seen.bad * math.log(bound / worse)
-        ratio += good * math.log((1 - bound) / (1 - worse))
-        return ratio > math.log(odds)
-
-    def is_doubted(self, version: str) -> bool:
-        return self._from_start.get(version, 0.0) > DOUBT_LIMIT
-
 
 @plugin.register(policy_api.Guard, "fixed-window")
 class FixedWindow(policy_api.Guard):
--- a/gaprock/rollout_odds.py
+++ b/gaprock/rollout_odds.py
@@ -17,7 +17,7 @@
 import math
 import typing
 
-from gaprock import relative_times
+from gaprock import policy_api, policy_guard, relative_times
 
 # How many times longer the slow answers of a bad version take, in steps of
 # ``relative_times``, and which shares of its answers may be slow.
@@ -33,13 +33,6 @@
 FAILED_SHARES: typing.Final = (0.1, 0.2, 0.35, 0.6, 0.9)
 # A good version may take longer by this, also at single endpoints.
 TOLERATED_STEPS: typing.Final = 1
-# A good version's failures may exceed those of the stable version by this.
-TOLERANCE: typing.Final = 0.03
-# The stable version's failures are assumed this many standard deviations above their
-# estimate, with a prior of one failure in twenty answers.
-STABLE_SIGMAS: typing.Final = 2.0
-PRIOR_ANSWERS: typing.Final = 20
-PRIOR_FAILED: typing.Final = 1
 # The probability that an endpoint of a good version is slow or fails by itself.
 FAULTY_SHARE: typing.Final = 0.03
 # Answers that the prior distribution of times counts as, and those that the times of
@@ -85,12 +78,6 @@
 NO_ODDS: typing.Final = Odds(0.0, 0.0, 0.0, 0, 0)
 
 
-def log_mean(logs: typing.Sequence[float]) -> float:
-    """Return the log of the mean of numbers that are given as logs."""
-    top = max(logs)
-    return top + math.log(sum(math.exp(x - top) for x in logs) / len(logs))
-
-
 def _prior() -> Shares:
     """Return the distribution of times that is assumed without answers."""
     width = math.log(relative_times.STEP) / PRIOR_SPREAD
@@ -143,14 +130,6 @@
     return _slower([0.5 * u + f for u, f in zip(usual, faster)], steps)
 
 
-def _bound(stable: relative_times.Counts) -> float:
-    """Return the highest share of failures that is usual."""
-    answers = sum(stable) + PRIOR_ANSWERS
-    rate = (stable[relative_times.FAILED] + PRIOR_FAILED) / answers
-    spread = math.sqrt(rate * (1 - rate) / answers)
-    return min(0.9, rate + STABLE_SIGMAS * spread + TOLERANCE)
-
-
 def _time_logs(usual: Shares, bins: typing.Iterable[int]) -> dict[int, list[float]]:
     """Return the log likelihoods of the times that occur, by bin.
 
@@ -229,7 +208,9 @@
     for endpoint, ratios in endpoints.items():
         logs = ratios.logs(math.inf if endpoint is None else limit)
         sums = [one + other for one, other in zip(sums, logs)]
-    return log_mean(sums[:SLOW_WAYS]), log_mean(sums[SLOW_WAYS:])
+    return policy_guard.log_mean(sums[:SLOW_WAYS]), policy_guard.log_mean(
+        sums[SLOW_WAYS:]
+    )
 
 
 def measure(
@@ -246,7 +227,8 @@
     for counts in stable.values():
         whole = relative_times.add(whole, counts)
     usual = _distribution(whole, PRIOR, PRIOR_TIMES)
-    failures = _failure_logs(_bound(whole))
+    failed = policy_api.Counts(sum(whole), whole[relative_times.FAILED])
+    failures = _failure_logs(policy_guard.stable_bound(failed))
     by_period = collections.defaultdict(list)
     for (endpoint, period), counts in new.items():
         by_period[period].append((endpoint, counts))
@@ -299,10 +281,12 @@
                 more = tuple(max(0, n - b) for n, b in zip(counts, before))
                 self._recent[key] = relative_times.add(self._recent.get(key, ()), more)
         self._seen = dict(new)
-        recent = log_mean(measure(self._recent, stable, is_alone))
+        recent = policy_guard.log_mean(measure(self._recent, stable, is_alone))
         if recent <= 0.0:
             self._recent.clear()
         endpoints = len({endpoint for endpoint, _ in new})
         both = measure(new, stable, is_alone)
-        self.odds = Odds(log_mean(both), max(both), recent, endpoints, answers)
+        self.odds = Odds(
+            policy_guard.log_mean(both), max(both), recent, endpoints, answers
+        )
         return self.odds
--- a/gaprock/rollout_state.py
+++ b/gaprock/rollout_state.py
@@ -17,7 +17,7 @@
 SESSION_SLACK: typing.Final = 0.15
 # The rollout's time is divided into so many periods of equal length.
 PERIODS: typing.Final = 8
-# Sends that are not answered after this time count as slow.
+# Sends that are older than this are answered, or late.
 ANSWERED_S: typing.Final = 2.0
 # The endpoints of a canary take turns of this length, at most a period.
 ENDPOINT_TURN_S: typing.Final = 2.0
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -260,8 +260,8 @@
         "slow answers count as evidence against a version",
         "testrollouts.py::test_a_version_that_is_slow_is_stopped",
         "rollout_odds.py",
-        "return log_mean(sums[:SLOW_WAYS]), log_mean(sums[SLOW_WAYS:])",
-        "return log_mean(sums[SLOW_WAYS:]), log_mean(sums[SLOW_WAYS:])",
+        "policy_guard.log_mean(sums[:SLOW_WAYS])",
+        "policy_guard.log_mean(sums[SLOW_WAYS:])",
     ),
     proofs.gateway(
         "an endpoint is not taken for its version",
