--- a/review/2/case.py
+++ b/review/2/case.py
@@ -259,6 +259,7 @@
 
 def main() -> int:
     """Run the case."""
+    site.end_on_sigterm()
     with tempfile.TemporaryDirectory() as folder:
         is_disturbed = os.environ.get("TROUBLE", "1") != "0"
         return Case(is_disturbed, pathlib.Path(folder)).run()
--- a/review/site.py
+++ b/review/site.py
@@ -14,6 +14,7 @@
 import sys
 import threading
 import time
+import types
 import typing
 
 from gaprock.test import ports
@@ -127,6 +128,15 @@
             return False
 
 
+def end_on_sigterm() -> None:
+    """Have SIGTERM end the script in order, so that it ends its processes."""
+
+    def end(number: int, frame: types.FrameType | None) -> None:
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, end)
+
+
 def wait_ready(gateways: list[Gateway]) -> bool:
     """Wait until all gateways are ready."""
     until = time.monotonic() + READY_WAIT_S
