Log and count sends by what their version counts as

No line said as what a version got its sends, so that an order back, endpoints that are gone and a start without knowledge could not be told apart. Adds the lines version-sends (not while all sends go to the same version) and version-last-resort, and gaprock_version_sends. No decision changes.

--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -74,6 +74,8 @@
         self._rng = random.Random()
         # Mean prompt length by service, in tokens of the largest model.
         self._mean_prompt: dict[str, float] = {}
+        # The services of which withdrawn versions are used.
+        self._on_last_resort: set[str] = set()
 
     def service(self, route: routes.Route) -> str:
         """Choose the service of a request at random, by the weights of its route."""
@@ -197,8 +199,19 @@
         _, count = self._directory.living(
             call.service, lambda e: assignment.takes(e.row.version)
         )
+        self._log_last_resort(call.service, is_active=not count)
         return assignment if count else assignment._replace(withdrawn=())
 
+    def _log_last_resort(self, service: str, is_active: bool) -> None:
+        """Log when the use of withdrawn versions begins or ends."""
+        if is_active == (service in self._on_last_resort):
+            return
+        if is_active:
+            self._on_last_resort.add(service)
+        else:
+            self._on_last_resort.discard(service)
+        eventlog.warning("version-last-resort", service=service, active=is_active)
+
     def _accepting(
         self,
         call: gateway_call.Call,
--- a/gaprock/gateway_gauges.py
+++ b/gaprock/gateway_gauges.py
@@ -42,6 +42,8 @@
         metrics.budget_left.labels(service).set(state.left)
         metrics.budget_held.labels(service).set(state.held)
         metrics.budget_spent.labels(service).set(state.spent)
+    for (service, role), count in gateway.rollouts.version_sends.totals().items():
+        metrics.version_sends.labels(service, role).set(count)
     for rollout in gateway.rollouts.all():
         service = rollout.order.service
         exposed = gateway.rollouts.exposure(rollout).exposed
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -68,6 +68,7 @@
         "capacity_refused",
         "capacity_lent",
         "workspace_use",
+        "version_sends",
         "rollout_exposure",
         "rollout_allowance",
         "rollout_answers",
@@ -144,6 +145,12 @@
             ["service"],
             registry=registry,
         )
+        self.version_sends = prometheus_client.Gauge(
+            "gaprock_version_sends",
+            "Sends of this gateway, by service and what their version counted as",
+            ["service", "role"],
+            registry=registry,
+        )
         self.rollout_allowance = prometheus_client.Gauge(
             "gaprock_rollout_allowance",
             "Sends to a rollout's new version that its service's sends allow",
--- a/gaprock/rollout_orders.py
+++ b/gaprock/rollout_orders.py
@@ -273,6 +273,13 @@
             rollout.pinned.merge_reported(news.pinned, now)
             rollout.growth.record_peer(news.share)
 
+    def role(self, service: str, version: str) -> str:
+        """Return what a version of a service counts as."""
+        rollout = self._by_service.get(service)
+        if rollout is not None and version == rollout.order.to_version:
+            return "ordered"
+        return "withdrawn" if version in self.withdrawn.of(service) else "other"
+
     def _record_report(
         self,
         service: str,
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -37,6 +37,7 @@
     rollout_orders,
     rollout_sessions,
     rollout_state,
+    version_sends,
 )
 
 # A canary begins with this part of the allowed share, until the rate of sends is known.
@@ -78,6 +79,7 @@
         self._sends = rollout_exposure.SendCounter(evidence_)
         self._allowance = rollout_exposure.Allowance(canary_share, canary_slack)
         self._count_gateways = count_gateways
+        self.version_sends = version_sends.VersionSends()
 
     # -- Which version a request gets --
 
@@ -405,6 +407,7 @@
 
     def record_send(self, service: str, version: str) -> None:
         """Count a send to a version of a service."""
+        self.version_sends.record(service, version, self.role(service, version))
         rollout = self._by_service.get(service)
         if rollout is not None and not rollout.is_over(self._clock.now()):
             is_new = version == rollout.order.to_version
@@ -425,7 +428,8 @@
         return self._evidence.by_side(rollout.label)
 
     def log_exposure(self) -> None:
-        """Log the exposure of each rollout under way."""
+        """Log the exposure of each rollout under way, and the sends by version."""
+        self.version_sends.log()
         now = self._clock.now()
         for rollout in self.all():
             if rollout.is_over(now):
