Add failing tests of versions that count as the wrong thing

Callers of a service whose operator goes back to the version that ran before are sent to the one that was withdrawn; an order for the version that runs refuses all of them; a rolled-back version serves while the stable one's endpoints are gone for a moment.

--- a/gaprock/test/testversionroles.py
+++ b/gaprock/test/testversionroles.py
@@ -1,8 +1,13 @@
 """What each version of a service counts as, whatever orders, outcomes and rows come."""
 
+import typing
+
 import pytest
 
-from gaprock import version_sends
+from gaprock import rollout_state, version_sends
+from gaprock.test import gatewaysite
+
+OUTCOME_KEY: typing.Final = "rollout/app"
 
 
 def test_sends_are_logged_by_what_their_version_counted_as(
@@ -23,3 +28,90 @@
         ("llm", "ordered"): 1,
         ("llm", "withdrawn"): 1,
     }
+
+
+class VersionSite(gatewaysite.GatewaySite):
+    """A gateway before a service ``app`` with an endpoint for each version."""
+
+    def __enter__(self) -> typing.Self:
+        super().__enter__()
+        self.add("v1", "app")
+        return self
+
+    def add_version(self, version: str) -> None:
+        """Start the endpoint of a version."""
+        super().add(version, "app", Version=version)
+
+    def order(self, version: str) -> None:
+        """Order a rollout, and wait until the gateway knows of it."""
+        row = {"Service": "app", "ToVersion": version, "FinishByS": 4.0}
+        self.store.put("op", OUTCOME_KEY, row)
+        gatewaysite.wait_until(
+            lambda: version in [r.order.to_version for r in self.rollouts()],
+            f"{version} is ordered",
+        )
+
+    def rollouts(self) -> list[rollout_state.Rollout]:
+        """Return the rollouts that the gateway knows."""
+        return self.gateway.rollouts.all()
+
+    def wait_for(self, version: str, state: str) -> None:
+        """Wait until an outcome is written."""
+        wanted = {"ToVersion": version, "State": state}
+        gatewaysite.wait_until(
+            lambda: self.store.value("status", OUTCOME_KEY) == wanted,
+            f"{version} is {state}",
+        )
+
+    def roll_back(self) -> None:
+        """Halt the rollout under way, and wait for its outcome."""
+        (rollout,) = self.rollouts()
+        self.gateway.rollouts.halt("app", rollout.revision, "test")
+        self.wait_for(rollout.order.to_version, "rolled_back")
+
+    def call_often(self) -> list[int]:
+        """Send some requests, and return the statuses of their answers."""
+        return [self.call("/safe/x").status for _ in range(20)]
+
+    def count(self, version: str) -> int:
+        """Return the number of requests that a version has got."""
+        return len(self.backends[version].seen)
+
+
+@pytest.mark.parametrize("is_rolled_back", [True, False])
+def test_an_order_back_to_the_stable_version_gives_the_withdrawn_one_nothing(
+    is_rolled_back: bool,
+) -> None:
+    with VersionSite() as site:
+        site.add_version("v2")
+        site.order("v2")
+        if is_rolled_back:
+            site.roll_back()
+        site.order("v1")
+        before = site.count("v2")
+        assert site.call_often() == [200] * 20
+        assert site.count("v2") == before
+        site.wait_for("v1", "completed")
+
+
+def test_an_order_for_the_version_that_runs_refuses_no_request() -> None:
+    with VersionSite() as site:
+        site.order("v1")
+        assert site.call_often() == [200] * 20
+        site.wait_for("v1", "completed")
+
+
+def test_a_rolled_back_version_gets_nothing_while_the_stable_one_is_gone_briefly() -> (
+    None
+):
+    with VersionSite() as site:
+        site.add_version("v2")
+        site.order("v2")
+        site.roll_back()
+        site.order("v3")
+        assert site.call("/safe/x").status == 200
+        before = site.count("v2")
+        site.store.remove("servers", "v1")
+        gatewaysite.wait_until(lambda: "v1" not in site.known("app"), "v1 is gone")
+        site.start_call("/safe/x", X_Deadline_Ms="300").get()
+        assert site.count("v2") == before
