Give each version a role that outlives its order

What callers saw: v2 is bad, the operator orders v1, which ran before, and from then on nearly all requests go to v2, until its endpoints stop; v1 is rolled back in the end.

Cause: "new" and "old" were read off one order. An order for the stable version made it a canary, and a withdrawn version the only other one. The class is that of a-version-that-came-back: a lasting property derived from the latest event.

Change: version_roles has the stable and withdrawn versions by service, with the order that gave each role; the newest is valid, so that roles merge in any sequence. They come from outcomes, replaced orders, endpoints before any order, and a row of each service that is written along with outcomes and again after a restore. An order for the stable version is a return: it gets all requests at once, is never rolled back, and is completed when nothing runs on others. version_fallback decides what requests get whose versions have no endpoint; they are not refused any more while another version is there.

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -480,15 +480,25 @@
         :param test: further condition that an endpoint must meet.
         """
         with self._lock:
-            staying = [
-                e
-                for e in self._index.of_service(service)
-                if e.leave_at == clock.NEVER
-                and e.row.hall not in self._cordoned
-                and test(e)
-            ]
+            staying = [e for e in self._staying(service) if test(e)]
         return [e for e in staying if not e.is_unreachable], len(staying)
 
+    def versions(self, service: str) -> set[str]:
+        """Return the versions that a service's endpoints run, but leaving ones."""
+        with self._lock:
+            return {e.row.version for e in self._staying(service)}
+
+    def has_version(self, service: str, test: typing.Callable[[str], bool]) -> bool:
+        """Whether a service has an endpoint of a version that passes a test."""
+        with self._lock:
+            return any(test(e.row.version) for e in self._staying(service))
+
+    def _staying(self, service: str) -> typing.Iterator[endpoint_state.Endpoint]:
+        """Return the endpoints that neither leave nor are in a cordoned hall."""
+        for e in self._index.of_service(service):
+            if e.leave_at == clock.NEVER and e.row.hall not in self._cordoned:
+                yield e
+
     def _nearby_candidates(
         self, service: str, around: CandidateScope, is_live: endpoint_index.Test
     ) -> list[endpoint_state.Endpoint]:
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -74,8 +74,6 @@
         self._rng = random.Random()
         # Mean prompt length by service, in tokens of the largest model.
         self._mean_prompt: dict[str, float] = {}
-        # The services of which withdrawn versions are used.
-        self._on_last_resort: set[str] = set()
 
     def service(self, route: routes.Route) -> str:
         """Choose the service of a request at random, by the weights of its route."""
@@ -186,31 +184,17 @@
         )
 
     def _assignment(self, call: gateway_call.Call) -> rollout_state.Assignment | None:
-        """Return the assignment of a call's session; ``None`` without a rollout.
-
-        Where all endpoints of the other versions are gone, a withdrawn version is the
-        only one left, which its orders and outcomes did not tell this gateway.
-        """
+        """Return the assignment of a call's session; ``None`` without a rollout."""
         assignment = self._rollouts.assignment(
             call.service, call.session, call.is_in_session
         )
-        if assignment is None or assignment.on_new or not assignment.withdrawn:
-            return assignment
-        _, count = self._directory.living(
-            call.service, lambda e: assignment.takes(e.row.version)
+        if assignment is None:
+            return None
+        return self._rollouts.fallback.apply(
+            assignment,
+            lambda takes: self._directory.has_version(call.service, takes),
+            call.is_in_session,
         )
-        self._log_last_resort(call.service, is_active=not count)
-        return assignment if count else assignment._replace(withdrawn=())
-
-    def _log_last_resort(self, service: str, is_active: bool) -> None:
-        """Log when the use of withdrawn versions begins or ends."""
-        if is_active == (service in self._on_last_resort):
-            return
-        if is_active:
-            self._on_last_resort.add(service)
-        else:
-            self._on_last_resort.discard(service)
-        eventlog.warning("version-last-resort", service=service, active=is_active)
 
     def _accepting(
         self,
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -148,6 +148,7 @@
             bounds.session_s,
             bounds.canary_slack,
             lambda: self.mesh.peak_gateways(),
+            self.directory.versions,
         )
         address = f"tcp://{cfg.host}:{cfg.mesh_port}" if cfg.mesh_port else ""
         self.quarantine = quarantine.Quarantine(clock_)
@@ -519,6 +520,8 @@
     # -- Tasks --
 
     def _step_rollouts(self) -> None:
+        for service in self._services():
+            self.rollouts.observe_versions(service)
         self.rollouts.judge_all()
         if not self.leaving:
             self.writer.step()
--- a/gaprock/gateway_own_rows.py
+++ b/gaprock/gateway_own_rows.py
@@ -212,6 +212,9 @@
             self._rollouts.record_stored_start(service, revision, start)
         for service, versions in own.withdrawn.items():
             self._rollouts.record_stored_withdrawn(service, versions)
+        for service, roles in own.roles.items():
+            self._rollouts.record_stored_roles(service, roles)
+        self._writer.knows_stored_roles = True
         return True
 
     @property
--- a/gaprock/gateway_rows.py
+++ b/gaprock/gateway_rows.py
@@ -20,6 +20,7 @@
     rollouts,
     routes,
     store_epochs,
+    version_roles,
 )
 
 
@@ -256,7 +257,7 @@
 class OwnRows:
     """The table of gateways' own rows, decoded: peers and start times of rollouts."""
 
-    __slots__ = ("peers", "starts", "withdrawn")
+    __slots__ = ("peers", "starts", "withdrawn", "roles")
 
     def __init__(
         self,
@@ -270,6 +271,8 @@
         self.starts: dict[tuple[str, int], rollout_state.StoredStart] = {}
         # The withdrawn versions by service.
         self.withdrawn: dict[str, list[str]] = {}
+        # The roles of versions by service.
+        self.roles: dict[str, list[version_roles.VersionRole]] = {}
         for row in page.rows:
             if row.value is None:
                 continue
@@ -284,6 +287,12 @@
         if key.startswith(PEER_PREFIX):
             name = key[len(PEER_PREFIX) :]
             self.peers[name] = invalid_rows.decode(PeerRow, value)
+        elif key.startswith(rollout_writer.ROLES_PREFIX):
+            stored = invalid_rows.decode(rollout_writer.RolesRow, value)
+            self.roles[key[len(rollout_writer.ROLES_PREFIX) :]] = [
+                version_roles.VersionRole(r.version, r.role, (r.epoch, r.revision))
+                for r in stored.roles
+            ]
         elif key.startswith(rollout_writer.START_PREFIX):
             start = invalid_rows.decode(rollout_writer.StartRow, value)
             service = key[len(rollout_writer.START_PREFIX) :]
@@ -292,5 +301,5 @@
             # one that is too early.
             started_at = store_clock.latest_local(start.started)
             if started_at is not None:
-                stored = rollout_state.StoredStart(started_at, start.moved)
-                self.starts[(service, start.revision)] = stored
+                found = rollout_state.StoredStart(started_at, start.moved)
+                self.starts[(service, start.revision)] = found
--- a/gaprock/rollout_orders.py
+++ b/gaprock/rollout_orders.py
@@ -13,7 +13,8 @@
     gateway_api,
     mesh_messages,
     rollout_state,
-    withdrawn_versions,
+    version_fallback,
+    version_roles,
 )
 
 # Number of replaced orders that are remembered for each service.
@@ -41,9 +42,15 @@
     """The rollouts by service, from their orders to their outcomes; thread-safe.
 
     :param idle_s: the longest pause between requests of one session.
+    :param versions_of: returns the versions that a service's endpoints run.
     """
 
-    def __init__(self, clock_: clock.Clock, idle_s: float) -> None:
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        idle_s: float,
+        versions_of: typing.Callable[[str], set[str]] = lambda service: set(),
+    ) -> None:
         self._clock = clock_
         self._idle_s = idle_s
         self._created_at = clock_.now()
@@ -55,7 +62,9 @@
         # before it has a copy of it.  Without these reports, it would send moved
         # sessions back, and requests to a halted version, until the next heartbeat.
         self._early_reports: dict[str, _EarlyReport] = {}
-        self.withdrawn = withdrawn_versions.WithdrawnVersions()
+        self._versions_of = versions_of
+        self.roles = version_roles.VersionRoles()
+        self.fallback = version_fallback.Fallback(clock_, self.roles)
         # The latest replaced orders with their versions, by service.
         self._replaced: dict[str, list[tuple[int, gateway_api.RolloutOrder]]] = {}
 
@@ -108,7 +117,8 @@
                 replaced.append((old.revision, old.order))
                 del replaced[:-MAX_REPLACED]
                 self._record_replaced(old)
-            self.withdrawn.record_ordered(order.service, order.to_version)
+            elif is_new:
+                self._infer_stable(order.service, order.to_version)
             self._on_ordered(rollout)
             self._by_service[order.service] = rollout
             outcome = self._outcomes.get(order.service)
@@ -131,13 +141,52 @@
 
     def _record_replaced(self, rollout: rollout_state.Rollout) -> None:
         """Record what a rollout that is replaced showed of its version."""
-        service, version = rollout.order.service, rollout.order.to_version
         if rollout.state is rollout_state.State.COMPLETED:
-            self.withdrawn.record_completed(service, version)
+            self._record_role(rollout, version_roles.Role.STABLE, "completed")
         elif rollout.halted or rollout.state is rollout_state.State.ROLLED_BACK:
-            self.withdrawn.withdraw(service, version, "rolled back")
+            self._record_role(rollout, version_roles.Role.WITHDRAWN, "rolled back")
         else:
-            self.withdrawn.withdraw(service, version, "replaced before its outcome")
+            reason = "replaced before its outcome"
+            self._record_role(rollout, version_roles.Role.WITHDRAWN, reason)
+
+    def _record_role(
+        self, rollout: rollout_state.Rollout, role: version_roles.Role, reason: str
+    ) -> None:
+        order = rollout.order
+        self.roles.record(
+            order.service, order.to_version, role, rollout.order_version, reason
+        )
+
+    def observe_versions(self, service: str) -> None:
+        """Record the versions that a service's endpoints run."""
+        versions = self._versions_of(service)
+        with self._lock:
+            rollout = self._by_service.get(service)
+            ordered = rollout.order.to_version if rollout else ""
+            self._infer_stable(service, ordered)
+        self.fallback.observe(service, ordered, versions)
+
+    def _infer_stable(self, service: str, ordered: str) -> None:
+        """Take the only version for stable that is neither ordered nor withdrawn."""
+        if self.roles.stable(service):
+            return
+        others = self._versions_of(service) - {ordered}
+        others.difference_update(self.roles.withdrawn(service))
+        if len(others) == 1:
+            self.roles.record(
+                service,
+                others.pop(),
+                version_roles.Role.STABLE,
+                version_roles.BEFORE_ORDERS,
+                "the only other version",
+            )
+
+    def is_return(self, rollout: rollout_state.Rollout) -> bool:
+        """Whether a rollout orders the version that was stable before it."""
+        order = rollout.order
+        return self.roles.was_stable(
+            order.service, order.to_version, rollout.order_version
+        )
 
     def _rename(
         self, rollout: rollout_state.Rollout, epoch: int, revision: int
@@ -202,7 +251,7 @@
             return
         if rollout.halted:
             return
-        if rollout.state is rollout_state.State.COMPLETED:
+        if rollout.state is rollout_state.State.COMPLETED or self.is_return(rollout):
             return
         rollout.halted = True
         eventlog.warning(
@@ -216,11 +265,22 @@
     def record_stored_withdrawn(
         self, service: str, versions: typing.Iterable[str]
     ) -> None:
-        """Record the versions of a service that the store has as withdrawn."""
-        rollout = self._by_service.get(service)
+        """Record the versions that a gateway without support for roles stored."""
         for version in versions:
-            if rollout is None or version != rollout.order.to_version:
-                self.withdrawn.withdraw(service, version, "store")
+            self.roles.record(
+                service,
+                version,
+                version_roles.Role.WITHDRAWN,
+                version_roles.BEFORE_ORDERS,
+                "store",
+            )
+
+    def record_stored_roles(
+        self, service: str, roles: typing.Iterable[version_roles.VersionRole]
+    ) -> None:
+        """Record the roles of a service's versions that the store has."""
+        for one in roles:
+            self.roles.record(service, one.version, one.role, one.since, "store")
 
     def record_stored_start(
         self, service: str, revision: int, start: rollout_state.StoredStart
@@ -276,9 +336,11 @@
     def role(self, service: str, version: str) -> str:
         """Return what a version of a service counts as."""
         rollout = self._by_service.get(service)
+        if version == self.roles.stable(service):
+            return "stable"
         if rollout is not None and version == rollout.order.to_version:
             return "ordered"
-        return "withdrawn" if version in self.withdrawn.of(service) else "other"
+        return "withdrawn" if version in self.roles.withdrawn(service) else "other"
 
     def _record_report(
         self,
@@ -328,12 +390,22 @@
                 version=outcome.version,
                 state=outcome.state.value,
             )
+        if outcome.state is rollout_state.State.COMPLETED:
+            self._record_role(rollout, version_roles.Role.STABLE, "completed")
+        else:
+            self._record_role(rollout, version_roles.Role.WITHDRAWN, "rolled back")
 
     def _apply_earlier_outcome(
         self, service: str, outcome: rollout_state.Outcome
     ) -> None:
-        """Apply the outcome of an order that has been replaced meanwhile."""
+        """Apply the outcome of an order that is not the present one."""
+        since = (outcome.epoch, outcome.row_version)
         if outcome.state is rollout_state.State.COMPLETED:
-            self.withdrawn.record_completed(service, outcome.version)
+            role, reason = version_roles.Role.STABLE, "completed"
         elif outcome.state is rollout_state.State.ROLLED_BACK:
-            self.withdrawn.withdraw(service, outcome.version, "rolled back")
+            role, reason = version_roles.Role.WITHDRAWN, "rolled back"
+        else:
+            # Replaced before its outcome, or its order has not been read yet.
+            role, reason = version_roles.Role.WITHDRAWN, "not ordered any more"
+            since = version_roles.BEFORE_ORDERS
+        self.roles.record_outcome(service, outcome.version, role, since, reason)
--- a/gaprock/rollout_state.py
+++ b/gaprock/rollout_state.py
@@ -218,15 +218,25 @@
     """The side of a rollout that a session is assigned to.
 
     :param on_new: whether the session gets the new version.
+    :param stable: the only version for all others; empty if it is not known, or gone.
     :param withdrawn: versions that no session gets.
+    :param takes_any: whether any version is better than none.
     """
 
     rollout: Rollout
     on_new: bool
+    stable: str = ""
     withdrawn: tuple[str, ...] = ()
+    takes_any: bool = False
 
     def takes(self, version: str) -> bool:
         """Whether the session's requests may run on a version."""
+        if self.takes_any:
+            return True
         if version == self.rollout.order.to_version:
             return self.on_new
-        return not self.on_new and version not in self.withdrawn
+        if self.on_new:
+            return False
+        if self.stable:
+            return version == self.stable
+        return version not in self.withdrawn
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -20,6 +20,7 @@
     rollout_state,
     rollouts,
     store_epochs,
+    version_roles,
 )
 
 # Additional delay per rank before a gateway writes.
@@ -28,6 +29,7 @@
 # result is not known.
 WRITE_PAUSE_S: typing.Final = 0.5
 START_PREFIX: typing.Final = "rollout/"
+ROLES_PREFIX: typing.Final = "versions/"
 
 
 class StartRow(msgspec.Struct):
@@ -37,10 +39,28 @@
     started: typing.Annotated[float, msgspec.Meta(ge=0)]
     # Whether a gateway may have given the new version all requests.
     moved: bool = False
-    # The versions of the service that are withdrawn.
+    # The versions of the service that are withdrawn, for gateways of the release that
+    # stores no roles.
     withdrawn: list[str] = []
 
 
+class RoleRow(msgspec.Struct):
+    """The role of one version, and the order that gave it."""
+
+    version: str
+    role: version_roles.Role
+    epoch: int
+    revision: int
+
+
+class RolesRow(msgspec.Struct):
+    """The roles of a service's versions, for gateways that start later."""
+
+    roles: typing.Annotated[
+        list[RoleRow], msgspec.Meta(max_length=version_roles.MAX_VERSIONS)
+    ]
+
+
 class RolloutWriter:
     """Writes the outcomes that are due; for use by one thread."""
 
@@ -71,10 +91,16 @@
         # Why a rollout was not completed when last judged, by its label.
         self._reasons: dict[str, str] = {}
         self._paused_until = 0.0
+        # Whether the stored roles were read, so that none is lost by a write.
+        self.knows_stored_roles = False
+        # The store's epoch in which the roles were written; negative at first.
+        self._roles_epoch = -1
 
     def step(self) -> None:
         """Write each outcome that is due, once it is this gateway's turn."""
         now = self._clock.now()
+        if now >= self._paused_until:
+            self._rewrite_roles(now)
         for rollout in self._rollouts.all():
             self._move_if_due(rollout, now)
             state = self._due_state(rollout, now)
@@ -123,11 +149,56 @@
         """Return the write of a rollout's start."""
         started = self._store_clock.latest_store_time(rollout.started_at)
         service = rollout.order.service
-        withdrawn = list(self._rollouts.withdrawn.of(service))
+        withdrawn = list(self._rollouts.roles.withdrawn(service))
         row = StartRow(rollout.revision, started, moved, withdrawn)
         own = self._dialect.tables.own
         return gateway_api.Write(own, START_PREFIX + service, msgspec.json.encode(row))
 
+    def _role_after(
+        self, rollout: rollout_state.Rollout, state: rollout_state.State
+    ) -> version_roles.VersionRole | None:
+        """Return the role that a rollout's version has once a state is written."""
+        role = version_roles.Role.WITHDRAWN
+        if state is rollout_state.State.COMPLETED:
+            role = version_roles.Role.STABLE
+        elif state is rollout_state.State.RUNNING or self._rollouts.is_return(rollout):
+            return None
+        version = rollout.order.to_version
+        return version_roles.VersionRole(version, role, rollout.order_version)
+
+    def _rewrite_roles(self, now: float) -> None:
+        """Write the roles again once the store was restored, which may lack them."""
+        newest = self._epochs.newest
+        if newest <= self._roles_epoch:
+            return
+        is_restored, self._roles_epoch = self._roles_epoch >= 0, newest
+        services = self._rollouts.roles.services() if is_restored else []
+        own = [one for one in services if not self._mesh.duty_rank(one)]
+        if not own or not self.knows_stored_roles:
+            return
+        eventlog.info("rows-written-again", rows="versions", epoch=newest)
+        try:
+            self._store.commit([self._roles_write(one) for one in own])
+        except gateway_api.StoreError as exc:
+            self._roles_epoch = newest - 1
+            self._paused_until = now + max(WRITE_PAUSE_S, exc.retry_after_s)
+            eventlog.warning("versions-write", error=exc)
+
+    def _roles_write(
+        self, service: str, newer: version_roles.VersionRole | None = None
+    ) -> gateway_api.Write:
+        """Return the write of the roles of a service's versions.
+
+        :param newer: a role that is valid once it is written.
+        """
+        roles = {one.version: one for one in self._rollouts.roles.of(service)}
+        if newer is not None:
+            roles[newer.version] = newer
+        rows = [RoleRow(r.version, r.role, *r.since) for r in roles.values()]
+        value = msgspec.json.encode(RolesRow(rows[-version_roles.MAX_VERSIONS :]))
+        own = self._dialect.tables.own
+        return gateway_api.Write(own, ROLES_PREFIX + service, value)
+
     def _due_state(
         self, rollout: rollout_state.Rollout, now: float
     ) -> rollout_state.State | None:
@@ -139,7 +210,8 @@
             return None
         if rollout.state is not rollout_state.State.RUNNING:
             return rollout.state
-        if not rollout.halted:
+        is_return = self._rollouts.is_return(rollout)
+        if is_return or not rollout.halted:
             reason = self._rollouts.reason_against(rollout)
             if not reason and self._is_settled(rollout, now):
                 return rollout_state.State.COMPLETED
@@ -153,7 +225,7 @@
                     f"not completed in time: {reason}",
                     rollout.epoch,
                 )
-        if rollout.halted:
+        if rollout.halted and not is_return:
             return rollout_state.State.ROLLED_BACK
         if rollout.written is None and self._store_clock.is_known:
             return rollout_state.State.RUNNING
@@ -199,6 +271,8 @@
         writes = [gateway_api.Write(table, key, value, expect)]
         if state is rollout_state.State.RUNNING:
             writes.append(self._start_write(rollout, moved=False))
+        if self.knows_stored_roles:
+            writes.append(self._roles_write(service, self._role_after(rollout, state)))
         try:
             done = self._store.commit(writes)
         except gateway_api.StoreError as exc:
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -61,6 +61,7 @@
     :param session_s: the longest pause between requests of one session.
     :param canary_slack: sends to a canary that are allowed on top of its share.
     :param count_gateways: returns the number of gateways, including missing ones.
+    :param versions_of: returns the versions that a service's endpoints run.
     """
 
     def __init__(
@@ -71,8 +72,9 @@
         session_s: float = 5.0,
         canary_slack: float = 0.0,
         count_gateways: typing.Callable[[], int] = lambda: 1,
+        versions_of: typing.Callable[[str], set[str]] = lambda service: set(),
     ) -> None:
-        super().__init__(clock_, session_s)
+        super().__init__(clock_, session_s, versions_of)
         self._sessions = rollout_sessions.RecentSessions(session_s)
         self._canary = canary_share * FIRST_USED_SHARE
         self._evidence = rollout_evidence.RolloutEvidence(evidence_)
@@ -87,9 +89,12 @@
         """Return the share of sessions that the new version gets now."""
         if rollout.state is rollout_state.State.COMPLETED:
             return 1.0
+        now = self._clock.now()
+        if self.is_return(rollout):
+            rollout.growth.move(now)
+            return 1.0
         if rollout.halted or rollout.state is rollout_state.State.ROLLED_BACK:
             return 0.0
-        now = self._clock.now()
         if rollout.growth.begin_update(now):
             self._grow(rollout, now)
         return rollout.growth.reached
@@ -156,6 +161,11 @@
         now = self._clock.now()
         if self.share(rollout) < 1.0:
             return "not at the full share"
+        if self.is_return(rollout):
+            has_endpoint = rollout.order.to_version in self._versions_of(
+                rollout.order.service
+            )
+            return "" if has_endpoint else "it has no endpoint"
         self._judge(rollout)
         if self.is_suspected(rollout) or self.is_doubted(rollout):
             return "in doubt"
@@ -183,13 +193,26 @@
         rollout = self._by_service.get(service)
         if rollout is None:
             return None
+        share = self.share(rollout)
+        if self.is_return(rollout):
+            return self._assign(rollout, on_new=True)
         session_hash = rollout_sessions.hash_session(session, rollout.label)
-        on_new = session_hash < self.share(rollout) * rollout_sessions.HASH_RANGE
+        on_new = session_hash < share * rollout_sessions.HASH_RANGE
         if on_new and is_named:
             on_new = not self._stays_on_old(rollout, session, session_hash)
         if on_new:
             on_new = self._is_admitted(rollout, session if is_named else "")
-        return rollout_state.Assignment(rollout, on_new, self.withdrawn.of(service))
+        return self._assign(rollout, on_new)
+
+    def _assign(
+        self, rollout: rollout_state.Rollout, on_new: bool
+    ) -> rollout_state.Assignment:
+        order = rollout.order
+        stable = self.roles.stable(order.service)
+        if stable == order.to_version:
+            stable = ""
+        withdrawn = self.roles.withdrawn(order.service)
+        return rollout_state.Assignment(rollout, on_new, stable, withdrawn)
 
     def _is_admitted(self, rollout: rollout_state.Rollout, session: str) -> bool:
         """Whether the allowed exposure has room for one more send.
@@ -387,8 +410,8 @@
         :returns: what the answer holds against its version; empty for nothing.
         """
         rollout = self._by_service.get(service)
-        is_new = rollout is not None and version == rollout.order.to_version
-        if not is_new and version in self.withdrawn.of(service):
+        is_new = self._is_on_trial(rollout, version)
+        if not is_new and version in self.roles.withdrawn(service):
             # The ordered version is compared with sound ones.
             return ""
         verdict = self._evidence.weigh(service, f"{route}/{kind}", answer, is_new)
@@ -410,8 +433,13 @@
         self.version_sends.record(service, version, self.role(service, version))
         rollout = self._by_service.get(service)
         if rollout is not None and not rollout.is_over(self._clock.now()):
-            is_new = version == rollout.order.to_version
-            self._sends.record(rollout.label, is_new)
+            self._sends.record(rollout.label, self._is_on_trial(rollout, version))
+
+    def _is_on_trial(self, rollout: rollout_state.Rollout | None, version: str) -> bool:
+        """Whether a version is the ordered one, and not a return to the stable one."""
+        if rollout is None or version != rollout.order.to_version:
+            return False
+        return not self.is_return(rollout)
 
     def exposure(self, rollout: rollout_state.Rollout) -> rollout_exposure.Sends:
         """Return the sends of all gateways since the order, as far as known here."""
@@ -466,7 +494,7 @@
         rollout = self._by_service.get(service)
         if rollout is None or rollout.state is not rollout_state.State.RUNNING:
             return False
-        return version == rollout.order.to_version
+        return self._is_on_trial(rollout, version)
 
     def judge_all(self) -> None:
         """Judge all rollouts again, after evidence from peers."""
--- a/gaprock/test/rolloutcase.py
+++ b/gaprock/test/rolloutcase.py
@@ -120,6 +120,17 @@
     return gateway_api.RolloutOrder("llm", "v2", finish_s)
 
 
+def order_value(service: str, version: str, finish_s: float) -> bytes:
+    """Return the value of an order's row."""
+    doc = {"Service": service, "ToVersion": version, "FinishByS": finish_s}
+    return msgspec.json.encode(doc)
+
+
+def decode_outcome(value: bytes | None) -> dict[str, str]:
+    """Return an outcome's row, decoded; empty without one."""
+    return msgspec.json.decode(value, type=dict[str, str]) if value else {}
+
+
 def make_rollouts(time: clock.Clock) -> rollouts.Rollouts:
     book = evidence.EvidenceBook("me")
     return rollouts.Rollouts(time, 0.15, book, canary_slack=SLACK)
--- a/gaprock/test/testversionroles.py
+++ b/gaprock/test/testversionroles.py
@@ -36,6 +36,9 @@
     def __enter__(self) -> typing.Self:
         super().__enter__()
         self.add("v1", "app")
+        gatewaysite.wait_until(
+            lambda: self.gateway.rollouts.roles.stable("app") == "v1", "v1 is stable"
+        )
         return self
 
     def add_version(self, version: str) -> None:
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -378,8 +378,23 @@
         "testwithdrawn.py::test_a_rolled_back_version_gets_nothing_after_the_next"
         "_order",
         "rollout_state.py",
-        "return not self.on_new and version not in self.withdrawn",
-        "return not self.on_new",
+        "return version not in self.withdrawn",
+        "return True",
+    ),
+    proofs.gateway(
+        "an order for the stable version is no canary",
+        "testversionroles.py::test_an_order_back_to_the_stable_version_gives_the"
+        "_withdrawn_one_nothing",
+        "version_roles.py",
+        "return found is not None and found.version == version and found.since < order",
+        "return False",
+    ),
+    proofs.gateway(
+        "what a version counts as outlives all gateways",
+        "testversionseries.py",
+        "rollout_writer.py",
+        "if self.knows_stored_roles:\n            writes",
+        "if False:\n            writes",
     ),
     proofs.gateway(
         "a rollout completes once nothing runs on the old version",
