Refuse requests rather than use a bad version for a moment

What callers saw: v2 was rolled back and v3 ordered; while v1's endpoints were gone for 5 s, v2 got all requests but the canary's: 422 of 1,091, 194 allowed.

Cause: a withdrawn version served at once when no other had an endpoint, which cannot tell a crash or a row that a restored store lacks from endpoints that are gone for good.

Change: withdrawn versions are used once the others have been gone for 15 s, or if they were never seen; a running canary gets no more than its share.

--- a/gaprock/version_fallback.py
+++ b/gaprock/version_fallback.py
@@ -71,6 +71,14 @@
         others = assignment._replace(on_new=False, stable=stable if is_other else "")
         yield others
         yield others._replace(stable="")
+        now = self._clock.now()
+        if now < self._seen_at.get(rollout.order.service, -clock.NEVER) + GONE_S:
+            return
+        if is_running and not rollout.is_over(now):
+            if not is_other:
+                # There is no other version to compare it with.
+                yield assignment._replace(on_new=True)
+            return
         yield assignment._replace(takes_any=True)
 
     def _log_active(self, service: str, is_active: bool) -> None:
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -396,6 +396,14 @@
         "if self.knows_stored_roles:\n            writes",
         "if False:\n            writes",
     ),
+    proofs.gateway(
+        "a withdrawn version gets nothing while the others are gone for a moment",
+        "testversionroles.py::test_a_rolled_back_version_gets_nothing_while_the_stable"
+        "_one_is_gone_briefly",
+        "version_fallback.py",
+        "GONE_S: typing.Final = 15.0",
+        "GONE_S: typing.Final = -1e9",
+    ),
     proofs.gateway(
         "a rollout completes once nothing runs on the old version",
         "testrollouts.py::test_a_rollout_completes_when_nothing_runs_on_the_old"
