Take an answer whose head is cut for no answer

What callers saw, in the own mode: an endpoint that stops in the middle of its head gave a 200 with an empty body, a stream that opens, an order that counts as carried out. A 404 whose head is cut meant that an object is not there, and an operator's change counted as made.

Cause: http.client takes the end of the connection for the end of the head (parse_headers stops at an empty read).

--- a/gaprock/agent_endpoint.py
+++ b/gaprock/agent_endpoint.py
@@ -15,7 +15,16 @@
 import msgspec
 import urllib3
 
-from gaprock import backoffs, clock, errorcodes, errors, eventlog, options, retry_after
+from gaprock import (
+    backoffs,
+    clock,
+    errorcodes,
+    errors,
+    eventlog,
+    http_client,
+    options,
+    retry_after,
+)
 
 EVENT_END: typing.Final = b"\n\n"
 DONE_EVENT: typing.Final = b"data: [DONE]"
@@ -93,7 +102,7 @@
         self.option = option
         self._cfg = cfg
         self._clock = clock_
-        self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
+        self._pool = http_client.PoolManager(maxsize=POOL_SIZE, retries=False)
         # The endpoint asked for no new requests before this time.
         self._backoff_until = -clock.NEVER
 
@@ -219,7 +228,7 @@
             connect=min(left, self._cfg.connect_wait_s),
             read=min(left, self._cfg.endpoint_silent_s),
         )
-        pool = self._pool if keep else urllib3.PoolManager(retries=False)
+        pool = self._pool if keep else http_client.PoolManager(retries=False)
         try:
             resp = pool.request(
                 method,
--- a/gaprock/ctl_client.py
+++ b/gaprock/ctl_client.py
@@ -6,7 +6,7 @@
 import msgspec
 import urllib3
 
-from gaprock import answers, errorcodes, errors, options
+from gaprock import answers, errorcodes, errors, http_client, options
 
 TIMEOUT_S: typing.Final = 10.0
 
@@ -18,7 +18,7 @@
 
     def __init__(self, cfg: options.Options) -> None:
         self._base = cfg.entry.rstrip("/") + "/operator/"
-        self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self._pool = http_client.PoolManager(retries=False, timeout=TIMEOUT_S)
         self._headers = {
             "Authorization": f"Bearer {cfg.operator_key}",
             "Content-Type": "application/json",
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -12,7 +12,7 @@
 import urllib3.connection
 import urllib3.util.wait
 
-from gaprock import clock, eventlog, gateway_api, plugin, retry_after
+from gaprock import clock, eventlog, gateway_api, http_client, plugin, retry_after
 
 # Longest wait for a connection and for an ordinary answer, seconds; the store usually
 # answers in 4 ms.
@@ -153,7 +153,7 @@
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self._address = host, int(port)
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = http_client.Pool(
             host,
             int(port),
             maxsize=8,
@@ -209,9 +209,7 @@
         if conn is not None:
             conn.close()
         host, port = self._address
-        return urllib3.connection.HTTPConnection(
-            host, port, socket_options=SOCKET_OPTIONS
-        )
+        return http_client.Connection(host, port, socket_options=SOCKET_OPTIONS)
 
     def _release(self, conn: urllib3.connection.HTTPConnection) -> None:
         with self._lock:
--- a/gaprock/services_http.py
+++ b/gaprock/services_http.py
@@ -7,7 +7,7 @@
 import pybreaker
 import urllib3
 
-from gaprock import options, plugin, retry_after, services_api
+from gaprock import http_client, options, plugin, retry_after, services_api
 
 DEFAULT_RETRY_S: typing.Final = 1.0
 POOL_SIZE: typing.Final = 16
@@ -25,7 +25,7 @@
 
     def __init__(self, cfg: options.Options) -> None:
         self._base = cfg.platform.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=POOL_SIZE, retries=False)
+        self._pool = http_client.PoolManager(maxsize=POOL_SIZE, retries=False)
         self._headers = {"Content-Type": "application/json"}
         if cfg.platform_token:
             self._headers["Authorization"] = f"Bearer {cfg.platform_token}"
