Let an odd row of the services hide no other one

What could happen, in the own mode: one entry of the VM list or of the table that nests deeply, has a number too large or lacks a field failed the page that it is in: entries opened no further links (RecursionError or a lost answer at each poll), or stopped following the configuration for good.

Cause: a page was decoded as a whole, by one call, and what its rows contain was taken for valid by their readers.

Change: a page that cannot be decoded is split, and its elements are decoded one by one; a read by keys fails as a whole, since a row left out would count as absent. Document rows and claims are checked one by one, an invalid document leaves the one before it in force. digits.parse reads the numbers in others' texts.

--- a/gaprock/claims.py
+++ b/gaprock/claims.py
@@ -9,6 +9,7 @@
    its holder may have died just after the call.
 """
 
+import math
 import threading
 import typing
 
@@ -32,6 +33,15 @@
 Value = dict[str, typing.Any]
 
 
+def deadline_of(row: services_api.Row) -> float:
+    """Return the deadline of a claim; infinite if the row is absent or invalid."""
+    try:
+        return math.inf if row.value is None else float(row.value["deadline"])
+    except (KeyError, TypeError, ValueError) as exc:
+        eventlog.warning("invalid-row", table="claims", key=row.key, error=repr(exc))
+        return math.inf
+
+
 class StoredAnswer(typing.NamedTuple):
     """The stored outcome of an earlier request with the same id."""
 
--- a/gaprock/config.py
+++ b/gaprock/config.py
@@ -18,7 +18,7 @@
 import threading
 import typing
 
-from gaprock import documents, errorcodes, errors, messages
+from gaprock import documents, errorcodes, errors, eventlog, messages
 
 WORKSPACE: typing.Final = "workspace/"
 TEMPLATE: typing.Final = "template/"
@@ -281,16 +281,26 @@
         if known is not None and known.revision >= entry.revision:
             return
         self._entries[entry.key] = entry
-        self._documents.pop(entry.key, None)
-        if entry.value is not None:
-            kind = kind_of(entry.key)
-            if kind is not None:
-                self._documents[entry.key] = documents.convert(kind, entry.value)
+        try:
+            self._put_document(entry)
+        except errors.GaprockError as exc:
+            # The document before it stays in force.
+            eventlog.warning(
+                "invalid-document", key=entry.key, revision=entry.revision, error=exc
+            )
+            return
         if entry.key.startswith(WORKSPACE):
             self._index_workspaces()
         if entry.key.startswith(HALTED):
             self._update_halts()
 
+    def _put_document(self, entry: messages.ConfigEntry) -> None:
+        kind = kind_of(entry.key)
+        if entry.value is None or kind is None:
+            self._documents.pop(entry.key, None)
+        else:
+            self._documents[entry.key] = documents.convert(kind, entry.value)
+
     def _index_workspaces(self) -> None:
         self._workspace_of_hash = {
             digest: workspace.name
--- a/gaprock/config_store.py
+++ b/gaprock/config_store.py
@@ -15,7 +15,7 @@
 
 import tenacity
 
-from gaprock import errorcodes, errors, ids, messages, services_api
+from gaprock import errorcodes, errors, eventlog, ids, messages, services_api
 
 HEAD: typing.Final = "config/head"
 DOC: typing.Final = "config/doc/"
@@ -40,8 +40,20 @@
     return int(row.value["revision"]) if row.value else 0
 
 
-def _entry(key: str, value: Value) -> messages.ConfigEntry:
-    return messages.ConfigEntry(key, int(value["revision"]), value["document"])
+def _entries(row: services_api.Row, key: str) -> list[messages.ConfigEntry]:
+    """Return a row's entry; nothing if the row is absent or invalid.
+
+    :param key: empty if the row names it.
+    """
+    if row.value is None:
+        return []
+    try:
+        key = key or str(row.value["key"])
+        revision = int(row.value["revision"])
+        return [messages.ConfigEntry(key, revision, row.value["document"])]
+    except (KeyError, TypeError, ValueError) as exc:
+        eventlog.warning("invalid-row", table="config", key=row.key, error=repr(exc))
+        return []
 
 
 class ConfigStore:
@@ -200,8 +212,8 @@
         # Of several changes to a key, the latest one counts.
         newest = {}
         for row in rows:
-            if row.value is not None:
-                newest[row.value["key"]] = _entry(row.value["key"], row.value)
+            for entry in _entries(row, ""):
+                newest[entry.key] = entry
         last = int(rows[-1].key[len(LOG) :])
         return messages.ConfigDelta(revision, last, list(newest.values()), [])
 
@@ -213,8 +225,7 @@
             after = ""
             while rows := self._table.scan(DOC, after, PAGE_ROWS):
                 for row in rows:
-                    if row.value is not None:
-                        entries.append(_entry(row.key[len(DOC) :], row.value))
+                    entries += _entries(row, row.key[len(DOC) :])
                 after = rows[-1].key
             if revision_of(self._table.read([HEAD])[0]) == before:
                 return messages.ConfigDelta(0, before, entries, [])
--- a/gaprock/entry_duties.py
+++ b/gaprock/entry_duties.py
@@ -190,12 +190,13 @@
     def _run_upkeep(self) -> None:
         self._store.trim_log(self._config.revision)
         rows = self._table.scan(claims.KEY, self._collect_after, CLAIMS_PAGE_ROWS)
-        self._collect_after = rows[-1].key if len(rows) == CLAIMS_PAGE_ROWS else ""
+        # Rows may be left out of a page, so only an empty one is the last.
+        self._collect_after = rows[-1].key if rows else ""
         horizon = self._clock.now() - 2 * ids.RETENTION_S
         old = [
             services_api.TableOp(row.key, row.version, delete=True)
             for row in rows
-            if row.value is not None and float(row.value["deadline"]) < horizon
+            if claims.deadline_of(row) < horizon
         ]
         if old:
             self._table.transact(old)
--- a/gaprock/entry_http.py
+++ b/gaprock/entry_http.py
@@ -19,6 +19,7 @@
 from gaprock import (
     answers,
     config,
+    digits,
     entry_call,
     entry_operator,
     entry_serve,
@@ -84,16 +85,16 @@
         """
         if self.method in ("GET", "DELETE"):
             return b""
-        length = self.headers["content-length"]
-        if not length.isdigit():
+        length = digits.parse(self.headers["content-length"])
+        if length is None:
             raise errors.GaprockError(
                 errorcodes.BAD_REQUEST, "Content-Length is required"
             )
-        if int(length) > limit:
+        if length > limit:
             raise errors.GaprockError(
                 errorcodes.TOO_LARGE, f"takes up to {limit} bytes"
             )
-        return bytes(self._input.read(int(length)))
+        return bytes(self._input.read(length))
 
 
 class Root:
--- a/gaprock/entry_link.py
+++ b/gaprock/entry_link.py
@@ -211,7 +211,12 @@
     def _run(self) -> None:
         shared = self.shared
         sock = wire.open_dealer(shared.context, shared.cfg, shared.identity)
-        sock.connect(self.address)
+        try:
+            sock.connect(self.address)
+        except zmq.ZMQError as exc:
+            eventlog.warning("link-address-invalid", address=self.address, error=exc)
+            sock.close(linger=0)
+            return
         poller = zmq.Poller()
         poller.register(sock, zmq.POLLIN)
         poller.register(self._mailbox.fileno(), zmq.POLLIN)
--- a/gaprock/entry_operator.py
+++ b/gaprock/entry_operator.py
@@ -24,6 +24,7 @@
     config,
     config_store,
     decisions,
+    digits,
     documents,
     entry_budget,
     entry_call,
@@ -281,12 +282,12 @@
 
     :raises errors.GaprockError: ``BAD_REQUEST`` when ``If-Match`` holds none.
     """
-    text = headers.get("if-match", "").strip('"')
-    if not text.isdigit():
+    revision = digits.parse(headers.get("if-match", "").strip('"'))
+    if revision is None:
         raise errors.GaprockError(
             errorcodes.BAD_REQUEST, "If-Match takes the revision the change builds on"
         )
-    return int(text)
+    return revision
 
 
 def _publish_answer(result: entry_publish.PublishResult) -> answers.Answer:
--- a/gaprock/event_stream.py
+++ b/gaprock/event_stream.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from gaprock import digits
+
 # An event ends with an empty line; both kinds of line endings are in use.
 EVENT_ENDS: typing.Final = (b"\n\n", b"\r\n\r\n")
 ID_FIELD: typing.Final = b"id:"
@@ -80,6 +82,5 @@
     """Return the id of an event; ``None`` if it has no numeric id."""
     for line in raw.splitlines():
         if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return digits.parse(line[len(ID_FIELD) :].strip())
     return None
--- a/gaprock/gateway_connection.py
+++ b/gaprock/gateway_connection.py
@@ -15,6 +15,7 @@
     caller_input,
     caller_output,
     clock,
+    digits,
     eventlog,
     gateway_api,
     held_bytes,
@@ -72,7 +73,7 @@
     codings = [v for n, v in raw if n.lower() == b"transfer-encoding"]
     if len(lengths) > 1 or len(codings) > 1 or (lengths and codings):
         raise ValueError("The length of the body is given twice.")
-    if lengths and not lengths[0].isdigit():
+    if lengths and digits.parse(lengths[0]) is None:
         raise ValueError("Malformed Content-Length.")
     if codings and codings[0].strip().lower() != b"chunked":
         raise ValueError("Unknown Transfer-Encoding.")
--- a/gaprock/platform/documents.py
+++ b/gaprock/platform/documents.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from gaprock import gateway_api, invalid_rows, routes
+from gaprock import digits, gateway_api, invalid_rows, routes
 from gaprock.platform import unknown_fields
 
 CONFIG_KEY: typing.Final = "config"
@@ -175,15 +175,11 @@
     host, _, port = text.rpartition(":")
     try:
         socket.inet_aton(host)
-        number = int(port)
     except (OSError, ValueError) as exc:
         raise gateway_api.InvalidDocument(f"Addr is not IP:PORT: {text!r}") from exc
-    # ``inet_aton`` also accepts fewer parts, and ``int`` more than digits.
-    if (
-        host.count(".") != DOTS_IN_IPV4
-        or not port.isdigit()
-        or not 0 < number <= MAX_PORT
-    ):
+    number = digits.parse(port) or 0
+    # ``inet_aton`` also accepts fewer parts.
+    if host.count(".") != DOTS_IN_IPV4 or not 0 < number <= MAX_PORT:
         raise gateway_api.InvalidDocument(f"Addr is not IP:PORT: {text!r}")
     return host, number
 
--- a/gaprock/platform/settings.py
+++ b/gaprock/platform/settings.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from gaprock import errorcodes, errors, options
+from gaprock import digits, errorcodes, errors, options
 
 # The contract of sites where callers and endpoints may read slowly.
 SLOW_READERS: typing.Final = "pressure"
@@ -118,6 +118,6 @@
 
 def _check_address(path: str, field: str, text: str) -> None:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or digits.parse(port) is None:
         detail = f"{path}: {field} takes IP:PORT, not {text!r}"
         raise errors.GaprockError(errorcodes.SETTINGS, detail)
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -12,7 +12,15 @@
 import urllib3.connection
 import urllib3.util.wait
 
-from gaprock import clock, eventlog, gateway_api, http_client, plugin, retry_after
+from gaprock import (
+    clock,
+    digits,
+    eventlog,
+    gateway_api,
+    http_client,
+    plugin,
+    retry_after,
+)
 
 # Longest wait for a connection and for an ordinary answer, seconds; the store usually
 # answers in 4 ms.
@@ -96,8 +104,7 @@
     """Decode the values of the epoch's header; ``None`` if they are invalid."""
     if len(texts) != 1 or len(texts[0]) > MAX_EPOCH_CHARS:
         return None
-    text = texts[0].strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    return digits.parse(texts[0].strip())
 
 
 class PlatformLongPoll(gateway_api.LongPoll):
--- a/gaprock/platform/wire.py
+++ b/gaprock/platform/wire.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from gaprock import gateway_api, invalid_rows, plugin, routes
+from gaprock import digits, gateway_api, invalid_rows, plugin, routes
 from gaprock.platform import documents, notices
 
 # Headers that concern one connection only and are not forwarded.
@@ -192,8 +192,7 @@
 
 
 def _number(value: bytes) -> int | None:
-    text = value.strip()
-    return int(text) if text.isdigit() else None
+    return digits.parse(value.strip())
 
 
 def _token_counts(value: bytes) -> tuple[int, int]:
--- a/gaprock/services_http.py
+++ b/gaprock/services_http.py
@@ -1,5 +1,6 @@
 """Clients of the platform services over HTTP and JSON."""
 
+import re
 import time
 import typing
 
@@ -7,7 +8,7 @@
 import pybreaker
 import urllib3
 
-from gaprock import http_client, options, plugin, retry_after, services_api
+from gaprock import eventlog, http_client, options, plugin, retry_after, services_api
 
 DEFAULT_RETRY_S: typing.Final = 1.0
 POOL_SIZE: typing.Final = 16
@@ -16,6 +17,9 @@
 BREAKER_FAILURES: typing.Final = 2
 # ... until this time has passed; then one call is let through as a test.
 BREAKER_RESET_S: typing.Final = 1.0
+# A string, or a character that structures a JSON document.
+TOKEN: typing.Final = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
+MAX_ERROR_CHARS: typing.Final = 200
 
 
 class Http:
@@ -73,15 +77,61 @@
 
 
 T = typing.TypeVar("T")
+DECODE_ERRORS: typing.Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 def _decode(data: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         raise services_api.AnswerLost(f"unreadable answer: {exc}") from exc
 
 
+def _decode_list(data: bytes, kind: type[T], key_field: str) -> list[T]:
+    """Decode an array; an element that another writer made unreadable is left out.
+
+    :param key_field: names the element in the log.
+    """
+    try:
+        return msgspec.json.decode(data, type=list[kind])  # type: ignore[valid-type]
+    except DECODE_ERRORS:
+        found = [_decode_element(one, kind, key_field) for one in _elements(data)]
+    return [one for one in found if one is not None]
+
+
+def _decode_element(data: bytes, kind: type[T], key_field: str) -> T | None:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except DECODE_ERRORS as exc:
+        named = re.search(rb'"%s"\s*:\s*("[^"\\]*")' % key_field.encode(), data)
+        eventlog.warning(
+            "invalid-row",
+            table="services",
+            key=named.group(1).decode("utf-8", "replace") if named else "none",
+            size=len(data),
+            error=str(exc)[:MAX_ERROR_CHARS],
+        )
+        return None
+
+
+def _elements(data: bytes) -> typing.Iterator[bytes]:
+    """Split a JSON array into its elements, whatever they contain."""
+    depth, begin = 0, 0
+    for token in TOKEN.finditer(data):
+        text = token.group()
+        if text in (b"[", b"{"):
+            depth += 1
+            begin = token.end() if depth == 1 else begin
+        elif text in (b"]", b"}"):
+            depth -= 1
+        if depth == 0 or (depth == 1 and text == b","):
+            if data[begin : token.start()].strip():
+                yield data[begin : token.start()]
+            begin = token.end()
+        if depth == 0:
+            return
+
+
 class ReadRequest(msgspec.Struct):
     """Request for rows by key."""
 
@@ -146,12 +196,15 @@
     def read(self, keys: list[str]) -> list[services_api.Row]:
         body = msgspec.json.encode(ReadRequest(keys))
         data = self._call("/table/read", body)
-        return _decode(data, list[services_api.Row])
+        rows = _decode(data, list[services_api.Row])
+        if len(rows) != len(keys):
+            raise services_api.AnswerLost("answer has another number of rows")
+        return rows
 
     def scan(self, prefix: str, after: str, limit: int) -> list[services_api.Row]:
         body = msgspec.json.encode(ScanRequest(prefix, after, limit))
         data = self._call("/table/scan", body)
-        return _decode(data, list[services_api.Row])
+        return _decode_list(data, services_api.Row, "key")
 
 
 class HttpObjects(services_api.Objects):
@@ -199,7 +252,8 @@
         self._http = http
 
     def vms(self) -> list[services_api.Vm]:
-        return _decode(self._http.call("GET", "/vms", None), list[services_api.Vm])
+        data = self._http.call("GET", "/vms", None)
+        return _decode_list(data, services_api.Vm, "vm")
 
 
 @plugin.register(services_api.Connector, "http")
--- a/gaprock/test/testcutheads.py
+++ b/gaprock/test/testcutheads.py
@@ -43,6 +43,10 @@
                     with conn:
                         conn.recv(65536)
                         conn.sendall(head)
+                        # Closing with unread bytes would reset the connection.
+                        conn.shutdown(socket.SHUT_WR)
+                        while conn.recv(65536):
+                            pass
 
         threading.Thread(target=serve, daemon=True).start()
         host, port = listener.getsockname()
