Go back to the version before a completed one that fails, without a canary

What callers saw: v2 was completed, its old endpoints stopped, then it turned bad. The operator ordered v1 again, which got a canary's share for 14 s of 16; v2 got 1,324 of 1,505 requests, 1,039 of them too long after its 50th bad answer. This is the commonest reason to go back.

Cause: a version that was stable before the present one is not known to be sound, since names are used again, so it gets a canary; and nothing ever judged the stable version.

Change: while a version that was stable before is ordered, the answers of the two are compared the other way round. If the stable one fails more, on any route, it is withdrawn and the one before is stable again, so that the order is a return. Without that evidence it remains a canary.

--- a/gaprock/rollout_evidence.py
+++ b/gaprock/rollout_evidence.py
@@ -29,6 +29,8 @@
 TOTALS: typing.Final = (FIRST_PARTS, GAPS)
 # With so many answers of one endpoint, others are not waited for.
 MAX_OF_ONE: typing.Final = 20
+# The old version is compared with so many answers of the new one on a route, or more.
+MIN_COMPARED: typing.Final = 5
 # Endpoints are told apart by this many groups, which bounds the number of counters.
 GROUPS: typing.Final = 32
 # The group of answers whose endpoint is not known.
@@ -157,6 +159,26 @@
                 return self._reason(label, odds, route)
         return ""
 
+    def is_old_worse(self, label: str) -> bool:
+        """Whether the old version fails more than the new one, on any route."""
+        cells = self.cells(label)
+        routes = {c.route for c in cells if c.is_new and not c.route.endswith(GAPS)}
+        for route in (FIRST_PARTS, *sorted(routes)):
+            new, old = _by_side(cells, route)
+            if not old or sum(map(sum, new.values())) < MIN_COMPARED:
+                continue
+            by_period: dict[int, relative_times.Counts] = {}
+            for (_, period), counts in new.items():
+                of_period = by_period.get(period, ())
+                by_period[period] = relative_times.add(of_period, counts)
+            judged: dict[tuple[int | None, int], relative_times.Counts] = {
+                (None, period): counts for period, counts in old.items()
+            }
+            _, failing = rollout_odds.measure(judged, by_period)
+            if failing > HALT_ODDS:
+                return True
+        return False
+
     def _reason(self, label: str, odds: rollout_odds.Odds, route: str) -> str:
         sums = self.by_side(label)
         return (
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -37,6 +37,7 @@
     rollout_orders,
     rollout_sessions,
     rollout_state,
+    version_roles,
     version_sends,
 )
 
@@ -500,8 +501,30 @@
         """Judge all rollouts again, after evidence from peers."""
         for rollout in self.all():
             if self._is_judgement_due(rollout):
+                self._judge_stable(rollout)
                 self._judge(rollout)
 
+    def _judge_stable(self, rollout: rollout_state.Rollout) -> None:
+        """Withdraw the stable version if it fails more than the one before it.
+
+        Operators go back to the version before when one turns out to be bad after it
+        was completed.
+        """
+        order = rollout.order
+        if not self.roles.is_former_stable(order.service, order.to_version):
+            return
+        if rollout.state is not rollout_state.State.RUNNING or rollout.halted:
+            return
+        if self._evidence.is_old_worse(rollout.label):
+            self.roles.record(
+                order.service,
+                self.roles.stable(order.service),
+                version_roles.Role.WITHDRAWN,
+                rollout.order_version,
+                "fails more than the version before it",
+                is_replaced=True,
+            )
+
     def is_doubted(self, rollout: rollout_state.Rollout) -> bool:
         """Whether the evidence was against the new version at all, even weakly."""
         return self._evidence.is_doubted(rollout.label)
--- a/gaprock/test/testversionroles.py
+++ b/gaprock/test/testversionroles.py
@@ -4,8 +4,15 @@
 
 import pytest
 
-from gaprock import rollout_state, version_sends
-from gaprock.test import gatewaysite
+from gaprock import (
+    clock,
+    gateway_api,
+    rollout_latency,
+    rollout_state,
+    rollouts,
+    version_sends,
+)
+from gaprock.test import gatewaysite, rolloutcase
 
 OUTCOME_KEY: typing.Final = "rollout/app"
 
@@ -124,3 +131,47 @@
     with VersionSite() as site:
         site.order("v2")
         site.wait_for("v2", "rolled_back")
+
+
+@pytest.fixture
+def went_back() -> rollouts.Rollouts:
+    """Rollouts in which v2 was completed after v1, and v1 is ordered again."""
+    book = rolloutcase.make_rollouts(clock.ManualClock(100.0))
+    done = rollout_state.State.COMPLETED
+    for number, version in enumerate(("v1", "v2", "v1"), 1):
+        order = gateway_api.RolloutOrder("llm", version, 20.0)
+        book.add_order(order, 10 * number, 100.0)
+        if number < 3:
+            outcome = rollout_state.Outcome(version, done, 10 * number + 1)
+            book.apply_outcome("llm", outcome)
+    return book
+
+
+def judge(book: rollouts.Rollouts, version: str, bad: int, good: int) -> None:
+    for number in range(bad + good):
+        answer = rollout_latency.VersionSample(number < bad, 0.1)
+        book.judge_answer("llm", version, "r", "m", answer)
+    book._clock.advance(1.0)  # type: ignore[attr-defined]
+    book.judge_all()
+
+
+def test_going_back_from_a_completed_version_that_fails_takes_no_canary(
+    went_back: rollouts.Rollouts,
+) -> None:
+    judge(went_back, "v2", 35, 65)
+    (rollout,) = went_back.all()
+    assert went_back.share(rollout) < 1.0
+    judge(went_back, "v1", 0, 5)
+    assert went_back.roles.stable("llm") == "v1"
+    assert went_back.share(rollout) == 1.0
+
+
+@pytest.mark.parametrize("bad_before,bad_now", [(3, 0), (35, 2), (0, 0), (20, 5)])
+def test_going_back_without_need_takes_a_canary(
+    went_back: rollouts.Rollouts, bad_before: int, bad_now: int
+) -> None:
+    judge(went_back, "v2", bad_before, 100 - bad_before)
+    judge(went_back, "v1", bad_now, 5 - bad_now)
+    (rollout,) = went_back.all()
+    assert went_back.roles.stable("llm") == "v2"
+    assert went_back.share(rollout) < 1.0
--- a/gaprock/version_roles.py
+++ b/gaprock/version_roles.py
@@ -6,7 +6,8 @@
   It gets no requests until it is ordered again.
 
 An order for the stable version is a *return*: it needs no canary.  A version that was
-stable before the present one is not known to be sound any more.
+stable before the present one does: its name may stand for another one by now.  If the
+present one turns out to fail more, it is withdrawn, and the one before is stable again.
 
 Each role carries the order that gave it, by the store's epoch and row version, and the
 newest one is valid.  So roles may be merged in any sequence: from this gateway's own
@@ -67,6 +68,13 @@
         found = _stable(self._by_service.get(service, {}))
         return found.version if found else ""
 
+    def is_former_stable(self, service: str, version: str) -> bool:
+        """Whether a version was stable before the present one, and not withdrawn."""
+        known = self._by_service.get(service, {}).get(version)
+        if known is None or known.role is not Role.STABLE:
+            return False
+        return version != self.stable(service)
+
     def was_stable(self, service: str, version: str, order: OrderVersion) -> bool:
         """Whether a version is the stable one, and was so before an order."""
         found = _stable(self._by_service.get(service, {}))
@@ -77,19 +85,27 @@
         return tuple(r.version for r in self.of(service) if r.role is Role.WITHDRAWN)
 
     def record(
-        self, service: str, version: str, role: Role, since: OrderVersion, reason: str
+        self,
+        service: str,
+        version: str,
+        role: Role,
+        since: OrderVersion,
+        reason: str,
+        is_replaced: bool = False,
     ) -> None:
         """Record the role of a version, unless a newer one is known.
 
-        The stable version stays stable: it was sound for longer than its order.
+        The stable version stays stable, unless the one before is to replace it.
 
         :param reason: for the log.
+        :param is_replaced: whether a version that was stable before replaces it.
         """
         with self._lock:
             known = self._by_service.get(service, {})
             if version in known and known[version].since >= since:
                 return
-            if role is Role.WITHDRAWN and version == self.stable(service):
+            is_withdrawn = role is Role.WITHDRAWN and not is_replaced
+            if is_withdrawn and version == self.stable(service):
                 return
             roles = known | {version: VersionRole(version, role, since)}
             self._by_service[service] = _without_oldest(roles)
