--- a/gaprock/test/testversionroles.py
+++ b/gaprock/test/testversionroles.py
@@ -111,14 +111,17 @@
         site.wait_for("v1", "completed")
 
 
-def test_a_rolled_back_version_gets_nothing_while_the_stable_one_is_gone_briefly() -> (
-    None
-):
+@pytest.mark.parametrize("is_running", [True, False])
+def test_a_rolled_back_version_gets_nothing_while_the_stable_one_is_gone_briefly(
+    is_running: bool,
+) -> None:
     with VersionSite() as site:
         site.add_version("v2")
         site.order("v2")
         site.roll_back()
         site.order("v3")
+        if not is_running:
+            site.roll_back()
         assert site.call("/safe/x").status == 200
         before = site.count("v2")
         site.store.remove("servers", "v1")
