--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -193,7 +193,8 @@
         return self._rollouts.fallback.apply(
             assignment,
             lambda takes: self._directory.has_version(call.service, takes),
-            call.is_in_session,
+            call.is_in_session
+            and self._rollouts.is_on_ordered(call.service, call.session),
         )
 
     def _accepting(
--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -304,6 +304,12 @@
         self._sessions.record(service, session, version, now)
         self._record_pinned(service, session, version, now)
 
+    def is_on_ordered(self, service: str, session: str) -> bool:
+        """Whether an active session was last sent to the ordered version."""
+        rollout = self._by_service.get(service)
+        version = self._sessions.version(service, session, self._clock.now())
+        return rollout is not None and version == rollout.order.to_version
+
     def record_session_end(self, service: str, session: str) -> None:
         """Record the end of a session's request, from which its idle time counts."""
         now = self._clock.now()
--- a/gaprock/test/testversionroles.py
+++ b/gaprock/test/testversionroles.py
@@ -136,6 +136,18 @@
         site.wait_for("v2", "rolled_back")
 
 
+@pytest.mark.parametrize("is_named", [True, False])
+def test_a_canary_without_an_endpoint_refuses_no_request(is_named: bool) -> None:
+    with VersionSite() as site:
+        site.order("v2")
+        (rollout,) = site.rollouts()
+        now = site.gateway.clock.now
+        gatewaysite.wait_until(lambda: not rollout.awaits_peers(now()), "it is known")
+        for number in range(40):
+            session = f"s{number}" if is_named else ""
+            assert site.call("/safe/x", Session=session).status == 200
+
+
 @pytest.fixture
 def went_back() -> rollouts.Rollouts:
     """Rollouts in which v2 was completed after v1, and v1 is ordered again."""
--- a/gaprock/test/testversionseries.py
+++ b/gaprock/test/testversionseries.py
@@ -137,7 +137,7 @@
         if assignment is None:
             return min(endpoints, default="")
         assignment = self.book.fallback.apply(
-            assignment, lambda takes: any(map(takes, endpoints)), is_in_session=False
+            assignment, lambda takes: any(map(takes, endpoints)), is_bound=False
         )
         return next(filter(assignment.takes, sorted(endpoints)), "")
 
--- a/gaprock/version_fallback.py
+++ b/gaprock/version_fallback.py
@@ -43,28 +43,27 @@
         self,
         assignment: rollout_state.Assignment,
         has_version: HasVersion,
-        is_in_session: bool,
+        is_bound: bool,
     ) -> rollout_state.Assignment:
         """Return an assignment that fits an endpoint, if there is any.
 
-        :param is_in_session: whether the caller named the session, so that it stays on
-            its version.
+        :param is_bound: whether the session is on the ordered version and stays there.
         """
         rollout = assignment.rollout
-        for option in self._options(assignment, is_in_session):
+        for option in self._options(assignment, is_bound):
             if has_version(option.takes):
                 self._log_active(rollout.order.service, option.takes_any)
                 return option
         return assignment
 
     def _options(
-        self, assignment: rollout_state.Assignment, is_in_session: bool
+        self, assignment: rollout_state.Assignment, is_bound: bool
     ) -> typing.Iterator[rollout_state.Assignment]:
         yield assignment
         rollout = assignment.rollout
         is_running = rollout.state is rollout_state.State.RUNNING
         is_running = is_running and not rollout.halted
-        if assignment.on_new and is_in_session and is_running:
+        if assignment.on_new and is_bound and is_running:
             return
         stable = self._roles.stable(rollout.order.service)
         is_other = stable and stable != rollout.order.to_version
