Add a failing test of versions without an order

After a restore that loses v2's order and a kill of all gateways, v2, which is withdrawn, gets half of the requests until v1 is ordered: 25 in 2 s (trial, real gateways). Endpoints that come before their version's order get theirs as well: 33 in 1 s.

--- a/gaprock/test/testversionroles.py
+++ b/gaprock/test/testversionroles.py
@@ -10,6 +10,7 @@
     rollout_latency,
     rollout_state,
     rollouts,
+    version_roles,
     version_sends,
 )
 from gaprock.test import gatewaysite, rolloutcase
@@ -190,3 +191,17 @@
     (rollout,) = went_back.all()
     assert went_back.roles.stable("llm") == "v2"
     assert went_back.share(rollout) < 1.0
+
+
+@pytest.mark.parametrize("roles", [(), ("v2",)])
+def test_no_version_but_the_stable_one_gets_requests_without_an_order(
+    roles: tuple[str, ...],
+) -> None:
+    book = rolloutcase.make_rollouts(clock.ManualClock(100.0))
+    since = version_roles.BEFORE_ORDERS
+    stored = [version_roles.VersionRole("v1", version_roles.Role.STABLE, since)]
+    withdrawn = version_roles.Role.WITHDRAWN
+    stored += [version_roles.VersionRole(one, withdrawn, (0, 7)) for one in roles]
+    book.record_stored_roles("llm", stored)
+    assert book.fits("llm", "v1", "session")
+    assert not book.fits("llm", "v2", "session")
