Use the stable version where no order is known

What callers saw: without an order, all endpoints of a service were used.

Cause: roles were looked at only in the assignment to one side of a rollout.

--- a/gaprock/rollouts.py
+++ b/gaprock/rollouts.py
@@ -28,6 +28,7 @@
     clock,
     eventlog,
     evidence,
+    gateway_api,
     mechanisms,
     rollout_exposure,
     rollout_growth,
@@ -77,6 +78,8 @@
         self._sessions = rollout_sessions.RecentSessions(session_s)
         self._canary = canary_share * FIRST_USED_SHARE
         self._count_gateways = count_gateways
+        # Stand for the orders of stable versions that no order is known of.
+        self._unordered: dict[str, rollout_state.Rollout] = {}
 
     # -- Which version a request gets --
 
@@ -179,14 +182,14 @@
     def assignment(
         self, service: str, session: str, is_named: bool = False
     ) -> rollout_state.Assignment | None:
-        """Return the assignment of a session; ``None`` if its service has no rollout.
+        """Return the assignment of a session; ``None`` if any version may be used.
 
         :param is_named: whether the caller named the session, so that its requests
             belong together.
         """
         rollout = self._by_service.get(service)
         if rollout is None:
-            return None
+            return self._assign_unordered(service)
         share = self.share(rollout)
         if self.is_return(rollout):
             return self._assign(rollout, on_new=True)
@@ -198,6 +201,19 @@
             on_new = self._is_admitted(rollout, session if is_named else "")
         return self._assign(rollout, on_new)
 
+    def _assign_unordered(self, service: str) -> rollout_state.Assignment | None:
+        """Return the assignment of all sessions of a service without an order."""
+        stable = self.roles.stable(service)
+        if not stable:
+            return None
+        rollout = self._unordered.get(service)
+        if rollout is None or rollout.order.to_version != stable:
+            order = gateway_api.RolloutOrder(service, stable, 0.0)
+            rollout = rollout_state.Rollout(order, 0, -clock.NEVER, 0.0)
+            rollout.state = rollout_state.State.COMPLETED
+            self._unordered[service] = rollout
+        return self._assign(rollout, on_new=True)
+
     def _assign(
         self, rollout: rollout_state.Rollout, on_new: bool
     ) -> rollout_state.Assignment:
--- a/gaprock/test/testversionseries.py
+++ b/gaprock/test/testversionseries.py
@@ -259,7 +259,7 @@
     @stateful.rule(version=st.sampled_from(VERSIONS), is_there=st.booleans())
     def endpoint_row(self, version: str, is_there: bool) -> None:
         """The row of a version's endpoint is written, or is gone."""
-        if not self.ordered:
+        if not self.ordered and version == self.stable:
             return
         if is_there:
             self.endpoints.add(version)
@@ -284,7 +284,7 @@
         version = gateway.version_for(f"s{self.sent}")
         if self.stable in self.endpoints:
             assert version and version not in self.withdrawn - {self.stable}
-            if self.ordered == self.stable:
+            if self.ordered in ("", self.stable):
                 assert version == self.stable
         if not version:
             return
