Derive the stable and withdrawn versions when a role changes, not per request

Cause: since the service without an order is assigned too, each choice of an endpoint, each send and each answer asked for the stable and the withdrawn versions, and each question sorted all roles of the service.

Change: ServiceRoles holds the roles of one service with both, and is made anew when a role is recorded.

--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -191,7 +191,7 @@
 
         :param newer: a role that is valid once it is written.
         """
-        roles = {one.version: one for one in self._rollouts.roles.of(service)}
+        roles = dict(self._rollouts.roles.of(service).by_version)
         if newer is not None:
             roles[newer.version] = newer
         rows = [RoleRow(r.version, r.role, *r.since) for r in roles.values()]
--- a/gaprock/version_roles.py
+++ b/gaprock/version_roles.py
@@ -45,6 +45,38 @@
     since: OrderVersion
 
 
+def _by_age(role: VersionRole) -> OrderVersion:
+    return role.since
+
+
+class ServiceRoles:
+    """The roles of one service's versions; not changed once it is made.
+
+    :param roles: in any sequence; only so many of the newest are kept.
+    """
+
+    __slots__ = ("by_version", "stable_since", "stable", "withdrawn")
+
+    def __init__(self, roles: typing.Iterable[VersionRole] = ()) -> None:
+        known = sorted(roles, key=_by_age)
+        newest = known[-MAX_VERSIONS:]
+        stable = [one for one in known if one.role is Role.STABLE][-1:]
+        if stable and stable[0] not in newest:
+            newest[0] = stable[0]
+        # The oldest one first.
+        self.by_version = {one.version: one for one in newest}
+        # The stable version, empty if it is not known, and the order that made it so.
+        self.stable = stable[0].version if stable else ""
+        self.stable_since = stable[0].since if stable else BEFORE_ORDERS
+        # The earliest one first.
+        self.withdrawn = tuple(
+            one.version for one in newest if one.role is Role.WITHDRAWN
+        )
+
+
+NO_ROLES: typing.Final = ServiceRoles()
+
+
 class VersionRoles:
     """The roles of all versions by service; thread-safe."""
 
@@ -52,12 +84,11 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        # By service; the roles by version are replaced, never changed.
-        self._by_service: dict[str, dict[str, VersionRole]] = {}
+        self._by_service: dict[str, ServiceRoles] = {}
 
-    def of(self, service: str) -> list[VersionRole]:
-        """Return the roles of a service's versions, the oldest first."""
-        return sorted(self._by_service.get(service, {}).values(), key=_by_age)
+    def of(self, service: str) -> ServiceRoles:
+        """Return the roles of a service's versions."""
+        return self._by_service.get(service, NO_ROLES)
 
     def services(self) -> list[str]:
         """Return the services of which any role is known."""
@@ -65,24 +96,23 @@
 
     def stable(self, service: str) -> str:
         """Return the stable version of a service; empty if it is not known."""
-        found = _stable(self._by_service.get(service, {}))
-        return found.version if found else ""
+        return self.of(service).stable
+
+    def withdrawn(self, service: str) -> tuple[str, ...]:
+        """Return the withdrawn versions of a service, the earliest first."""
+        return self.of(service).withdrawn
 
     def is_former_stable(self, service: str, version: str) -> bool:
         """Whether a version was stable before the present one, and not withdrawn."""
-        known = self._by_service.get(service, {}).get(version)
-        if known is None or known.role is not Role.STABLE:
-            return False
-        return version != self.stable(service)
+        roles = self.of(service)
+        known = roles.by_version.get(version)
+        is_stable = known is not None and known.role is Role.STABLE
+        return is_stable and version != roles.stable
 
     def was_stable(self, service: str, version: str, order: OrderVersion) -> bool:
         """Whether a version is the stable one, and was so before an order."""
-        found = _stable(self._by_service.get(service, {}))
-        return found is not None and found.version == version and found.since < order
-
-    def withdrawn(self, service: str) -> tuple[str, ...]:
-        """Return the withdrawn versions of a service, the earliest first."""
-        return tuple(r.version for r in self.of(service) if r.role is Role.WITHDRAWN)
+        roles = self.of(service)
+        return version == roles.stable and roles.stable_since < order
 
     def record(
         self,
@@ -101,22 +131,24 @@
         :param is_replaced: whether a version that was stable before replaces it.
         """
         with self._lock:
-            known = self._by_service.get(service, {})
-            if version in known and known[version].since >= since:
+            roles = self.of(service)
+            known = roles.by_version.get(version)
+            if known is not None and known.since >= since:
                 return
             is_withdrawn = role is Role.WITHDRAWN and not is_replaced
-            if is_withdrawn and version == self.stable(service):
+            if is_withdrawn and version == roles.stable:
                 return
-            roles = known | {version: VersionRole(version, role, since)}
-            self._by_service[service] = _without_oldest(roles)
-        if version not in known or known[version].role is not role:
+            changed = {version: VersionRole(version, role, since)}
+            merged = roles.by_version | changed
+            self._by_service[service] = ServiceRoles(merged.values())
+        if known is None or known.role is not role:
             log = eventlog.info if role is Role.STABLE else eventlog.warning
             log(
                 "version-role",
                 service=service,
                 version=version,
                 role=role.value,
-                was=known[version].role.value if version in known else "none",
+                was="none" if known is None else known.role.value,
                 epoch=since[0],
                 revision=since[1],
                 reason=reason,
@@ -132,24 +164,6 @@
 
         :param since: the epoch and version of the outcome's row.
         """
-        known = self._by_service.get(service, {}).get(version)
+        known = self.of(service).by_version.get(version)
         if known is None or known.since[0] in (since[0], BEFORE_ORDERS[0]):
             self.record(service, version, role, since, reason)
-
-
-def _by_age(role: VersionRole) -> OrderVersion:
-    return role.since
-
-
-def _stable(roles: typing.Mapping[str, VersionRole]) -> VersionRole | None:
-    stable = [one for one in roles.values() if one.role is Role.STABLE]
-    return max(stable, key=_by_age, default=None)
-
-
-def _without_oldest(roles: dict[str, VersionRole]) -> dict[str, VersionRole]:
-    """Return so many of the newest roles as are remembered, with the stable one."""
-    stable = _stable(roles)
-    newest = sorted(roles.values(), key=_by_age)[-MAX_VERSIONS:]
-    if stable is not None and stable not in newest:
-        newest[0] = stable
-    return {one.version: one for one in newest}
--- a/misc/proofs_gateway_store.py
+++ b/misc/proofs_gateway_store.py
@@ -386,7 +386,7 @@
         "testversionroles.py::test_an_order_back_to_the_stable_version_gives_the"
         "_withdrawn_one_nothing",
         "version_roles.py",
-        "return found is not None and found.version == version and found.since < order",
+        "return version == roles.stable and roles.stable_since < order",
         "return False",
     ),
     proofs.gateway(
