Add a failing test of a start from nothing before any order

Found by 300 random draws of testversionseries: endpoints of v2 come before any order, all gateways are killed, and v1, which ran, is ordered. Gateways that start then know no role, and take v2 for the stable version. Roles are stored from the first order on only. Not mended here: it needs a write at the start.

--- a/gaprock/test/testversionseries.py
+++ b/gaprock/test/testversionseries.py
@@ -333,3 +333,12 @@
     assert rollout_state.State.RUNNING in [
         one.state for one in series.gateways[1].book.all()
     ]
+
+
+def test_a_kill_of_all_before_any_order_does_not_change_the_stable_version() -> None:
+    series = Series()
+    series.endpoint_row("v2", is_there=True)
+    series.all_killed()
+    series.order("v1", is_there=True)
+    stable = [gateway.book.roles.stable(SERVICE) for gateway in series.gateways]
+    assert set(stable) <= {"v1", ""}
