Say at one place what a version counts as after an outcome

Cause: completed to stable and rolled back to withdrawn stood in four places, three times in the order book and once in the writer of the rows.

Change: OUTCOME_ROLES has it, with the reason for the log. Nothing else changes; the tests of rollouts, takeovers, restores and versions pass as they are. The chooser's doc comment says when there is no assignment now.

--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -184,7 +184,7 @@
         )
 
     def _assignment(self, call: gateway_call.Call) -> rollout_state.Assignment | None:
-        """Return the assignment of a call's session; ``None`` without a rollout."""
+        """Return the assignment of a call's session; ``None`` if any version fits."""
         assignment = self._rollouts.assignment(
             call.service, call.session, call.is_in_session
         )
--- a/gaprock/rollout_orders.py
+++ b/gaprock/rollout_orders.py
@@ -17,6 +17,12 @@
     version_roles,
 )
 
+# What a version counts as after an outcome of its order, and why, for the log.
+OUTCOME_ROLES: typing.Final = {
+    rollout_state.State.COMPLETED: (version_roles.Role.STABLE, "completed"),
+    rollout_state.State.ROLLED_BACK: (version_roles.Role.WITHDRAWN, "rolled back"),
+}
+REPLACED: typing.Final = version_roles.Role.WITHDRAWN, "replaced before its outcome"
 # Number of replaced orders that are remembered for each service.
 MAX_REPLACED: typing.Final = 8
 # Corrections of a start by less than this are not logged: heartbeats take as long.
@@ -143,13 +149,10 @@
 
     def _record_replaced(self, rollout: rollout_state.Rollout) -> None:
         """Record what a rollout that is replaced showed of its version."""
-        if rollout.state is rollout_state.State.COMPLETED:
-            self._record_role(rollout, version_roles.Role.STABLE, "completed")
-        elif rollout.halted or rollout.state is rollout_state.State.ROLLED_BACK:
-            self._record_role(rollout, version_roles.Role.WITHDRAWN, "rolled back")
-        else:
-            reason = "replaced before its outcome"
-            self._record_role(rollout, version_roles.Role.WITHDRAWN, reason)
+        state = rollout.state
+        if rollout.halted and state is rollout_state.State.RUNNING:
+            state = rollout_state.State.ROLLED_BACK
+        self._record_role(rollout, *OUTCOME_ROLES.get(state, REPLACED))
 
     def _record_role(
         self, rollout: rollout_state.Rollout, role: version_roles.Role, reason: str
@@ -401,22 +404,17 @@
                 version=outcome.version,
                 state=outcome.state.value,
             )
-        if outcome.state is rollout_state.State.COMPLETED:
-            self._record_role(rollout, version_roles.Role.STABLE, "completed")
-        else:
-            self._record_role(rollout, version_roles.Role.WITHDRAWN, "rolled back")
+        self._record_role(rollout, *OUTCOME_ROLES[outcome.state])
 
     def _apply_earlier_outcome(
         self, service: str, outcome: rollout_state.Outcome
     ) -> None:
         """Apply the outcome of an order that is not the present one."""
         since = (outcome.epoch, outcome.row_version)
-        if outcome.state is rollout_state.State.COMPLETED:
-            role, reason = version_roles.Role.STABLE, "completed"
-        elif outcome.state is rollout_state.State.ROLLED_BACK:
-            role, reason = version_roles.Role.WITHDRAWN, "rolled back"
-        else:
+        if outcome.state is rollout_state.State.RUNNING:
             # Replaced before its outcome, or its order has not been read yet.
             role, reason = version_roles.Role.WITHDRAWN, "not ordered any more"
             since = version_roles.BEFORE_ORDERS
+        else:
+            role, reason = OUTCOME_ROLES[outcome.state]
         self.roles.record_outcome(service, outcome.version, role, since, reason)
--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -17,6 +17,7 @@
     gateway_api,
     mesh,
     rollout_growth,
+    rollout_orders,
     rollout_state,
     rollouts,
     store_epochs,
@@ -158,10 +159,10 @@
         self, rollout: rollout_state.Rollout, state: rollout_state.State
     ) -> version_roles.VersionRole | None:
         """Return the role that a rollout's version has once a state is written."""
-        role = version_roles.Role.WITHDRAWN
-        if state is rollout_state.State.COMPLETED:
-            role = version_roles.Role.STABLE
-        elif state is rollout_state.State.RUNNING or self._rollouts.is_return(rollout):
+        if state is rollout_state.State.RUNNING:
+            return None
+        role, _ = rollout_orders.OUTCOME_ROLES[state]
+        if role is version_roles.Role.WITHDRAWN and self._rollouts.is_return(rollout):
             return None
         version = rollout.order.to_version
         return version_roles.VersionRole(version, role, rollout.order_version)
