Log an odd entry of the services as the store's rows are logged

Cause: services_http had its own list of decoding errors, its own limit of an error's text and its own line, and wrote that line at each poll of the VM list for as long as the entry was there, without a bound.

Which entries are left out is as before. test_an_odd_entry_is_logged_once_for_many_polls holds it.

--- a/gaprock/platform/unknown_fields.py
+++ b/gaprock/platform/unknown_fields.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from gaprock import eventlog
+from gaprock import eventlog, invalid_rows
 
 # Fields that the platform sends and that are not used: anywhere but in an engine, and
 # in an engine.
@@ -80,7 +80,7 @@
         """Log the unknown fields of a document that was decoded as a type."""
         try:
             doc = msgspec.json.decode(value)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        except invalid_rows.DECODE_ERRORS:
             # An ignored field is invalid, so the document is valid without it.
             return
         found = find(kind, [doc])
--- a/gaprock/services_http.py
+++ b/gaprock/services_http.py
@@ -8,7 +8,16 @@
 import pybreaker
 import urllib3
 
-from gaprock import eventlog, http_client, options, plugin, retry_after, services_api
+from gaprock import (
+    clock,
+    gateway_api,
+    http_client,
+    invalid_rows,
+    options,
+    plugin,
+    retry_after,
+    services_api,
+)
 
 DEFAULT_RETRY_S: typing.Final = 1.0
 POOL_SIZE: typing.Final = 16
@@ -19,7 +28,6 @@
 BREAKER_RESET_S: typing.Final = 1.0
 # A string, or a character that structures a JSON document.
 TOKEN: typing.Final = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
-MAX_ERROR_CHARS: typing.Final = 200
 
 
 class Http:
@@ -77,41 +85,43 @@
 
 
 T = typing.TypeVar("T")
-DECODE_ERRORS: typing.Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 def _decode(data: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(data, type=kind)
-    except DECODE_ERRORS as exc:
+    except invalid_rows.DECODE_ERRORS as exc:
         raise services_api.AnswerLost(f"unreadable answer: {exc}") from exc
 
 
-def _decode_list(data: bytes, kind: type[T], key_field: str) -> list[T]:
-    """Decode an array; an element that another writer made unreadable is left out.
+class _ListDecoder:
+    """Decodes arrays; an element that another writer made unreadable is left out.
 
-    :param key_field: names the element in the log.
+    :param key_field: names an element in the log.
     """
-    try:
-        return msgspec.json.decode(data, type=list[kind])  # type: ignore[valid-type]
-    except DECODE_ERRORS:
-        found = [_decode_element(one, kind, key_field) for one in _elements(data)]
-    return [one for one in found if one is not None]
 
+    __slots__ = ("_key", "_invalid")
 
-def _decode_element(data: bytes, kind: type[T], key_field: str) -> T | None:
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except DECODE_ERRORS as exc:
-        named = re.search(rb'"%s"\s*:\s*("[^"\\]*")' % key_field.encode(), data)
-        eventlog.warning(
-            "invalid-row",
-            table="services",
-            key=named.group(1).decode("utf-8", "replace") if named else "none",
-            size=len(data),
-            error=str(exc)[:MAX_ERROR_CHARS],
-        )
-        return None
+    def __init__(self, table: str, key_field: str) -> None:
+        self._key = re.compile(rb'"%s"\s*:\s*"([^"\\]*)"' % key_field.encode())
+        self._invalid = invalid_rows.InvalidRows(table, clock.SteadyClock())
+
+    def decode(self, data: bytes, kind: type[T]) -> list[T]:
+        """Decode an array of elements of a kind."""
+        try:
+            listed: type[list[T]] = list[kind]  # type: ignore[valid-type]
+            return msgspec.json.decode(data, type=listed)
+        except invalid_rows.DECODE_ERRORS:
+            return list(self._decode_each(data, kind))
+
+    def _decode_each(self, data: bytes, kind: type[T]) -> typing.Iterator[T]:
+        for element in _elements(data):
+            try:
+                yield invalid_rows.decode(kind, element)
+            except gateway_api.InvalidDocument as exc:
+                named = self._key.search(element)
+                key = named.group(1).decode("utf-8", "replace") if named else ""
+                self._invalid.record(gateway_api.Row(key, element, 0), exc)
 
 
 def _elements(data: bytes) -> typing.Iterator[bytes]:
@@ -169,10 +179,11 @@
 class HttpTable(services_api.Table):
     """The table service, behind a circuit breaker."""
 
-    __slots__ = ("_http", "_breaker")
+    __slots__ = ("_http", "_breaker", "_rows")
 
     def __init__(self, http: Http) -> None:
         self._http = http
+        self._rows = _ListDecoder("table", "key")
         self._breaker = pybreaker.CircuitBreaker(
             fail_max=BREAKER_FAILURES,
             reset_timeout=BREAKER_RESET_S,
@@ -204,7 +215,7 @@
     def scan(self, prefix: str, after: str, limit: int) -> list[services_api.Row]:
         body = msgspec.json.encode(ScanRequest(prefix, after, limit))
         data = self._call("/table/scan", body)
-        return _decode_list(data, services_api.Row, "key")
+        return self._rows.decode(data, services_api.Row)
 
 
 class HttpObjects(services_api.Objects):
@@ -246,14 +257,15 @@
 class HttpVmList(services_api.VmList):
     """The VM list."""
 
-    __slots__ = ("_http",)
+    __slots__ = ("_http", "_entries")
 
     def __init__(self, http: Http) -> None:
         self._http = http
+        self._entries = _ListDecoder("vms", "vm")
 
     def vms(self) -> list[services_api.Vm]:
         data = self._http.call("GET", "/vms", None)
-        return _decode_list(data, services_api.Vm, "vm")
+        return self._entries.decode(data, services_api.Vm)
 
 
 @plugin.register(services_api.Connector, "http")
--- a/gaprock/test/testoddservices.py
+++ b/gaprock/test/testoddservices.py
@@ -59,6 +59,17 @@
     assert [vm.vm for vm in vms] == ["vm1", "vm2"]
 
 
+def test_an_odd_entry_is_logged_once_for_many_polls(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    listed = answer(f"[{GOOD[0]},{ODD[1]}]")
+    with testcutheads.server(listed) as address, caplog.at_level("WARNING"):
+        vms = services_http.HttpVmList(http(address))
+        for _ in range(5):
+            assert len(vms.vms()) == 1
+    assert caplog.text.count("invalid-row table=vms key=odd") == 1
+
+
 @pytest.mark.parametrize("odd", ODD, ids=range(len(ODD)))
 def test_an_odd_row_hides_no_other_row_of_a_scan(odd: str) -> None:
     rows = ['{"key": "a", "version": 1, "value": {"x": "]},"}}']
