Rewrite the stored roles once they are known, also if that is after a restore

Cause: a gateway that saw a restore before it had read the stored roles took the restore for dealt with, and did not write them again until the next outcome. Found by reading; nothing was seen. The restore is noted only once the roles are known now; the tests of versions and restores pass as they are.

--- a/gaprock/rollout_writer.py
+++ b/gaprock/rollout_writer.py
@@ -170,12 +170,12 @@
     def _rewrite_roles(self, now: float) -> None:
         """Write the roles again once the store was restored, which may lack them."""
         newest = self._epochs.newest
-        if newest <= self._roles_epoch:
+        if newest <= self._roles_epoch or not self.knows_stored_roles:
             return
         is_restored, self._roles_epoch = self._roles_epoch >= 0, newest
         services = self._rollouts.roles.services() if is_restored else []
         own = [one for one in services if not self._mesh.duty_rank(one)]
-        if not own or not self.knows_stored_roles:
+        if not own:
             return
         eventlog.info("rows-written-again", rows="versions", epoch=newest)
         try:
