--- a/gaprock/test/exposurecase.py
+++ b/gaprock/test/exposurecase.py
@@ -10,16 +10,11 @@
 
 from gaprock import (
     clock,
-    directory,
     evidence,
-    freshness,
     gateway_api,
     gateway_rows,
-    mesh,
-    quarantine,
     rollout_latency,
     rollout_state,
-    rollout_writer,
     rollouts,
 )
 from gaprock.platform import wire
@@ -81,24 +76,12 @@
             canary_slack=SLACK,
             count_gateways=lambda: play.gateways,
         )
-        self.mesh = mesh.Mesh(
-            name,
-            "h",
-            "",
-            play.clock,
-            directory.Directory(play.clock, 2.0),
-            self.rollouts,
-            self.book,
-            quarantine.Quarantine(play.clock),
+        self.mesh, self.writer = rolloutcase.make_writer(
+            name, play.clock, play.store, self.rollouts, self.book
         )
         # Some requests run on the old version until the end.
         self.mesh.own_on_old_version = lambda service: 1
         dialect = wire.PlatformDialect()
-        store_clock = freshness.StoreClock()
-        store_clock.record(0.0, 0.0, 0.0)
-        self.writer = rollout_writer.RolloutWriter(
-            play.clock, store_clock, play.store, dialect, self.rollouts, self.mesh
-        )
         self.orders = gateway_rows.OrderRows(
             play.clock, dialect, self.rollouts, lambda halls: None
         )
--- a/gaprock/test/rolloutcase.py
+++ b/gaprock/test/rolloutcase.py
@@ -14,6 +14,7 @@
     quarantine,
     rollout_writer,
     rollouts,
+    store_epochs,
 )
 from gaprock.platform import wire
 
@@ -136,6 +137,37 @@
     return rollouts.Rollouts(time, 0.15, book, canary_slack=SLACK)
 
 
+def make_writer(
+    name: str,
+    time: clock.Clock,
+    store: gateway_api.SharedStore,
+    book: rollouts.Rollouts,
+    evidence_: evidence.EvidenceBook,
+    epochs: store_epochs.EpochTracker | None = None,
+) -> tuple[mesh.Mesh, rollout_writer.RolloutWriter]:
+    """Make a gateway's mesh, which sends nothing, and its writer of outcomes.
+
+    The store's clock is known, and equals the local one.
+    """
+    mesh_ = mesh.Mesh(
+        name,
+        "h1",
+        "",
+        time,
+        directory.Directory(time, 2.0),
+        book,
+        evidence_,
+        quarantine.Quarantine(time),
+    )
+    store_clock = freshness.StoreClock()
+    store_clock.record(0.0, 0.0, 0.0)
+    dialect = wire.PlatformDialect()
+    writer = rollout_writer.RolloutWriter(
+        time, store_clock, store, dialect, book, mesh_, epochs
+    )
+    return mesh_, writer
+
+
 class WriterCase:
     """A writer without peers, with a scripted store."""
 
@@ -143,30 +175,11 @@
         self.time = time
         self.store = ScriptedStore()
         self.book = make_rollouts(time)
-        self.directory = directory.Directory(time, 2.0)
-        self.mesh = mesh.Mesh(
-            "me",
-            "h1",
-            "",
-            time,
-            self.directory,
-            self.book,
-            evidence.EvidenceBook("me"),
-            quarantine.Quarantine(time),
+        self.mesh, self.writer = make_writer(
+            "me", time, self.store, self.book, evidence.EvidenceBook("me")
         )
         self.on_old = 0
         self.mesh.own_on_old_version = lambda service: self.on_old
-        # The store's clock is known, and equals the local one.
-        store_clock = freshness.StoreClock()
-        store_clock.record(0.0, 0.0, 0.0)
-        self.writer = rollout_writer.RolloutWriter(
-            time,
-            store_clock,
-            self.store,
-            wire.PlatformDialect(),
-            self.book,
-            self.mesh,
-        )
 
     def step_for(self, for_s: float) -> None:
         """Let time pass, and run the writer meanwhile."""
--- a/gaprock/test/testtakeover.py
+++ b/gaprock/test/testtakeover.py
@@ -12,19 +12,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from gaprock import (
-    clock,
-    directory,
-    evidence,
-    freshness,
-    gateway_api,
-    gateway_rows,
-    mesh,
-    quarantine,
-    rollout_state,
-    rollout_writer,
-    rollouts,
-)
+from gaprock import clock, evidence, gateway_api, gateway_rows, rollout_state, rollouts
 from gaprock.platform import wire
 from gaprock.test import rolloutcase
 
@@ -41,32 +29,13 @@
         self.time = world.clock
         book = evidence.EvidenceBook(name)
         self.rollouts = rollouts.Rollouts(self.time, 0.15, book)
-        endpoints = directory.Directory(self.time, 2.0)
-        self.mesh = mesh.Mesh(
-            name,
-            "h",
-            "",
-            self.time,
-            endpoints,
-            self.rollouts,
-            book,
-            quarantine.Quarantine(self.time),
+        self.mesh, self.writer = rolloutcase.make_writer(
+            name, self.time, world.store, self.rollouts, book
         )
         self.on_old = 0
         self.mesh.own_on_old_version = lambda service: self.on_old
-        dialect = wire.PlatformDialect()
-        store_clock = freshness.StoreClock()
-        store_clock.record(0.0, 0.0, 0.0)
-        self.writer = rollout_writer.RolloutWriter(
-            self.time,
-            store_clock,
-            world.store,
-            dialect,
-            self.rollouts,
-            self.mesh,
-        )
         self.rows = gateway_rows.OutcomeRows(
-            self.time, dialect, self.rollouts, self.writer
+            self.time, wire.PlatformDialect(), self.rollouts, self.writer
         )
         order = gateway_api.RolloutOrder(SERVICE, "v2", FINISH_S)
         self.rollout = self.rollouts.add_order(order, 1, world.started_at)
--- a/gaprock/test/testversionseries.py
+++ b/gaprock/test/testversionseries.py
@@ -14,15 +14,11 @@
 
 from gaprock import (
     clock,
-    directory,
     evidence,
     freshness,
     gateway_api,
     gateway_rows,
-    mesh,
-    quarantine,
     rollout_state,
-    rollout_writer,
     rollouts,
     store_epochs,
 )
@@ -95,22 +91,11 @@
             versions_of=lambda service: set(world.endpoints),
         )
         self.epochs = store_epochs.EpochTracker(time)
-        endpoints = directory.Directory(time, 2.0)
-        self.mesh = mesh.Mesh(
-            name,
-            "h",
-            "",
-            time,
-            endpoints,
-            self.book,
-            book,
-            quarantine.Quarantine(time),
+        _, self.writer = rolloutcase.make_writer(
+            name, time, world.store, self.book, book, self.epochs
         )
         store_clock = freshness.StoreClock()
         store_clock.record(0.0, 0.0, 0.0)
-        self.writer = rollout_writer.RolloutWriter(
-            time, store_clock, world.store, DIALECT, self.book, self.mesh, self.epochs
-        )
         self.orders = gateway_rows.OrderRows(time, DIALECT, self.book)
         self.outcomes = gateway_rows.OutcomeRows(time, DIALECT, self.book, self.writer)
         own = gateway_rows.OwnRows(time, world.store.read(TABLES.own), store_clock)
