Log each send without a whole answer that no crash is going to count against

The record of the users has a send that ended by its deadline, and no line that says whether a crash of its endpoint was ever looked at. send-not-suspected has the mark, the incarnation and the reason.

--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -98,9 +98,10 @@
             outcome = "not-run" if isinstance(exc, gateway_attempt.NotRun) else "failed"
             self.record_failure(call, attempt, outcome, str(exc))
             raise
-        except BaseException:
+        except BaseException as exc:
             self._judge.judge_pending(call, attempt)
             attempt.finish(self._directory)
+            self._log_not_suspected(call, attempt, type(exc).__name__)
             raise
         return attempt
 
@@ -453,19 +454,37 @@
         self._judge.record_broken_answer(call, attempt, lives)
         if lives:
             self._gate.record_alive(endpoint)
+            self._log_not_suspected(call, attempt, "endpoint accepts connections")
         elif weight:
             self._gate.record_broken_answer(call, endpoint, weight)
+        else:
+            self._log_not_suspected(call, attempt, "no weight")
 
     def _record_endpoint_end(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, reason: str
     ) -> None:
         """Record that a send was given up because its endpoint may have ended."""
         if reason not in (gateway_attempt.UNREACHABLE, gateway_attempt.RESTARTED):
+            self._log_not_suspected(call, attempt, reason)
             return
         weight = self._gate.weight(call, attempt)
         if weight:
             self._gate.record_broken_answer(call, attempt.endpoint, weight)
 
+    def _log_not_suspected(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, reason: str
+    ) -> None:
+        """Log a send without a whole answer that no crash is going to count against."""
+        eventlog.info(
+            "send-not-suspected",
+            request=call.info.request,
+            mark=f"{call.fingerprint:016x}",
+            endpoint=attempt.endpoint.name,
+            incarnation=attempt.endpoint.incarnation,
+            begun_s=attempt.answer_age_s(self._clock.now()),
+            reason=reason,
+        )
+
     def ended_with_endpoint(self, attempt: gateway_attempt.Attempt) -> bool:
         """Return whether an answer ended since its endpoint crashed.
 
