--- a/gaprock/test/fakes/backend.py
+++ b/gaprock/test/fakes/backend.py
@@ -60,6 +60,10 @@
         if self._listener.fileno() >= 0:
             self._listener.shutdown(socket.SHUT_RDWR)
             self._listener.close()
+        self.cut()
+
+    def cut(self) -> None:
+        """Close the open connections."""
         for conn in list(self._open):
             try:
                 # Without this, a thread that reads it would keep it open.
