Send a read of the services again if its kept connection was closed

A read changes nothing, so it is sent once more on a new connection, with a log line; a write is not. 3 of 3 pass now.

--- a/gaprock/services_http.py
+++ b/gaprock/services_http.py
@@ -1,5 +1,6 @@
 """Clients of the platform services over HTTP and JSON."""
 
+import functools
 import re
 import time
 import typing
@@ -10,6 +11,7 @@
 
 from gaprock import (
     clock,
+    eventlog,
     gateway_api,
     http_client,
     invalid_rows,
@@ -51,15 +53,8 @@
         :raises services_api.RateLimited: when the service limits the rate of calls.
         :raises services_api.PlatformError: when it was not carried out.
         """
-        timeout = urllib3.Timeout(total=self._wait_s)
         try:
-            resp = self._pool.request(
-                method,
-                self._base + path,
-                body=body,
-                headers=self._headers,
-                timeout=timeout,
-            )
+            resp = self._request(method, path, body)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -83,6 +78,26 @@
             raise services_api.PlatformError(f"status {resp.status}")
         return resp.data
 
+    def _request(
+        self, method: str, path: str, body: bytes | None
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request; a read is sent again if its kept connection was closed."""
+        send = functools.partial(
+            self._pool.request,
+            method,
+            self._base + path,
+            body=body,
+            headers=self._headers,
+            timeout=urllib3.Timeout(total=self._wait_s),
+        )
+        try:
+            return send()
+        except urllib3.exceptions.ProtocolError as exc:
+            if method != "GET":
+                raise
+            eventlog.info("service-read-again", path=path, error=exc)
+        return send()
+
 
 T = typing.TypeVar("T")
 
