Judge the sends of an endpoint once its incarnation is known to have ended

Callers saw other work cut at each crash of a request that was never held: a crash counted only if the send was still waiting when it broke off, had just begun, and the port refused connections at that moment. The reason of one send's end was taken for a fact about its endpoint.

Each send is now recorded under the incarnation from the moment at which it leaves (begun_sends), and for 10 s after it ended in any way but by a complete answer. What says that an incarnation has ended: another start time in its row, a refused connection, another endpoint at its address, a row that went while the endpoint neither sends nor answers. A connection that is accepted, and a time-out, say nothing. A row that comes back withdraws the crash.

--- a/gaprock/crash_causes.py
+++ b/gaprock/crash_causes.py
@@ -6,7 +6,7 @@
 import collections
 import typing
 
-from gaprock import suspicion
+from gaprock import clock, suspicion
 
 # Where endpoints crash for other reasons too, a request can be open at several crashes
 # by chance.  For every ``UNRELATED_CRASHES`` crashes without the suspect in the last
@@ -39,14 +39,30 @@
         ):
             self._recent.popitem(last=False)
 
+    def withdraw(self, incarnation: str) -> None:
+        """Forget a crash that did not happen."""
+        self._recent.pop(incarnation, None)
+        self._causes.pop(incarnation, None)
+
     def required_weight(self, suspect: suspicion.Suspect) -> int:
         """Return the weight at which a suspect is held."""
-        others = sum(
-            incarnation not in suspect.incarnations and incarnation not in self._causes
-            for incarnation in self._recent
-        )
-        extra = suspicion.BEGUN_WEIGHT * (others // UNRELATED_CRASHES)
-        return suspicion.HELD_WEIGHT + extra
+        extra = len(self.unrelated(suspect)) // UNRELATED_CRASHES
+        return suspicion.HELD_WEIGHT + suspicion.BEGUN_WEIGHT * extra
+
+    def unrelated(
+        self, suspect: suspicion.Suspect, since: float = -clock.NEVER
+    ) -> set[str]:
+        """Return the recent crashes without a suspect that nothing shared explains.
+
+        :param since: only those that were learned after this time.
+        """
+        return {
+            incarnation
+            for incarnation, learned_at in self._recent.items()
+            if learned_at > since
+            and incarnation not in suspect.incarnations
+            and incarnation not in self._causes
+        }
 
     def cause(self, incarnation: str) -> int:
         """Return the segment or family that explains a crash; -1 for none."""
--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -91,6 +91,8 @@
         self._suspected: dict[str, endpoint_state.Endpoint] = {}
         # Until then a missing row is taken for one that expired.
         self._lapses_until = 0.0
+        # Incarnations whose rows were gone and are back.
+        self._rows_back: list[str] = []
         # The latest incarnations that are gone, with the time they stopped being used.
         self._gone: collections.OrderedDict[str, float] = collections.OrderedDict()
 
@@ -161,6 +163,12 @@
             elif name in self._endpoints:
                 self._row_gone(self._endpoints[name])
 
+    def take_rows_back(self) -> list[str]:
+        """Return, once, the incarnations whose rows were gone and are back."""
+        with self._lock:
+            found, self._rows_back = self._rows_back, []
+        return found
+
     def forget_gone(self) -> None:
         """Remove endpoints that are gone and have no requests of this gateway."""
         now = self._clock.now()
@@ -187,6 +195,10 @@
         if endpoint is not None and endpoint.row.born != row.born:
             self._end_life(endpoint, row.born)
             endpoint = None
+        incarnation = endpoint_state.incarnation_id(name, row.born)
+        was_gone = incarnation in self._gone if endpoint is None else endpoint.row_gone
+        if was_gone:
+            self._rows_back.append(incarnation)
         is_new = endpoint is None
         if endpoint is None:
             endpoint = self._endpoints[name] = endpoint_state.Endpoint(name, row)
@@ -231,6 +243,7 @@
 
         Sends to it go on, and end as soon as they check its state.
         """
+        endpoint.successor_born = born
         endpoint.has_ended = True
         del self._current[endpoint.incarnation]
         self._forget(endpoint)
@@ -251,7 +264,7 @@
     def _row_gone(self, endpoint: endpoint_state.Endpoint) -> None:
         if endpoint.row_gone:
             return
-        endpoint.row_gone = True
+        endpoint.row_gone, endpoint.row_gone_at = True, self._clock.now()
         is_new = endpoint.row_leave_at == clock.NEVER
         endpoint.lapsed = is_new and self._clock.now() < self._lapses_until
         if endpoint.lapsed:
--- a/gaprock/endpoint_state.py
+++ b/gaprock/endpoint_state.py
@@ -68,10 +68,12 @@
         "incarnation",
         "row",
         "has_ended",
+        "successor_born",
         "leave_at",
         "row_leave_at",
         "answer_leave_at",
         "row_gone",
+        "row_gone_at",
         "lapsed",
         "running",
         "backlog",
@@ -98,15 +100,17 @@
         self.name = name
         self.incarnation = incarnation_id(name, row.born)
         self.row = row
-        # Whether the endpoint has restarted since.
+        # Whether the endpoint has restarted since, and the start time in its new row.
         self.has_ended = False
+        self.successor_born = 0
         # When to stop using it, by its row and by its answers, and the earlier of both;
         # ``NEVER`` while it is not leaving.
         self.leave_at = clock.NEVER
         self.row_leave_at = clock.NEVER
         self.answer_leave_at = clock.NEVER
-        # Whether its row is missing from the store.
+        # Whether its row is missing from the store, and since when.
         self.row_gone = False
+        self.row_gone_at = 0.0
         # Whether its row probably expired while the store was unavailable.
         self.lapsed = False
         # Requests of this gateway, and load of peers by gateway name.
@@ -161,6 +165,11 @@
         is_back_soon = self.lapsed and self.answer_leave_at == clock.NEVER
         return self.leave_at == clock.NEVER or is_back_soon
 
+    @property
+    def announced_end(self) -> bool:
+        """Whether it said, in its row or in an answer, that it leaves."""
+        return self.row.draining or self.answer_leave_at != clock.NEVER
+
     @property
     def load(self) -> int:
         """Requests of all gateways together."""
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -46,6 +46,7 @@
         "is_given_time",
         "is_excused",
         "held",
+        "on_finish",
         "_is_unread",
         "_is_finished",
     )
@@ -65,6 +66,8 @@
         self.prompt = prompt
         # Size of a large body that the endpoint holds for it; 0 for a small one.
         self.held = 0
+        # Called when it is finished; ``None`` before it is sent.
+        self.on_finish: typing.Callable[[], None] | None = None
         # Whether it was counted as evidence about its version.
         self.is_judged = False
         # The same by the time between the events of its stream.
@@ -114,6 +117,8 @@
         if self._is_finished:
             return
         self._is_finished = True
+        if self.on_finish is not None:
+            self.on_finish()
         if self._is_unread:
             self._is_unread = False
             directory_.discard_prompt(self.endpoint, self.prompt)
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -83,6 +83,8 @@
 # Interval between log lines on the exposure of a rollout, seconds.
 EXPOSURE_LOG_S: typing.Final = 2.0
 HOUSEKEEPING_S: typing.Final = 1.0
+# Interval at which endpoints with sends on record are checked for their end.
+END_CHECK_S: typing.Final = 0.25
 CLOCK_CHECK_S: typing.Final = 0.5
 FULLNESS_CHECK_S: typing.Final = 0.25
 # Longest time between two clock checks on a busy machine, seconds; a longer one counts
@@ -258,6 +260,7 @@
             periodic.Periodic("rollouts", ROLLOUT_STEP_S, self._step_rollouts),
             periodic.Periodic("exposure", EXPOSURE_LOG_S, self.rollouts.log_exposure),
             periodic.Periodic("housekeeping", HOUSEKEEPING_S, self._run_housekeeping),
+            periodic.Periodic("ends", END_CHECK_S, self._sender.check_ends),
             periodic.Periodic("clocks", CLOCK_CHECK_S, self._check_clocks),
             periodic.Periodic("fullness", FULLNESS_CHECK_S, self._check_fullness),
         ]
--- a/gaprock/gateway_quarantine.py
+++ b/gaprock/gateway_quarantine.py
@@ -1,15 +1,16 @@
 """How a gateway detects poison requests and segments, and holds requests back.
 
-An answer that breaks off adds weight against its request, and against its families and
-the shared segments of its prompt, if the endpoint has crashed, which a new connection
-shows.  A crash breaks many answers off at once, and one connection attempt decides for
-all of them.
+Once an incarnation of an endpoint is known to have ended, that adds weight against each
+request that had begun to run there shortly before, and against its families and the
+shared segments of its prompt, whatever has become of the send (``begun_sends``).
 """
 
+import functools
 import threading
 import typing
 
 from gaprock import (
+    begun_sends,
     clock,
     directory,
     endpoint_state,
@@ -17,20 +18,17 @@
     gateway_attempt,
     gateway_call,
     quarantine,
-    routes,
     suspicion,
 )
 
-
-class BrokenAnswer(typing.NamedTuple):
-    """A send whose answer broke off for a reason that is not known yet.
-
-    :param broke_at: when it broke off.
-    """
-
-    call: gateway_call.Call
-    weight: int
-    broke_at: float
+# An endpoint whose row went has ended if nothing came from it for this long, and it
+# does not answer then.
+GONE_QUIET_S: typing.Final = 1.0
+# Maximum number of endpoints that are asked in one check, as each may take a while.
+MAX_PROBES: typing.Final = 3
+# A start time is believed if an endpoint wrote it at most this long before its row was
+# read: the clocks of two machines may differ.
+MAX_BORN_AGE_S: typing.Final = 5.0
 
 
 class Gate:
@@ -38,10 +36,11 @@
 
     __slots__ = (
         "_clock",
+        "_wall_clock",
         "_directory",
         "_quarantine",
         "_lock",
-        "_broken_answers",
+        "_sends",
         "_open_calls",
     )
 
@@ -52,11 +51,11 @@
         quarantine_: quarantine.Quarantine,
     ) -> None:
         self._clock = clock_
+        self._wall_clock = clock.Clock()
         self._directory = directory_
         self._quarantine = quarantine_
         self._lock = threading.Lock()
-        # Broken-off sends, by endpoints not yet known to have crashed or survived.
-        self._broken_answers: dict[endpoint_state.Endpoint, list[BrokenAnswer]] = {}
+        self._sends = begun_sends.BegunSends(clock_)
         # The open calls, in order of arrival.
         self._open_calls: dict[gateway_call.Call, None] = {}
 
@@ -136,9 +135,10 @@
         :param living: returns the number of healthy endpoints and of all endpoints
             that may run a call.
         """
-        if self._quarantine.is_empty:
+        crash_count = self._sends.count_broken(call.fingerprint)
+        if self._quarantine.is_empty and not crash_count:
             return False
-        crash_count = self._quarantine.crash_count(call.fingerprint)
+        crash_count += self._quarantine.crash_count(call.fingerprint)
         if any(map(self._quarantine.must_run_in_turn, call.shared)):
             crash_count = max(crash_count, suspicion.RESERVE_CRASHES)
         return bool(crash_count) and suspicion.reserves_last_endpoint(
@@ -149,6 +149,7 @@
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
         """Record that a call was answered completely."""
+        self._sends.forget(attempt)
         if not self._quarantine.is_empty:
             if self._quarantine.is_suspected(call.fingerprint):
                 eventlog.info(
@@ -172,6 +173,7 @@
         :param waited_since: when the wait for the data began.  Data that came before,
             while this process did not run, does not show that the endpoint is alive.
         """
+        self._sends.record_alive(attempt.endpoint)
         if call.runs_well or waited_since < attempt.head_at + suspicion.JUST_STARTED_S:
             return
         if attempt.answer_age_s(self._clock.now()) >= suspicion.SUSPICION_WINDOW_S:
@@ -185,76 +187,120 @@
         if call.segments or families:
             self._quarantine.record_ran_well(call.segments, attempt.head_at, families)
 
-    # -- Blame --
+    # -- Sends --
 
-    def weight(self, call: gateway_call.Call, attempt: gateway_attempt.Attempt) -> int:
-        """Return the weight against a call if its endpoint crashed now; 0 for none."""
-        if attempt.endpoint.leave_at != clock.NEVER:
-            return 0
-        # A plain service answers only once it is done, so the start cannot be seen.
-        may_wait = call.route.kind is routes.RouteKind.STREAM
-        return suspicion.suspicion_weight(
-            attempt.answer_age_s(self._clock.now()), may_wait
-        )
-
-    def record_broken_answer(
-        self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint, weight: int
+    def record_sent(
+        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
-        """Record an answer that broke off; the endpoint may be found crashed later."""
-        with self._lock:
-            self._broken_answers.setdefault(endpoint, []).append(
-                BrokenAnswer(call, weight, self._clock.now())
-            )
-        if endpoint.is_unreachable or endpoint.has_ended:
-            self._blame(endpoint)
+        """Record a send that leaves now; its end is recorded once it is finished."""
+        self._sends.begin(call, attempt)
+        attempt.on_finish = functools.partial(self._sends.end, attempt)
+
+    def record_not_run(self, attempt: gateway_attempt.Attempt) -> None:
+        """Record that an endpoint did not run a call."""
+        self._sends.forget(attempt)
+
+    def record_broken(self, attempt: gateway_attempt.Attempt) -> None:
+        """Record that an endpoint broke an answer off, or fell silent."""
+        self._sends.set_broken(attempt)
 
     def record_alive(self, endpoint: endpoint_state.Endpoint) -> None:
-        """Record that an endpoint accepts connections, so no broken send crashed it."""
-        with self._lock:
-            self._broken_answers.pop(endpoint, None)
+        """Record that bytes of an answer came from an endpoint."""
+        self._sends.record_alive(endpoint)
+
+    # -- Ends of endpoints --
+
+    def check_ends(
+        self, answers: typing.Callable[[endpoint_state.Endpoint], bool]
+    ) -> None:
+        """Look for endpoints that have ended, by their rows.
+
+        :param answers: returns whether an endpoint answers a request now.
+        """
+        now = self._clock.now()
+        for incarnation in self._directory.take_rows_back():
+            if not self._quarantine.is_empty:
+                self._quarantine.withdraw_crash(incarnation)
+        gone: list[endpoint_state.Endpoint] = []
+        for endpoint in self._sends.endpoints():
+            if endpoint.has_ended:
+                born_at = self._born_at(endpoint, now)
+                self.record_end(endpoint, "started again", born_at)
+            elif endpoint.row_gone and not endpoint.lapsed:
+                if now >= endpoint.row_gone_at + GONE_QUIET_S:
+                    gone.append(endpoint)
+        for endpoint in gone[:MAX_PROBES]:
+            is_quiet = endpoint.last_seen_at < endpoint.row_gone_at
+            if is_quiet and not answers(endpoint):
+                self.record_end(endpoint, "row gone", now)
+            else:
+                self._dismiss(endpoint, "leaves")
+        for send in self._sends.expire():
+            self._log_send("send-not-suspected", send, reason="no end known")
+
+    def _dismiss(self, endpoint: endpoint_state.Endpoint, reason: str) -> None:
+        for send in self._sends.take(endpoint):
+            self._log_send("send-not-suspected", send, reason=reason)
+
+    def _born_at(self, endpoint: endpoint_state.Endpoint, now: float) -> float:
+        """Return when the next incarnation of an endpoint began, or now if unsure."""
+        age_s = self._wall_clock.now() - endpoint.successor_born / 1000
+        return now - age_s if 0.0 <= age_s <= MAX_BORN_AGE_S else now
 
     def resolve_broken(
-        self, connects: typing.Callable[[endpoint_state.Endpoint], bool]
+        self, connects: typing.Callable[[endpoint_state.Endpoint], object]
     ) -> None:
-        """Check whether the endpoints of broken-off sends have crashed.
+        """Check the endpoints of broken-off sends, whose ports may refuse by now.
 
-        :param connects: tries to connect to an endpoint.
+        :param connects: tries to connect to an endpoint, and records its end.
         """
-        with self._lock:
-            waiting = list(self._broken_answers)
-        for endpoint in waiting:
-            if endpoint.is_unreachable or endpoint.has_ended:
-                self._blame(endpoint)
-            elif self._directory.claim_connection_check(endpoint):
-                if connects(endpoint):
-                    self.record_alive(endpoint)
-                else:
-                    self._blame(endpoint)
-
-    def _blame(self, endpoint: endpoint_state.Endpoint) -> None:
-        """Add weight against the requests that were open at a crashed endpoint."""
-        with self._lock:
-            broken_answers = self._broken_answers.pop(endpoint, [])
-        for broken in broken_answers:
-            eventlog.info(
-                "request-suspected",
-                request=broken.call.info.request,
-                mark=f"{broken.call.fingerprint:016x}",
-                segments=_hex(broken.call.segments),
-                families=_hex(broken.call.families),
-                endpoint=endpoint.name,
-                incarnation=endpoint.incarnation,
-                weight=broken.weight,
-            )
+        for endpoint in self._sends.broken_endpoints():
+            if self._directory.claim_connection_check(endpoint):
+                connects(endpoint)
+
+    def record_end(
+        self, endpoint: endpoint_state.Endpoint, sign: str, ended_at: float
+    ) -> None:
+        """Add weight against the requests that ran at an endpoint as it ended.
+
+        :param sign: what shows that it has ended.
+        :param ended_at: the latest time at which it may have ended.
+        """
+        for send in self._sends.take(endpoint):
+            if endpoint.announced_end or not send.was_running_at(ended_at):
+                reason = f"not running then: {sign}"
+                self._log_send("send-not-suspected", send, reason=reason)
+                continue
+            self._log_send("request-suspected", send, sign=sign, weight=send.weight)
+            marks = send.marks
             self._quarantine.record_crash(
-                broken.call.fingerprint,
+                marks.fingerprint,
                 endpoint.incarnation,
-                broken.weight,
-                broken.call.segments,
-                broken.call.families,
-                broken.broke_at,
+                send.weight,
+                marks.segments if send.counts_shared else (),
+                marks.families if send.counts_shared else (),
+                min(send.ended_at, ended_at),
             )
 
+    def _log_send(
+        self, event: str, send: begun_sends.BegunSend, **more: object
+    ) -> None:
+        now, marks = self._clock.now(), send.marks
+        ended_s = -1.0 if send.is_open else now - send.ended_at
+        eventlog.info(
+            event,
+            request=marks.request,
+            mark=f"{marks.fingerprint:016x}",
+            segments=_hex(marks.segments),
+            families=_hex(marks.families),
+            endpoint=send.endpoint.name,
+            incarnation=send.endpoint.incarnation,
+            sent_s=now - send.sent_at,
+            ended_s=ended_s,
+            broken=send.is_broken,
+            **more,
+        )
+
 
 def _hex(fingerprints: typing.Iterable[int]) -> str:
     """Return fingerprints as they are logged; ``none`` if there are none."""
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -26,6 +26,9 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.45
 # Time-out of a connection that only checks whether a silent endpoint is there.
 CHECK_TIMEOUT_S: typing.Final = 0.25
+# Time-out of a request that asks an endpoint for its state, and its urgency.
+PROBE_TIMEOUT_S: typing.Final = 0.5
+PROBE_URGENCY: typing.Final = 0
 # Interval between two checks of an endpoint that has not answered.
 CHECK_INTERVAL_S: typing.Final = 0.15
 # The wait for a whole answer may be given up after a silence of this share of the
@@ -94,14 +97,16 @@
             self._send_request(call, attempt, resume_after)
             self._await_head(call, attempt, may_give_up)
         except (gateway_attempt.NotRun, gateway_attempt.Failed) as exc:
+            is_not_run = isinstance(exc, gateway_attempt.NotRun)
+            if is_not_run:
+                self._gate.record_not_run(attempt)
             attempt.finish(self._directory)
-            outcome = "not-run" if isinstance(exc, gateway_attempt.NotRun) else "failed"
+            outcome = "not-run" if is_not_run else "failed"
             self.record_failure(call, attempt, outcome, str(exc))
             raise
-        except BaseException as exc:
+        except BaseException:
             self._judge.judge_pending(call, attempt)
             attempt.finish(self._directory)
-            self._log_not_suspected(call, attempt, type(exc).__name__)
             raise
         return attempt
 
@@ -146,6 +151,8 @@
             else:
                 has_ended = isinstance(exc, http_exchange.Refused)
                 self._directory.eject(endpoint, f"{detail}{exc}", has_ended)
+                if has_ended:
+                    self._gate.record_end(endpoint, "refuses connections", now)
             raise _NotConnected(str(exc), is_own, timed_out) from exc
         self._delays.record_connection(endpoint.name, False, self._clock.now())
 
@@ -195,6 +202,7 @@
         if call.inbound.holding is not None and len(body) >= endpoint_held.LARGE_BODY:
             self._hold(attempt, len(body))
         self._judge.record_sent(call, attempt)
+        self._gate.record_sent(call, attempt)
         attempt.exchange.send(call.inbound.method, call.inbound.target, headers, body)
 
     def _spend_charge(self, call: gateway_call.Call) -> bool:
@@ -289,7 +297,7 @@
                 if reason:
                     if reason != gateway_attempt.HELD:
                         self.record_lost(attempt)
-                        self._record_endpoint_end(call, attempt, reason)
+                        self._gate.record_broken(attempt)
                     raise gateway_attempt.Failed(f"body: {reason}") from exc
                 continue
             if data is None:
@@ -351,7 +359,7 @@
         if reason != gateway_attempt.HELD:
             call.excluded.add(attempt.endpoint.incarnation)
             self.record_lost(attempt)
-            self._record_endpoint_end(call, attempt, reason)
+            self._gate.record_broken(attempt)
         raise gateway_attempt.Failed(reason)
 
     def _give_up_reason(
@@ -446,44 +454,13 @@
     def record_break(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt
     ) -> None:
-        """Record that an answer broke off, and whether its endpoint is still alive."""
-        endpoint = attempt.endpoint
-        weight = self._gate.weight(call, attempt)
-        lives = bool(weight) or self._judge.judges_breaks(call)
-        lives = lives and self._accepts_connections(endpoint)
-        self._judge.record_broken_answer(call, attempt, lives)
-        if lives:
-            self._gate.record_alive(endpoint)
-            self._log_not_suspected(call, attempt, "endpoint accepts connections")
-        elif weight:
-            self._gate.record_broken_answer(call, endpoint, weight)
-        else:
-            self._log_not_suspected(call, attempt, "no weight")
-
-    def _record_endpoint_end(
-        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, reason: str
-    ) -> None:
-        """Record that a send was given up because its endpoint may have ended."""
-        if reason not in (gateway_attempt.UNREACHABLE, gateway_attempt.RESTARTED):
-            self._log_not_suspected(call, attempt, reason)
-            return
-        weight = self._gate.weight(call, attempt)
-        if weight:
-            self._gate.record_broken_answer(call, attempt.endpoint, weight)
+        """Record that an answer broke off.
 
-    def _log_not_suspected(
-        self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, reason: str
-    ) -> None:
-        """Log a send without a whole answer that no crash is going to count against."""
-        eventlog.info(
-            "send-not-suspected",
-            request=call.info.request,
-            mark=f"{call.fingerprint:016x}",
-            endpoint=attempt.endpoint.name,
-            incarnation=attempt.endpoint.incarnation,
-            begun_s=attempt.answer_age_s(self._clock.now()),
-            reason=reason,
-        )
+        A refused connection shows at once that its endpoint has ended.
+        """
+        self._gate.record_broken(attempt)
+        accepts = self._accepts_connections(attempt.endpoint)
+        self._judge.record_broken_answer(call, attempt, accepts)
 
     def ended_with_endpoint(self, attempt: gateway_attempt.Attempt) -> bool:
         """Return whether an answer ended since its endpoint crashed.
@@ -505,6 +482,36 @@
         """Check endpoints that broke off answers and have not been checked since."""
         self._gate.resolve_broken(self._connects)
 
+    def check_ends(self) -> None:
+        """Look for endpoints that have ended, for the quarantine."""
+        self._gate.check_ends(self._answers)
+
+    def _answers(self, endpoint: endpoint_state.Endpoint) -> bool:
+        """Ask an endpoint for its state; return whether it answers."""
+        caller = http_exchange.Caller(None)
+        exchange = http_exchange.Exchange(endpoint.address, caller, self._clock)
+        deadline = self._clock.now() + PROBE_TIMEOUT_S
+        info = gateway_api.SendInfo(
+            endpoint.name, "", PROBE_TIMEOUT_S, PROBE_URGENCY, "", None
+        )
+        headers = self._dialect.send_headers([(b"Host", b"gaprock")], info)
+        try:
+            exchange.connect(deadline)
+            exchange.send(b"GET", self._dialect.probe_path, headers, b"")
+            raw = exchange.read_head(deadline)
+        except (
+            http_exchange.Unreachable,
+            http_exchange.Broken,
+            http_exchange.TimedOut,
+        ) as exc:
+            eventlog.info("endpoint-asked", endpoint=endpoint.name, error=exc)
+            return False
+        finally:
+            exchange.close()
+        head = self._dialect.read_answer(raw.status, raw.headers)
+        eventlog.info("endpoint-asked", endpoint=endpoint.name, status=raw.status)
+        return not head.wrong_endpoint
+
     def _is_unreachable_now(self, attempt: gateway_attempt.Attempt) -> bool:
         """Return whether a check finds a silent endpoint unreachable.
 
@@ -574,8 +581,11 @@
             is_own_model = bool(attempt.model) or not call.route.models
             if head.wrong_endpoint and is_own_model:
                 self._directory.eject_replaced(endpoint)
+                now = self._clock.now()
+                self._gate.record_end(endpoint, "another endpoint answers", now)
             raise gateway_attempt.NotRun(f"refused with status {head.status}")
         call.has_run = True
+        self._gate.record_alive(endpoint)
         is_mismatched = head.echo and head.echo != call.info.request
         unsigned = head.status < 300 and not head.signed
         if is_mismatched or unsigned or head.encoded:
--- a/gaprock/quarantine.py
+++ b/gaprock/quarantine.py
@@ -22,7 +22,9 @@
 A gateway that starts learns all of this from heartbeats, and what is held from rows of
 the store as well (``held_rows``).
 
-Bystanders are not held, as they had not just started at several crashes.
+Bystanders are not held, as they had not just started at several crashes.  Where nothing
+else crashes, three crashes suffice whatever their weight; the first hold is a short one
+then.
 """
 
 import random
@@ -37,8 +39,9 @@
 # again, and the next crash holds it once more.
 HELD_S: typing.Final = 3600.0
 # A segment or family may be held by mistake, and all requests with it are refused
-# meanwhile: its first hold is shorter, and each further one is twice as long.
-FIRST_SHARED_HELD_S: typing.Final = 300.0
+# meanwhile; so may a request that had not just started at its crashes.  The first hold
+# is shorter then, and each further one is twice as long.
+FIRST_DOUBTFUL_HELD_S: typing.Final = 300.0
 # Each gateway adds a random part of this, so that one of them tries first and the
 # others learn how it went.
 RELEASE_SPREAD_S: typing.Final = 120.0
@@ -78,6 +81,7 @@
         "_held",
         "_causes",
         "_health",
+        "_alive_until",
         "_release_delay_s",
         "is_empty",
         "held_changes",
@@ -92,6 +96,8 @@
         self._held = self._evidence.held
         self._causes = self._evidence.causes
         self._health = self._evidence.health
+        # Until when peers may still report the crash of an incarnation that lives.
+        self._alive_until: dict[str, float] = {}
         self._release_delay_s = random.uniform(0.0, RELEASE_SPREAD_S)
         # Whether there are no records, so that no fingerprint has to be computed.
         self.is_empty = True
@@ -223,6 +229,23 @@
         with self._lock:
             self._clear(fingerprint, suspicion.Origin.OWN)
 
+    def withdraw_crash(self, incarnation: str) -> None:
+        """Drop the evidence of a crash: the endpoint turned out to be alive."""
+        now = self._clock.now()
+        with self._lock:
+            self._alive_until = {
+                known: until
+                for known, until in self._alive_until.items()
+                if now < until
+            }
+            self._alive_until[incarnation] = now + CLEARED_S
+            self._causes.withdraw(incarnation)
+            for suspect in self._suspects.values():
+                if suspect.incarnations.pop(incarnation, 0):
+                    is_held = suspect.fingerprint in self._held
+                    if is_held and not self._evidence.has_enough(suspect):
+                        self._release(suspect, "endpoint lives")
+
     def record_ran_well(
         self,
         segments: typing.Iterable[int],
@@ -268,7 +291,7 @@
                 with self._lock:
                     self._clear(update.fingerprint, origin)
             else:
-                self._merge(update, origin)
+                self._merge(self._without_living(update), origin)
 
     def updates(
         self, origins: typing.Container[suspicion.Origin], include_held: bool
@@ -353,12 +376,30 @@
             until = now + min(update.held_s, HELD_S)
             self._causes.record(update.incarnations, now)
             if is_new and self._evidence.has_enough(suspect):
+                suspect.is_doubtful = self._is_doubtful(suspect)
                 until = now + self._hold_s(suspect)
             is_held = until > max(now, suspect.held_until)
             if is_held and not self._evidence.is_explained(suspect):
                 self._hold(suspect, until, origin)
             elif update.fingerprint in self._held:
                 self._explain(suspect)
+            if is_new:
+                self._release_explained()
+
+    def _without_living(
+        self, update: suspicion.SuspectUpdate
+    ) -> suspicion.SuspectUpdate:
+        """Return a peer's update without crashes that turned out to be none."""
+        now = self._clock.now()
+        living = {one for one, until in self._alive_until.items() if now < until}
+        if living.isdisjoint(update.incarnations):
+            return update
+        left = {
+            incarnation: weight
+            for incarnation, weight in update.incarnations.items()
+            if incarnation not in living
+        }
+        return msgspec.structs.replace(update, incarnations=left, held_s=0.0)
 
     def _add(self, update: suspicion.SuspectUpdate, now: float) -> suspicion.Suspect:
         """Return the record of a suspect, which is added if there is none."""
@@ -403,15 +444,20 @@
     def _explain(self, suspect: suspicion.Suspect) -> None:
         """Record that what is held explains the crashes at which it was open.
 
-        Segments and families that were held for these crashes alone are released; a
-        request explains those of families only.
+        What was held for these crashes alone is released if it is less likely their
+        cause; a request explains those of families and of requests.
         """
         for incarnation in suspect.incarnations if suspect.is_shared else ():
             if incarnation != EARLIER and self._evidence.counts(suspect, incarnation):
                 self._causes.explain(incarnation, suspect.fingerprint)
-        for fingerprint in list(self._held - {suspect.fingerprint}):
-            if self._evidence.is_explained(self._suspects[fingerprint]):
-                self._release(self._suspects[fingerprint], "explained")
+        self._release_explained(suspect)
+
+    def _release_explained(self, kept: suspicion.Suspect | None = None) -> None:
+        """Release what is held for crashes of which others are the likely cause."""
+        for fingerprint in list(self._held):
+            suspect = self._suspects[fingerprint]
+            if suspect is not kept and self._evidence.is_explained(suspect):
+                self._release(suspect, "explained")
 
     def _clear(self, fingerprint: int, origin: suspicion.Origin) -> None:
         now = self._clock.now()
@@ -442,6 +488,7 @@
     def _release(self, suspect: suspicion.Suspect, reason: str) -> None:
         """End a hold; crashes that it explained count against others again."""
         suspect.held_until = -clock.NEVER
+        suspect.is_doubtful = False
         self._held.discard(suspect.fingerprint)
         explained = self._causes.forget(suspect.fingerprint)
         eventlog.info(
@@ -460,13 +507,19 @@
             if suspect.fingerprint in self._held or now < suspect.cleared_until:
                 continue
             if self._evidence.has_enough(suspect):
+                suspect.is_doubtful = self._is_doubtful(suspect)
                 self._hold(suspect, now + self._hold_s(suspect), suspect.origin)
 
+    def _is_doubtful(self, suspect: suspicion.Suspect) -> bool:
+        """Whether the number of its crashes alone holds a suspect from now on."""
+        was_sure = suspect.fingerprint in self._held and not suspect.is_doubtful
+        return not was_sure and not self._evidence.is_heavy(suspect)
+
     def _hold_s(self, suspect: suspicion.Suspect) -> float:
         """Return for how many seconds a suspect is held from now on."""
-        if not suspect.is_shared:
+        if not suspect.is_shared and not suspect.is_doubtful:
             return HELD_S
-        return min(HELD_S, FIRST_SHARED_HELD_S * 2.0**suspect.expired_holds)
+        return min(HELD_S, FIRST_DOUBTFUL_HELD_S * 2.0**suspect.expired_holds)
 
     def _release_at(self, suspect: suspicion.Suspect) -> float:
         """Return when a hold ends here."""
--- a/gaprock/suspect_evidence.py
+++ b/gaprock/suspect_evidence.py
@@ -7,7 +7,7 @@
 import collections
 import typing
 
-from gaprock import crash_causes, segment_health, suspicion
+from gaprock import clock, crash_causes, segment_health, suspicion
 
 # A crash does not count against a segment or family if a request with it ran well that
 # began at most this long before.
@@ -55,16 +55,49 @@
         return last, -len(suspect.incarnations)
 
     def is_explained(self, suspect: suspicion.Suspect) -> bool:
-        """Whether others explain all crashes at which a shared suspect was open."""
-        if not suspect.is_shared or not suspect.incarnations:
+        """Whether others are the more likely cause of a suspect's crashes.
+
+        A request, or a family, that is held for the number of its crashes alone is not
+        the cause if a more likely one was open at all of them, or if endpoints go on
+        crashing without it.
+        """
+        if not suspect.incarnations:
+            return False
+        if suspect.is_shared and not self.weight(suspect):
+            return True
+        if suspect.is_family and self._is_covered(suspect, self._held_requests()):
+            return True
+        if not suspect.is_doubtful or self.is_heavy(suspect):
             return False
-        if suspect.is_family and any(
-            suspect.incarnations.keys() <= one.incarnations.keys()
-            for one in map(self.suspects.__getitem__, self.held)
-            if not one.is_shared
-        ):
+        since = suspect.updated_at
+        if len(self._unrelated(suspect, since)) >= suspicion.HELD_CRASHES:
             return True
-        return not self.weight(suspect)
+        likelier = [one for one in self._held_requests() if not one.is_doubtful]
+        return self._is_covered(suspect, likelier)
+
+    def _held_requests(self) -> list[suspicion.Suspect]:
+        held = map(self.suspects.__getitem__, self.held)
+        return [one for one in held if not one.is_shared]
+
+    def _is_covered(
+        self,
+        suspect: suspicion.Suspect,
+        others: typing.Iterable[suspicion.Suspect],
+    ) -> bool:
+        """Whether another suspect was open at all crashes of a suspect."""
+        crashes = suspect.incarnations.keys()
+        return any(
+            crashes <= one.incarnations.keys() for one in others if one is not suspect
+        )
+
+    def _unrelated(
+        self, suspect: suspicion.Suspect, since: float = -clock.NEVER
+    ) -> set[str]:
+        """Return the recent crashes without a suspect that nothing held explains."""
+        found = self.causes.unrelated(suspect, since)
+        for one in self._held_requests():
+            found -= one.incarnations.keys()
+        return found
 
     def weight(self, suspect: suspicion.Suspect) -> int:
         """Return the weight of the crashes that count against a suspect."""
@@ -74,7 +107,19 @@
             if self.counts(suspect, incarnation)
         )
 
+    def crash_count(self, suspect: suspicion.Suspect) -> int:
+        """Return the number of crashes that count against a suspect."""
+        return sum(self.counts(suspect, one) for one in suspect.incarnations)
+
+    def is_heavy(self, suspect: suspicion.Suspect) -> bool:
+        """Whether the weight against a suspect suffices to hold it."""
+        return self.weight(suspect) >= self.causes.required_weight(suspect)
+
     def has_enough(self, suspect: suspicion.Suspect) -> bool:
         """Whether the evidence against a suspect suffices to hold it."""
-        least = self.causes.required_weight(suspect)
-        return suspect.has_enough_requests and self.weight(suspect) >= least
+        if not suspect.has_enough_requests:
+            return False
+        if self.is_heavy(suspect):
+            return True
+        least = suspicion.HELD_CRASHES + len(self._unrelated(suspect))
+        return not suspect.is_segment and self.crash_count(suspect) >= least
--- a/gaprock/suspicion.py
+++ b/gaprock/suspicion.py
@@ -16,8 +16,8 @@
 # gateway that runs at half the speed measures the same.  Of 126 bystanders in that log,
 # about 15 had started as recently at one crash, and none at two.
 JUST_STARTED_S: typing.Final = 0.3
-# A request whose answer began at least this long before the crash did not cause it by
-# starting to run.
+# A crash does not count against what a request shares with others if its answer began
+# at least this long before.
 SUSPICION_WINDOW_S: typing.Final = 1.0
 # A request that was open at this many crashes may not use the last healthy endpoint of
 # a service.
@@ -29,6 +29,9 @@
 BEGUN_WEIGHT: typing.Final = 2
 OPEN_WEIGHT: typing.Final = 1
 HELD_WEIGHT: typing.Final = 6
+# A request or a family is held at this many crashes whatever their weight, unless
+# endpoints crash without it as well: each such crash takes one more.
+HELD_CRASHES: typing.Final = 3
 # What requests share is held only if this many different ones with it were open at
 # crashes.  One request alone may be the cause by something else that it contains.
 MIN_REQUESTS: typing.Final = 2
@@ -83,6 +86,7 @@
         "requests",
         "updated_at",
         "held_until",
+        "is_doubtful",
         "expired_holds",
         "has_own_evidence",
         "cleared_at",
@@ -103,6 +107,8 @@
         self.requests: set[int] = set()
         self.updated_at = now
         self.held_until = -clock.NEVER
+        # Whether it is held for the number of its crashes alone.
+        self.is_doubtful = False
         # Number of its holds that expired here.
         self.expired_holds = 0
         # Whether any of the crashes were seen here.
@@ -121,6 +127,11 @@
             return "family"
         return "segment" if self.is_shared else "request"
 
+    @property
+    def is_segment(self) -> bool:
+        """Whether it is a segment of prompts."""
+        return self.is_shared and not self.is_family
+
     @property
     def has_enough_requests(self) -> bool:
         """Whether different requests that share it were open at crashes."""
@@ -176,7 +187,7 @@
 
 
 def suspicion_weight(begun_s: float, may_wait: bool) -> int:
-    """Return the weight that a crash adds against a request; 0 for none.
+    """Return the weight that a crash adds against a request.
 
     :param begun_s: seconds since the answer began; -1 before that.
     :param may_wait: whether a request whose answer has not begun is probably queued at
@@ -184,6 +195,4 @@
     """
     if begun_s < 0:
         return OPEN_WEIGHT if may_wait else BEGUN_WEIGHT
-    if begun_s <= JUST_STARTED_S:
-        return BEGUN_WEIGHT
-    return OPEN_WEIGHT if begun_s < SUSPICION_WINDOW_S else 0
+    return BEGUN_WEIGHT if begun_s <= JUST_STARTED_S else OPEN_WEIGHT
--- a/gaprock/test/endcase.py
+++ b/gaprock/test/endcase.py
@@ -217,3 +217,95 @@
         Transfer_Encoding="chunked",
         X_Confidence="90",
     )
+
+
+class Trouble(enum.Enum):
+    """What an endpoint that lives does with the requests that it gets."""
+
+    # It answers after the caller's time.
+    SLOW = "slow"
+    RESETS = "resets"
+    # Its callers leave.
+    CALLER_LEFT = "caller-left"
+    # It does nothing for a while, and its row goes meanwhile.
+    PAUSED = "paused"
+    # Its row goes for a moment, and it serves on.
+    ROW_GONE = "row-gone"
+    # Its row goes for good and it serves on for a while.
+    LEAVES_UNSAID = "leaves-unsaid"
+
+
+class LivingFleet(gatewayfleet.Fleet):
+    """Two gateways in front of endpoints that live."""
+
+    PAUSED_S: typing.Final = 2.0
+    ROUNDS: typing.Final = 10
+
+    def __init__(self, kind: str, trouble: Trouble) -> None:
+        super().__init__(2, kind)
+        self._trouble = trouble
+        self._go_on = threading.Event()
+        self._go_on.set()
+
+    def start_endpoints(self, stack: contextlib.ExitStack) -> int:
+        for number in range(ENDPOINTS):
+            name = f"{self.service_name}-{number}"
+            fake = backend.Backend(name)
+            fake.default_script = self._answer
+            self.site.backends[name] = fake
+            self._write_row(name)
+        return ENDPOINTS
+
+    def _write_row(self, name: str) -> None:
+        self.site.write_row(name, self.service_name, born=1_700_000_000_000)
+
+    def _answer(
+        self, fake: backend.Backend, seen: backend.ReceivedRequest, conn: socket.socket
+    ) -> None:
+        self._go_on.wait(site_module.WAIT_S)
+        if self._trouble is Trouble.RESETS:
+            return
+        if self._trouble is not Trouble.ROW_GONE:
+            time.sleep(2 * RUNS_S)
+        backend.answer(fake, seen, conn)
+
+    def send_again_and_again(self) -> None:
+        """Send one request again and again while the endpoints have their trouble."""
+        if self._trouble is Trouble.PAUSED:
+            self._pause()
+            return
+        names = [f"{self.service_name}-{number}" for number in range(ENDPOINTS)]
+        for number in range(self.ROUNDS):
+            if self._trouble in (Trouble.ROW_GONE, Trouble.LEAVES_UNSAID):
+                name = names[number % ENDPOINTS]
+                if number < ENDPOINTS - 1 or self._trouble is Trouble.ROW_GONE:
+                    self.site.store.remove("servers", name)
+            self._send(number)
+            time.sleep(PAUSE_S)
+            if self._trouble is Trouble.ROW_GONE:
+                self._write_row(name)
+        time.sleep(2.0)
+
+    def _send(self, number: int) -> None:
+        data = self.site.request(f"/{self.kind}/x", POISON, X_Deadline_Ms="80")
+        if self._trouble is not Trouble.CALLER_LEFT:
+            self.exchange(number % 2, data)
+            return
+        host, _, port = self.gateways[number % 2].cfg.listen.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            sock.sendall(data)
+            time.sleep(RUNS_S / 3)
+
+    def _pause(self) -> None:
+        """Pause all endpoints for so long that their rows go."""
+        names = [f"{self.service_name}-{number}" for number in range(ENDPOINTS)]
+        self._go_on.clear()
+        for number in range(self.ROUNDS):
+            self._send(number)
+        for name in names:
+            self.site.store.remove("servers", name)
+        time.sleep(self.PAUSED_S)
+        self._go_on.set()
+        for name in names:
+            self._write_row(name)
+        time.sleep(1.0)
--- a/gaprock/test/testends.py
+++ b/gaprock/test/testends.py
@@ -27,3 +27,17 @@
 ) -> None:
     with endcase.Fleet(kind, end, fate) as fleet:
         assert fleet.arrivals_too_late() == 0
+
+
+@pytest.mark.parametrize("kind", ["safe", "gen"])
+@pytest.mark.parametrize("trouble", endcase.Trouble)
+def test_nobody_is_held_or_suspected_for_endpoints_that_live(
+    trouble: endcase.Trouble, kind: str
+) -> None:
+    with endcase.LivingFleet(kind, trouble) as fleet:
+        fleet.send_again_and_again()
+        for gateway in fleet.gateways:
+            assert not gateway.quarantine.held_count + gateway.quarantine.held_families
+            assert not any(
+                s.incarnations for s in gateway.quarantine._suspects.values()
+            )
--- a/misc/proofs_gateway_requests.py
+++ b/misc/proofs_gateway_requests.py
@@ -142,9 +142,42 @@
         "testpoison.py::test_answers_that_break_off_at_living_endpoints_speak_against"
         "_nobody",
         "gateway_sender.py",
-        "        if lives:\n            self._gate.record_alive(endpoint)\n"
-        "        elif weight:\n",
-        "        endpoint.is_unreachable = True\n        if weight:\n",
+        "        self._gate.record_broken(attempt)\n        accepts",
+        "        now = self._clock.now()\n"
+        '        self._gate.record_end(attempt.endpoint, "broke off", now)\n'
+        "        accepts",
+    ),
+    proofs.gateway(
+        "a crash counts against a request whose caller has left",
+        "testends.py::test_a_request_that_ended_three_endpoints_is_held_whatever_their"
+        "_ends_look_like[at-once-caller-left-safe]",
+        "gateway_quarantine.py",
+        "attempt.on_finish = functools.partial(self._sends.end, attempt)",
+        "attempt.on_finish = functools.partial(self._sends.forget, attempt)",
+    ),
+    proofs.gateway(
+        "an endpoint that starts again has ended, whoever holds its port",
+        "testends.py::test_a_request_that_ended_three_endpoints_is_held_whatever_their"
+        "_ends_look_like[at-once-waits-safe]",
+        "gateway_quarantine.py",
+        "            if endpoint.has_ended:\n",
+        "            if False:\n",
+    ),
+    proofs.gateway(
+        "an endpoint whose row went lives if it answers",
+        "testends.py::test_nobody_is_held_or_suspected_for_endpoints_that_live"
+        "[Trouble.LEAVES_UNSAID-safe]",
+        "gateway_quarantine.py",
+        "            if is_quiet and not answers(endpoint):\n",
+        "            if is_quiet:\n",
+    ),
+    proofs.gateway(
+        "a row that comes back withdraws the crash",
+        "testends.py::test_nobody_is_held_or_suspected_for_endpoints_that_live"
+        "[Trouble.PAUSED-safe]",
+        "gateway_quarantine.py",
+        "                self._quarantine.withdraw_crash(incarnation)\n",
+        "                pass\n",
     ),
     proofs.gateway(
         "entries quarantine poison requests too",
