Tell a cut answer from a whole one by a connection that ends with its process

An answer with neither a length nor chunks, cut by a crash, reached callers as complete where the port accepted connections again: the check was a new connection, which another process may accept. A second connection, opened once the head came (peer_watch), ends with the process: if it does so within 50 ms of the answer, the answer is not whole. An endpoint that closes idle connections while it answers is told by that, and the former check decides there.

--- a/gaprock/event_source.py
+++ b/gaprock/event_source.py
@@ -55,6 +55,7 @@
                     raise Broken("ended in the middle of an event")
                 return []
             self._directory.record_seen(self.attempt.endpoint)
+            self.attempt.record_data()
             try:
                 events = self._splitter.feed(data)
             except event_stream.EventTooLarge as exc:
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -6,7 +6,14 @@
 
 import typing
 
-from gaprock import clock, directory, endpoint_state, gateway_api, http_exchange
+from gaprock import (
+    clock,
+    directory,
+    endpoint_state,
+    gateway_api,
+    http_exchange,
+    peer_watch,
+)
 
 DEADLINE: typing.Final = "deadline"
 RESTARTED: typing.Final = "endpoint started again"
@@ -47,6 +54,7 @@
         "is_excused",
         "held",
         "on_finish",
+        "watch",
         "_is_unread",
         "_is_finished",
     )
@@ -66,6 +74,8 @@
         self.prompt = prompt
         # Size of a large body that the endpoint holds for it; 0 for a small one.
         self.held = 0
+        # Watches the process that sends an answer without a length.
+        self.watch: peer_watch.PeerWatch | None = None
         # Called when it is finished; ``None`` before it is sent.
         self.on_finish: typing.Callable[[], None] | None = None
         # Whether it was counted as evidence about its version.
@@ -98,6 +108,11 @@
         is_own = self.head.instance in ("", self.endpoint.name)
         return load.pace if is_own and load is not None else None
 
+    def record_data(self) -> None:
+        """Record that data of its answer came."""
+        if self.watch is not None:
+            self.watch.record_data()
+
     def record_prefilled(self, directory_: directory.Directory) -> None:
         """Record that the endpoint prefilled the prompt; may be called repeatedly."""
         if self._is_unread:
@@ -123,6 +138,8 @@
             self._is_unread = False
             directory_.discard_prompt(self.endpoint, self.prompt)
         self.exchange.close()
+        if self.watch is not None:
+            self.watch.close()
         if self.held:
             directory_.release(self.endpoint, self.held, id(self))
         directory_.end(self.endpoint)
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -18,6 +18,7 @@
     held_bytes,
     http_exchange,
     own_delays,
+    peer_watch,
     retry_budget,
     routes,
 )
@@ -248,6 +249,8 @@
         attempt.head = self._dialect.read_answer(raw.status, raw.headers)
         self._record_notice(call, attempt)
         self._check_head(call, attempt)
+        if attempt.exchange.ends_with_connection:
+            attempt.watch = peer_watch.PeerWatch(endpoint.address)
         attempt.record_prefilled(self._directory)
 
     def read_whole(
@@ -305,6 +308,7 @@
                     self.record_break(call, attempt)
                     raise gateway_attempt.Failed(f"body: {gateway_attempt.ENDED}")
                 return b"".join(pieces)
+            attempt.record_data()
             pieces.append(data)
             last_data_at = self._clock.now()
             size += len(data)
@@ -468,15 +472,18 @@
         Where only the end of the connection marks the end of an answer, it looks whole
         then.
         """
-        if not attempt.exchange.ends_with_connection:
+        if attempt.watch is None:
             return False
         endpoint = attempt.endpoint
         if endpoint.is_unreachable or endpoint.has_ended:
             return True
+        ended = attempt.watch.ended_too()
+        if ended is False:
+            return False
         # Each answer is checked, although a crash ends many at once: it is judged now
         # or never.  A time-out may be due to a lost packet.
         failure = self._check_connection(endpoint)
-        return failure is not None and not failure.has_timed_out
+        return ended is True or failure is not None and not failure.has_timed_out
 
     def resolve_breaks(self) -> None:
         """Check endpoints that broke off answers and have not been checked since."""
--- a/gaprock/test/fakes/backend.py
+++ b/gaprock/test/fakes/backend.py
@@ -62,9 +62,9 @@
             self._listener.close()
         self.cut()
 
-    def cut(self) -> None:
-        """Close the open connections."""
-        for conn in list(self._open):
+    def cut(self, kept: socket.socket | None = None) -> None:
+        """Close the open connections but one."""
+        for conn in self._open - {kept}:
             try:
                 # Without this, a thread that reads it would keep it open.
                 conn.shutdown(socket.SHUT_RDWR)
--- a/gaprock/test/testunframed.py
+++ b/gaprock/test/testunframed.py
@@ -22,6 +22,7 @@
     incomplete: bytes = b"",
     resets: bool = False,
     crashes: bool = False,
+    restarts: bool = False,
 ) -> backend.Script:
     """Stream events up to a number, then end the connection.
 
@@ -30,6 +31,7 @@
     :param incomplete: the first bytes of a further event.
     :param resets: whether the connection is reset.
     :param crashes: whether the endpoint is gone then.
+    :param restarts: whether another process has its port then.
     """
 
     def script(
@@ -55,6 +57,8 @@
             conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         if crashes:
             fake.stop()
+        if restarts:
+            fake.cut()
 
     return script
 
@@ -132,6 +136,51 @@
     assert answer.whole and numbers(answer) == [1, 2, 3, 4, 5]
 
 
+@pytest.mark.parametrize("last", [1, 3])
+def test_a_stream_cut_by_a_crash_is_resumed_though_its_port_accepts_connections(
+    site: gatewaysite.GatewaySite, last: int
+) -> None:
+    fakes, answer = answer_of_two(site, unframed(last, restarts=True))
+    sent = [seen.headers.get("last-event-id") for fake in fakes for seen in fake.seen]
+    assert answer.whole and numbers(answer) == [1, 2, 3, 4, 5]
+    assert sorted(sent, key=str) == [str(last), None]
+
+
+def test_a_body_cut_by_a_crash_is_not_whole_though_its_port_accepts_connections(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    def half_body_of_crash(
+        fake: backend.Backend, seen: backend.ReceivedRequest, conn: socket.socket
+    ) -> None:
+        whole_body(fake, seen, conn)
+        time.sleep(0.05)
+        fake.cut()
+
+    site.add("one", "app").default_script = half_body_of_crash
+    assert site.call("/unsafe/x").status == 502
+
+
+def test_answers_that_end_beside_closed_idle_connections_are_whole(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    fake = site.add("one", "llm")
+
+    def close_others(
+        fake: backend.Backend, seen: backend.ReceivedRequest, conn: socket.socket
+    ) -> None:
+        conn.sendall(
+            backend.head(seen, Content_Type="text/event-stream", X_Confidence="90")
+        )
+        for number in range(1, WHOLE + 1):
+            conn.sendall(backend.event(number))
+            time.sleep(0.02)
+            fake.cut(conn)
+
+    fake.default_script = close_others
+    answer = site.generate()
+    assert answer.whole and numbers(answer) == [1, 2, 3, 4, 5]
+
+
 def test_each_stream_of_an_endpoint_that_crashes_is_resumed(
     site: gatewaysite.GatewaySite,
 ) -> None:
--- a/misc/proofs_gateway_requests.py
+++ b/misc/proofs_gateway_requests.py
@@ -191,7 +191,7 @@
         "testunframed.py::test_a_stream_that_ends_between_events_with_its_endpoint_is"
         "_resumed",
         "gateway_sender.py",
-        "if not attempt.exchange.ends_with_connection:",
-        "if True:",
+        "        if attempt.watch is None:\n            return False\n",
+        "        return False\n",
     ),
 )
