Judge the runs of an agent's endpoint once its process has ended

The own mode's agent asked by a new connection whether an engine lives after a run broke off, and forgot runs that were cancelled or timed out before.

agent_ends records each run under a connection that is kept open beside the runs and ends with the process, so each such connection stands for one incarnation. What agents find goes to all entries as their suspects. A complete answer over a closed connection shows that the engine closes idle ones; the crash is withdrawn then, and the former check decides from then on.

--- a/gaprock/agent_endpoint.py
+++ b/gaprock/agent_endpoint.py
@@ -178,12 +178,16 @@
         )
         return msgspec.json.decode(resp.data, type=EngineLoad)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port."""
+        parsed = urllib3.util.parse_url(self.option.url)
+        return parsed.host or "", parsed.port or DEFAULT_PORT
+
     def accepts_connections(self) -> bool:
         """Check whether the endpoint accepts a new TCP connection."""
-        parsed = urllib3.util.parse_url(self.option.url)
-        address = parsed.host or "", parsed.port or DEFAULT_PORT
         try:
-            sock = socket.create_connection(address, self._cfg.connect_wait_s)
+            sock = socket.create_connection(self.address, self._cfg.connect_wait_s)
         except OSError:
             return False
         sock.close()
--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -16,6 +16,7 @@
 
 from gaprock import (
     agent_endpoint,
+    agent_ends,
     agent_run,
     bills,
     clock,
@@ -23,7 +24,6 @@
     errorcodes,
     errors,
     eventlog,
-    ids,
     messages,
     metrics,
     options,
@@ -46,9 +46,6 @@
 CUT_CODES: typing.Final = frozenset(
     (errorcodes.OUTCOME_UNKNOWN.number, errorcodes.STREAM_CUT.number)
 )
-# Part of an incarnation's name: distinguishes the incarnations counted by this process
-# from those counted by an earlier agent process.
-_PROCESS_TOKEN: typing.Final = ids.new_token()
 # The reported mean time of a run halves each time this long passes without a run's
 # end, so that an endpoint that was slow once is tried again.
 SERVICE_HALF_LIFE_S: typing.Final = 5.0
@@ -65,23 +62,23 @@
         "failures",
         "order_lock",
         "last_ended_at",
-        "_ended_incarnations",
-        "_has_ended",
+        "ends",
     )
 
     def __init__(
-        self, endpoint: agent_endpoint.Endpoint, admission: policy_api.Admission
+        self,
+        endpoint: agent_endpoint.Endpoint,
+        admission: policy_api.Admission,
+        clock_: clock.Clock,
     ) -> None:
         self.endpoint = endpoint
+        self.ends = agent_ends.EndpointEnds(clock_, endpoint)
         self.admission = admission
         self.lock = threading.Lock()
         self.load = agent_endpoint.EngineLoad()
         self.failures = MAX_LOAD_FAILURES
         # When the last run ended; 0 before the first.
         self.last_ended_at = 0.0
-        # How often the endpoint was found to have ended, and whether it has ended now.
-        self._ended_incarnations = 0
-        self._has_ended = False
         # Serializes the orders to this endpoint.
         self.order_lock = threading.Lock()
 
@@ -99,7 +96,6 @@
         try:
             self.load = self.endpoint.load()
             self.failures = 0
-            self._has_ended = False
             with self.lock:
                 self.admission.hint(self.load.slots)
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
@@ -107,23 +103,6 @@
             if self.failures == MAX_LOAD_FAILURES:
                 eventlog.warning("endpoint-down", endpoint=self.endpoint.option.name)
 
-    def ended_incarnation(self) -> str:
-        """Check whether the endpoint has ended.
-
-        :returns: the name of the incarnation that ended; empty when it still accepts
-            connections.
-        """
-        if not self._has_ended:
-            if self.endpoint.accepts_connections():
-                return ""
-            with self.lock:
-                if not self._has_ended:
-                    self._has_ended = True
-                    self._ended_incarnations += 1
-        return (
-            f"{self.endpoint.option.name}@{_PROCESS_TOKEN}.{self._ended_incarnations}"
-        )
-
 
 class Gate:
     """Admission and execution at the endpoints of one agent; thread-safe."""
@@ -152,6 +131,7 @@
                 plugin.find(policy_api.Admission, cfg.admission)(
                     cfg.max_running, cfg.max_queued
                 ),
+                clock_,
             )
             for option in cfg.endpoints
         }
@@ -300,6 +280,7 @@
     def _execute(self, slot: Slot, run: agent_run.Run) -> None:
         """Run one request, then start the queued requests that may run now."""
         relay = agent_run.Relay(run, slot.endpoint, self._clock, self._cfg.max_resumes)
+        exposed = slot.ends.begin(run.start.request, run.start.fingerprint)
         try:
             end = relay.execute()
         except Exception as exc:
@@ -307,39 +288,70 @@
             eventlog.warning("run-failed", request=run.start.request, error=repr(exc))
             end = self._unknown_end(run)
         if isinstance(end, messages.End):
-            end = self._add_suspicion(slot, run, end)
+            end = self._judge_end(slot, run, exposed, end)
         self._finish_run(run, end)
         self._release(slot, run, end.code == errorcodes.ENDPOINT_REFUSED.number)
 
-    def _add_suspicion(
-        self, slot: Slot, run: agent_run.Run, end: messages.End
+    def _judge_end(
+        self,
+        slot: Slot,
+        run: agent_run.Run,
+        exposed: agent_ends.ExposedRun,
+        end: messages.End,
     ) -> messages.End:
-        """Add to the end of a run which incarnation of its endpoint ended during it.
+        """Add to the end of a run which incarnation of its endpoint ended with it.
 
         This limits a poison request, which would crash one endpoint after the other,
         through all entries.
         """
-        if end.code not in CUT_CODES:
+        if end.code == errorcodes.OK:
+            self._record_complete(slot, exposed)
             return end
         begun_s = -1.0
         if run.first_s >= 0:
             begun_s = self._clock.now() - run.called_at - run.first_s
         # Requests queue here rather than at the endpoint, so it was running this one.
         weight = suspicion.suspicion_weight(begun_s, may_wait=False)
-        incarnation = slot.ended_incarnation() if weight else ""
-        if not incarnation:
+        slot.ends.give_up(exposed, weight, end.code in CUT_CODES)
+        if exposed not in self._find_ends(slot):
             return end
-        eventlog.info(
-            "request-suspected",
-            request=run.start.request,
-            mark=f"{run.start.fingerprint:016x}",
-            endpoint=run.start.endpoint,
-            weight=weight,
-        )
         return msgspec.structs.replace(
-            end, ended_incarnation=incarnation, suspicion_weight=weight
+            end,
+            ended_incarnation=exposed.incarnation.name,
+            suspicion_weight=weight,
         )
 
+    def _record_complete(self, slot: Slot, exposed: agent_ends.ExposedRun) -> None:
+        living = slot.ends.complete(exposed)
+        if self._quarantine.is_empty:
+            return
+        if living:
+            self._quarantine.withdraw_crash(living)
+        self._quarantine.clear(exposed.fingerprint)
+
+    def check_ends(self) -> None:
+        """Look for endpoints that ended after runs had been given up."""
+        for slot in self.slots.values():
+            self._find_ends(slot)
+
+    def _find_ends(self, slot: Slot) -> list[agent_ends.ExposedRun]:
+        """Record and return the runs whose endpoint has ended meanwhile."""
+        found = slot.ends.find()
+        for one in found:
+            eventlog.info(
+                "request-suspected",
+                request=one.request,
+                mark=f"{one.fingerprint:016x}",
+                endpoint=slot.endpoint.option.name,
+                incarnation=one.incarnation.name,
+                ended_s=self._clock.now() - one.ended_at,
+                weight=one.weight,
+            )
+            self._quarantine.record_crash(
+                one.fingerprint, one.incarnation.name, one.weight
+            )
+        return found
+
     def _finish_run(
         self, run: agent_run.Run, end: messages.End | messages.Refused
     ) -> None:
--- a/gaprock/agent_hub.py
+++ b/gaprock/agent_hub.py
@@ -281,12 +281,13 @@
         )
 
     def _suspects(self) -> list[suspicion.SuspectUpdate]:
-        """Return the suspected requests reported by an entry, for the others."""
+        """Return the suspects that this agent found or an entry reported."""
         now = self._clock.now()
         include_held = now >= self._held_sent_at + quarantine.HELD_RESEND_S
         if include_held:
             self._held_sent_at = now
-        return self._quarantine.updates((suspicion.Origin.NEAR,), include_held)
+        origins = (suspicion.Origin.OWN, suspicion.Origin.NEAR)
+        return self._quarantine.updates(origins, include_held)
 
     def _known_entries(self) -> list[messages.Known]:
         """Return the entries' revisions if this report is to list them."""
--- a/gaprock/agent_main.py
+++ b/gaprock/agent_main.py
@@ -87,6 +87,7 @@
             periodic.Periodic("config", poll_s, self._refresh_config),
             periodic.Periodic("bills", cfg.bill_write_s, self._write_bills),
             periodic.Periodic("loads", cfg.beat_s, self._refresh_loads),
+            periodic.Periodic("ends", cfg.beat_s, self.gate.check_ends),
         ]
 
     def start(self) -> None:
--- a/gaprock/test/fakes/httpfake.py
+++ b/gaprock/test/fakes/httpfake.py
@@ -119,6 +119,10 @@
         """Stop listening and cut open connections, as the end of a process does."""
         self._server.shutdown()
         self._server.server_close()
+        self.cut()
+
+    def cut(self) -> None:
+        """Cut open connections."""
         for sock in list(self.connections):
             try:
                 sock.shutdown(socket.SHUT_RDWR)
