--- a/gaprock/caller_body.py
+++ b/gaprock/caller_body.py
@@ -4,12 +4,23 @@
 counts against the memory of all whole bodies (``body_memory``).
 """
 
-import collections
 import typing
 
-import cheroot.errors
+from gaprock import (
+    body_memory,
+    caller_chunks,
+    caller_input,
+    clock,
+    eventlog,
+    gateway_call,
+    held_bytes,
+)
 
-from gaprock import body_memory, caller_input, clock, gateway_call, held_bytes
+# What a body that is not read is answered; 400 if it is malformed.
+STATUSES: typing.Final[dict[type, int]] = {
+    caller_chunks.TooLarge: 413,
+    caller_chunks.TooSlow: 408,
+}
 
 
 class BodyReply(gateway_call.Reply, typing.Protocol):
@@ -74,21 +85,22 @@
             if holding.is_cut or verdict is held_bytes.Verdict.REFUSE:
                 self._refuse_body(req, reply, holding, length)
                 return None
+        if req.chunked_read:
+            req.rfile = caller_chunks.ChunkedBody(
+                req.conn.rfile, self.max_body, self._clock
+            )
         try:
             if holding is not None:
-                pieces = self._read_accounted(req, holding, length)
+                body = self._read_accounted(req, holding, length)
             else:
-                pieces = self._read_admitted(req, share, length)
-            if pieces is None:
-                self._refuse_body(req, reply, holding, length)
-                return None
-            body = b"".join(pieces)
-            if req.chunked_read:
-                # Lines after the last chunk must not be parsed as a request.
-                collections.deque(req.rfile.read_trailer_lines(), maxlen=0)
-        except (ValueError, cheroot.errors.MaxSizeExceeded):
+                body = self._read_admitted(req, share, length)
+        except (ValueError, caller_chunks.TooLarge, caller_chunks.TooSlow) as exc:
             req.close_connection = True
-            reply.whole(400, [], b"")
+            reply.whole(STATUSES.get(type(exc), 400), [], b"")
+            eventlog.info("body-refused", error=repr(exc))
+            return None
+        if body is None:
+            self._refuse_body(req, reply, holding, length)
             return None
         if len(body) < length:
             reply.abandon()
@@ -98,39 +110,36 @@
     @staticmethod
     def _read_admitted(
         req: typing.Any, share: body_memory.Share | None, length: int
-    ) -> list[bytes] | None:
+    ) -> bytes | None:
         """Read a body where no account is kept; ``None`` if it does not fit."""
-        if share is None or (length <= held_bytes.SMALL_BODY and not req.chunked_read):
-            return [bytes(req.rfile.read())]
-        if not share.memory.has_room(length):
+        if length <= held_bytes.SMALL_BODY and not req.chunked_read:
+            return bytes(req.rfile.read())
+        if share is not None and not share.memory.has_room(length):
             return None
-        pieces: list[bytes] = []
+        body = bytearray()
         while piece := req.rfile.read(caller_input.READ_BYTES):
-            if not share.memory.admit_request(share, len(piece)):
+            if share is not None and not share.memory.admit_request(share, len(piece)):
                 return None
-            pieces.append(piece)
-        return pieces
+            body += piece
+        return bytes(body)
 
     def _read_accounted(
         self, req: typing.Any, holding: held_bytes.Holding, length: int
-    ) -> list[bytes] | None:
+    ) -> bytes | None:
         """Read a body; ``None`` if it does not fit into the budget."""
         account, kind = holding.account, held_bytes.Kind.BODY
         if length <= held_bytes.SMALL_BODY and not req.chunked_read:
-            body = req.rfile.read()
-            account.set(holding, kind, len(body), self._clock.now())
-            return [body]
-        pieces: list[bytes] = []
-        size = 0
-        # What has arrived is taken at once, so that it is copied only once.
+            small = bytes(req.rfile.read())
+            account.set(holding, kind, len(small), self._clock.now())
+            return small
+        body = bytearray()
         step = max(caller_input.READ_BYTES, req.conn.rfile.size)
         while piece := req.rfile.read(step):
-            pieces.append(piece)
-            size += len(piece)
+            body += piece
             req.conn.rfile.trim()
             now = self._clock.now()
-            account.set(holding, kind, size + req.conn.rfile.size, now)
+            account.set(holding, kind, len(body) + req.conn.rfile.size, now)
             if account.judge_body(0, now) is held_bytes.Verdict.REFUSE:
                 return None
-        account.set(holding, kind, size, self._clock.now())
-        return pieces
+        account.set(holding, kind, len(body), self._clock.now())
+        return bytes(body)
