--- a/gaprock/test/endcase.py
+++ b/gaprock/test/endcase.py
@@ -17,6 +17,7 @@
 from gaprock.test.fakes import backend
 
 POISON: typing.Final = b"the body that ends whatever runs it"
+POISON_SEGMENT: typing.Final = "b4d"
 # Time from the start of a request to the end of its endpoint, and from there until the
 # endpoint is back.
 RUNS_S: typing.Final = 0.06
@@ -27,6 +28,7 @@
 # it.
 HELD_IN_S: typing.Final = 3.0
 ENDS: typing.Final = 3
+SEGMENT_ENDS: typing.Final = 5
 
 
 class End(enum.Enum):
@@ -57,6 +59,16 @@
     BEGUN_LONG_AGO = "begun-long-ago"
 
 
+class Cause(enum.Enum):
+    """What the requests that end endpoints have in common."""
+
+    REQUEST = "request"
+    # Each try has other token counts.
+    FAMILY = "family"
+    # A segment of their prompts, and nothing else.
+    SEGMENT = "segment"
+
+
 # How long after the head of a stream its endpoint ends.
 BEGUN_S: typing.Final = {Fate.BEGUN: 0.5, Fate.BEGUN_LONG_AGO: 1.3}
 
@@ -112,7 +124,8 @@
         if seen.headers.get("x-expect-instance") != fake.name:
             backend.refuse(421)(fake, seen, conn)
             return
-        if seen.body != POISON:
+        is_segment = f"{POISON_SEGMENT}:" in seen.headers.get("x-prompt-prefix", "")
+        if seen.body != POISON and not is_segment:
             backend.answer(fake, seen, conn)
             return
         with self._lock:
@@ -164,9 +177,12 @@
 class Fleet(gatewayfleet.Fleet):
     """Two gateways in front of such endpoints."""
 
-    def __init__(self, kind: str, end: End, fate: Fate) -> None:
+    def __init__(
+        self, kind: str, end: End, fate: Fate, cause: Cause = Cause.REQUEST
+    ) -> None:
         super().__init__(2, kind)
-        self._end, self._fate = end, fate
+        self._end, self._fate, self._cause = end, fate, cause
+        self._number = 0
 
     def start_endpoints(self, stack: contextlib.ExitStack) -> int:
         args = self.site, self.service_name, self._end, self._fate
@@ -174,40 +190,49 @@
         stack.callback(self.service.close)
         return ENDPOINTS
 
-    def send_poison(self, number: int, **more: str) -> None:
-        """Send the poison request to a gateway, as its fate says."""
+    def send_poison(self) -> None:
+        """Send a poison request to one of the gateways, as its fate says."""
+        self._number += 1
+        number = self._number % 2
+        body, more = POISON, {"X_Model": "*", "X_Token_Counts": "100,20"}
+        if self._cause is Cause.FAMILY:
+            more["X_Token_Counts"] = f"100,{self._number}"
+        elif self._cause is Cause.SEGMENT:
+            body = uuid.uuid4().hex.encode()
+            more["X_Prompt_Prefix"] = f"{POISON_SEGMENT}:40,{body.decode()}:40"
         if self._fate is Fate.TIMED_OUT:
             more["X_Deadline_Ms"] = "40"
         if self._fate is not Fate.CALLER_LEFT:
-            self.call(number, POISON, **more)
+            self.call(number, body, **more)
             return
-        headers = {"X_Model": "*", "X_Token_Counts": "100,20", **more}
-        data = self.site.request(f"/{self.kind}/x", POISON, "POST", **headers)
+        data = self.site.request(f"/{self.kind}/x", body, "POST", **more)
         host, _, port = self.gateways[number].cfg.listen.rpartition(":")
         with socket.create_connection((host, int(port)), timeout=10) as sock:
             sock.sendall(data)
             time.sleep(RUNS_S / 3)
 
-    def arrivals_too_late(self, **headers: str) -> int:
-        """Send the poison request again and again; count what should be held.
+    def arrivals_too_late(self) -> int:
+        """Send poison requests again and again; count those that should be held.
 
-        :returns: the arrivals later than ``HELD_IN_S`` after the third end.
+        :returns: the arrivals later than ``HELD_IN_S`` after the end that holds them.
         """
-        number = 0
+        needed = SEGMENT_ENDS if self._cause is Cause.SEGMENT else ENDS
         give_up_at = time.monotonic() + 4 * site_module.WAIT_S
+        ends, arrivals = self.service.ends, self.service.arrivals
         while time.monotonic() < give_up_at:
-            number += 1
-            self.send_poison(number % 2, **headers)
+            self.send_poison()
             time.sleep(PAUSE_S)
-            ends = self.service.ends
-            if len(ends) >= ENDS and time.monotonic() > ends[2] + HELD_IN_S:
+            if len(ends) < ENDS:
+                continue
+            due = ends[needed - 1] if len(ends) >= needed else arrivals[-1]
+            if time.monotonic() > due + HELD_IN_S:
                 break
         since = time.monotonic()
-        for number in range(4):
-            self.send_poison(number % 2, **headers)
+        for _ in range(4):
+            self.send_poison()
             time.sleep(2 * RUNS_S)
-        assert len(self.service.ends) >= ENDS
-        return sum(at >= since for at in self.service.arrivals)
+        assert len(ends) >= ENDS
+        return sum(at >= since for at in arrivals)
 
 
 def _stream_head(seen: backend.ReceivedRequest) -> bytes:
--- a/misc/proofs_gateway_requests.py
+++ b/misc/proofs_gateway_requests.py
@@ -166,7 +166,7 @@
     proofs.gateway(
         "an endpoint whose row went lives if it answers",
         "testends.py::test_nobody_is_held_or_suspected_for_endpoints_that_live"
-        "[Trouble.LEAVES_UNSAID-safe]",
+        "[leaves-unsaid-safe]",
         "gateway_quarantine.py",
         "            if is_quiet and not answers(endpoint):\n",
         "            if is_quiet:\n",
@@ -174,7 +174,7 @@
     proofs.gateway(
         "a row that comes back withdraws the crash",
         "testends.py::test_nobody_is_held_or_suspected_for_endpoints_that_live"
-        "[Trouble.PAUSED-safe]",
+        "[paused-safe]",
         "gateway_quarantine.py",
         "                self._quarantine.withdraw_crash(incarnation)\n",
         "                pass\n",
