Believe no row of an older copy that an endpoint lives, and end a cycle per send

A row that is gone and comes back withdraws the crash of its incarnation. Where the store is restored from an older copy, rows of endpoints that have gone come back as well; they say nothing (departures.is_row_lost knows them). Beside it, an attempt kept a reference to itself by the function that records its end, which left each send to the cycle collector.

--- a/gaprock/directory_rows.py
+++ b/gaprock/directory_rows.py
@@ -197,7 +197,7 @@
             endpoint = None
         incarnation = endpoint_state.incarnation_id(name, row.born)
         was_gone = incarnation in self._gone if endpoint is None else endpoint.row_gone
-        if was_gone:
+        if was_gone and not self.notices.departures.is_row_lost(incarnation):
             self._rows_back.append(incarnation)
         is_new = endpoint is None
         if endpoint is None:
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -132,8 +132,9 @@
         if self._is_finished:
             return
         self._is_finished = True
-        if self.on_finish is not None:
-            self.on_finish()
+        on_finish, self.on_finish = self.on_finish, None
+        if on_finish is not None:
+            on_finish()
         if self._is_unread:
             self._is_unread = False
             directory_.discard_prompt(self.endpoint, self.prompt)
--- a/gaprock/test/testrestoredendpoints.py
+++ b/gaprock/test/testrestoredendpoints.py
@@ -215,3 +215,14 @@
     (news,) = book.news()
     assert news.is_leaving and news.lost_row_s == store_epochs.RESTORE_GRACE_S
     assert endpoint_state.incarnation_id("b", 1) == news.endpoint
+
+
+def test_a_row_from_an_older_copy_does_not_show_that_its_endpoint_lives(
+    reader: Reader,
+) -> None:
+    reader.hear(1, a="")
+    reader.hear(1, a="ready")
+    assert reader.directory.take_rows_back() == ["a"]
+    reader.leave("b", "forgotten")
+    reader.read(2, a="ready", b="ready")
+    assert reader.directory.take_rows_back() == []
