Treat an endpoint whose second connection cannot be opened as not watched

Found by reading the diff: where a name has no address or no descriptor is left, opening the second connection raised, in the agent outside of the part that frees the run's place. It is logged now, and the check by a new connection decides, as before. test_an_endpoint_that_cannot_be_watched_is_not_taken_for_ended.

--- a/gaprock/peer_watch.py
+++ b/gaprock/peer_watch.py
@@ -11,6 +11,8 @@
 import socket
 import typing
 
+from gaprock import eventlog
+
 # How long after the end of an answer the second connection may end with it.
 GRACE_S: typing.Final = 0.05
 CLOSED: typing.Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -32,10 +34,15 @@
         self._open()
 
     def _open(self) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        self._sock = sock
-        error = sock.connect_ex(self._address)
+        try:
+            self._sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            error = sock.connect_ex(self._address)
+        except OSError as exc:
+            # No descriptor is left, or the name has no address: nothing is watched.
+            eventlog.warning("not-watched", address=self._address, error=exc)
+            self.is_unreliable = True
+            return
         if error not in (0, errno.EINPROGRESS):
             self.close()
 
@@ -63,6 +70,8 @@
 
     def is_closed(self, wait_s: float = 0.0) -> bool:
         """Whether the connection has ended, or ends within a time."""
+        if self.is_unreliable:
+            return False
         if self._sock is None:
             return True
         poller = select.poll()
--- a/gaprock/test/testunframed.py
+++ b/gaprock/test/testunframed.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from gaprock import suspicion
+from gaprock import peer_watch, suspicion
 from gaprock.test import gatewaysite
 from gaprock.test import site as site_module
 from gaprock.test.fakes import backend
@@ -181,6 +181,12 @@
     assert answer.whole and numbers(answer) == [1, 2, 3, 4, 5]
 
 
+def test_an_endpoint_that_cannot_be_watched_is_not_taken_for_ended() -> None:
+    watch = peer_watch.PeerWatch(("no-such-name.invalid", 80))
+    assert watch.ended_too() is None and not watch.is_closed()
+    watch.close()
+
+
 def test_each_stream_of_an_endpoint_that_crashes_is_resumed(
     site: gatewaysite.GatewaySite,
 ) -> None:
