Bound the bodies that an entry holds, and check the key before it reads one

A body was read before the key was looked at, the limit was that of one request, and an error for an unread body left the connection to read the rest of it.

The C library gives large blocks back when they are freed, and the port's receive buffers are small, since what is unread counts as well.

A body that stops keeps a thread for 60 s still: not mended here.

--- a/gaprock/daemon.py
+++ b/gaprock/daemon.py
@@ -4,7 +4,7 @@
 import sys
 import typing
 
-from gaprock import errors, eventlog, options, options_flags, signals
+from gaprock import errors, eventlog, native_memory, options, options_flags, signals
 
 EXIT_DONE: typing.Final = 0
 EXIT_SETTINGS: typing.Final = 2
@@ -23,6 +23,7 @@
 def run(cfg: options.Options, make: typing.Callable[[], Daemon]) -> None:
     """Run a daemon until SIGTERM or SIGINT; further signals are ignored."""
     eventlog.start(cfg.vm, cfg.verbose)
+    native_memory.limit_kept()
     stop_signals = signals.Signals(signal.SIGTERM, signal.SIGINT)
     daemon = make()
     daemon.start()
--- a/gaprock/early_listen.py
+++ b/gaprock/early_listen.py
@@ -15,6 +15,9 @@
 BACKLOG: typing.Final = 1024
 SETTINGS_FLAG: typing.Final = "--settings"
 
+# Receive buffer of each accepted connection, bytes.
+RECEIVE_BUFFER: typing.Final = 16 * 1024
+
 Address = tuple[str, int]
 
 
@@ -55,6 +58,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.bind(address)
+        limit_receive_buffers(sock)
         sock.listen(BACKLOG)
     except (OSError, OverflowError):
         # The program opens the port again later, and reports the error.
@@ -64,6 +68,14 @@
     return True
 
 
+def limit_receive_buffers(sock: socket.socket) -> None:
+    """Limit what the system keeps unread of each connection of a port.
+
+    What has arrived counts as the process's memory, also before it is accepted.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+
+
 def take_port(address: Address) -> EarlyPort | None:
     """Return a port that was opened early, for the server that will serve it."""
     return _ports.pop(address, None)
--- a/gaprock/entry_http.py
+++ b/gaprock/entry_http.py
@@ -9,17 +9,22 @@
 their base URL points to this port.
 """
 
+import contextlib
 import http
 import logging as std_logging
 import time
 import typing
 
+import cheroot.wsgi
 import cherrypy
+import cherrypy._cpwsgi_server
 
 from gaprock import (
     answers,
     config,
     digits,
+    early_listen,
+    entry_bodies,
     entry_call,
     entry_operator,
     entry_serve,
@@ -39,8 +44,8 @@
 OPERATOR_PREFIX: typing.Final = "/operator/"
 WSGI_HEADER_PREFIX: typing.Final = "HTTP_"
 REASONS: typing.Final = {int(s): s.phrase for s in http.HTTPStatus}
-# Refusals that may leave the request's body unread on the connection.
-UNREAD_BODY_CODES: typing.Final = (errorcodes.TOO_LARGE, errorcodes.BAD_REQUEST)
+# Closes the connection after the answer, in the WSGI environment.
+CLOSE_KEY: typing.Final = "gaprock.close"
 
 Environ = dict[str, typing.Any]
 StartResponse = typing.Callable[[str, list[tuple[str, str]]], object]
@@ -62,7 +67,7 @@
     :param environ: the WSGI environment.
     """
 
-    __slots__ = ("method", "path", "headers", "_input")
+    __slots__ = ("method", "path", "headers", "is_unread", "_input", "_close")
 
     def __init__(self, environ: Environ) -> None:
         self.method: str = environ["REQUEST_METHOD"]
@@ -75,16 +80,21 @@
             if key.startswith(WSGI_HEADER_PREFIX)
         }
         self.headers["content-length"] = str(environ.get("CONTENT_LENGTH") or "")
+        # Whether there may be a body that was not read.
+        self.is_unread = self.headers["content-length"] not in ("", "0") or bool(
+            environ.get("HTTP_TRANSFER_ENCODING")
+        )
         self._input = environ["wsgi.input"]
+        self._close = environ[CLOSE_KEY]
 
-    def read_body(self, limit: int) -> bytes:
-        """Read the body.
+    def body_length(self, limit: int) -> int:
+        """Return the length of the body.
 
         :param limit: the largest allowed length in bytes.
         :raises errors.GaprockError: ``TOO_LARGE`` or ``BAD_REQUEST``.
         """
         if self.method in ("GET", "DELETE"):
-            return b""
+            return 0
         length = digits.parse(self.headers["content-length"])
         if length is None:
             raise errors.GaprockError(
@@ -94,7 +104,19 @@
             raise errors.GaprockError(
                 errorcodes.TOO_LARGE, f"takes up to {limit} bytes"
             )
-        return bytes(self._input.read(length))
+        return length
+
+    def read_body(self, length: int) -> bytes:
+        """Read the body."""
+        if not length:
+            return b""
+        body = bytes(self._input.read(length))
+        self.is_unread = False
+        return body
+
+    def skip_body(self) -> None:
+        """Leave the body unread: the connection closes after the answer."""
+        self._close()
 
 
 class Root:
@@ -110,8 +132,10 @@
         operator: entry_operator.OperatorApi,
         health: Health,
         metrics_: metrics.Metrics,
+        bodies: entry_bodies.BodyBudget,
     ) -> None:
         self._cfg = cfg
+        self._bodies = bodies
         self._config = config_
         self._parser = parser
         self._server = server
@@ -130,15 +154,16 @@
             answer = self._answer(req)
         except errors.GaprockError as exc:
             answer = answers.error_answer(exc, time.time())
-            if exc.code in UNREAD_BODY_CODES:
-                # An unread body would be parsed as the next request.
-                answer.headers["Connection"] = "close"
             self._log_refusal(req, exc)
         except Exception as exc:
             # On an internal error, the caller must not assume "not run".
             eventlog.warning("handler-failed", path=req.path, error=repr(exc))
             fault = errors.GaprockError(errorcodes.OUTCOME_UNKNOWN, "an entry's fault")
             answer = answers.error_answer(fault, time.time())
+        if req.is_unread:
+            # An unread body would be parsed as the next request.
+            req.skip_body()
+            answer.headers["Connection"] = "close"
         took_ms = (time.time() - started_at) * 1000
         self._metrics.timing("entry.first", took_ms)
         self._metrics.incr(f"entry.status.{answer.status}")
@@ -151,14 +176,23 @@
         if path == "/readyz":
             return self._ready()
         if path.startswith(OPERATOR_PREFIX):
-            raw = req.read_body(self._cfg.max_body)
+            self._operator.check_key(req.headers)
             name = path[len(OPERATOR_PREFIX) :]
-            return self._operator.answer(method, name, req.headers, raw)
+            with self._hold_body(req) as raw:
+                return self._operator.answer(method, name, req.headers, raw)
         if method == "GET" and path == "/v1/models":
             return self._models(req.headers)
         if method != "POST":
             raise errors.GaprockError(errorcodes.NOT_FOUND, f"{method} {path}")
-        return self._post(path, req.headers, req.read_body(self._cfg.max_body))
+        self._parser.workspace(req.headers)
+        with self._hold_body(req) as raw:
+            return self._post(path, req.headers, raw)
+
+    @contextlib.contextmanager
+    def _hold_body(self, req: Inbound) -> typing.Iterator[bytes]:
+        length = req.body_length(self._cfg.max_body)
+        with self._bodies.hold(length):
+            yield req.read_body(length)
 
     def _post(
         self, path: str, headers: entry_call.Headers, raw: bytes
@@ -210,6 +244,32 @@
         return answer.parts
 
 
+class WsgiGateway(cheroot.wsgi.Gateway_10):
+    """Lets the application close a connection whose request it did not read."""
+
+    def get_environ(self) -> typing.Any:
+        """Return the WSGI environment."""
+        environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[CLOSE_KEY] = self._close
+        return environ
+
+    def _close(self) -> None:
+        req: typing.Any = self.req
+        req.close_connection = True
+        # The server would read what is left of a body.
+        req.rfile.remaining = 0
+
+
+class WsgiServer(cherrypy._cpwsgi_server.CPWSGIServer):  # type: ignore[misc]
+    """CherryPy's server with connections that hold little unread."""
+
+    def bind(self, family: int, type: int, proto: int = 0) -> typing.Any:
+        """Open the port."""
+        sock = super().bind(family, type, proto)
+        early_listen.limit_receive_buffers(self.socket)
+        return sock
+
+
 def serve(cfg: options.Options, root: Root) -> None:
     """Open the port; CherryPy serves it on its own threads."""
     cherrypy.config.update(
@@ -238,6 +298,9 @@
         )
     cherrypy.log.error_log.setLevel(std_logging.WARNING)
     cherrypy.tree.graft(root, "")
+    server = WsgiServer(cherrypy.server)
+    server.gateway = WsgiGateway
+    cherrypy.server.instance = server
     cherrypy.engine.start()
 
 
--- a/gaprock/entry_main.py
+++ b/gaprock/entry_main.py
@@ -17,6 +17,7 @@
     config_store,
     daemon,
     decisions,
+    entry_bodies,
     entry_call,
     entry_dispatch,
     entry_duties,
@@ -174,6 +175,7 @@
             self.operator,
             self.health,
             self.metrics,
+            entry_bodies.BodyBudget(self.clock, self.cfg.max_bodies),
         )
 
     def stop(self) -> None:
--- a/gaprock/entry_operator.py
+++ b/gaprock/entry_operator.py
@@ -137,7 +137,7 @@
 
         :raises errors.GaprockError: with the code to be sent to the operator.
         """
-        self._check_key(headers)
+        self.check_key(headers)
         name, _, rest = path.partition("/")
         if method == "GET":
             return self._get(name, rest)
@@ -169,7 +169,11 @@
             versions=self._versions(),
         )
 
-    def _check_key(self, headers: entry_call.Headers) -> None:
+    def check_key(self, headers: entry_call.Headers) -> None:
+        """Check the operator's key.
+
+        :raises errors.GaprockError: ``FORBIDDEN``.
+        """
         given = config.key_hash(entry_call.bearer_key(headers))
         if not hmac.compare_digest(given, self._cfg.operator_key_hash):
             raise errors.GaprockError(
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -137,6 +137,8 @@
         self.spare_threads = 64
         # Largest body of a request, bytes.
         self.max_body = 1024 * 1024
+        # Memory for the larger bodies of all requests, bytes.
+        self.max_bodies = 16 * 1024 * 1024
         # Retries allowed, as a share of first attempts.
         self.retry_share = 0.1
         # Limit of unacknowledged parts in flight of one stream.
--- a/gaprock/options_flags.py
+++ b/gaprock/options_flags.py
@@ -166,6 +166,7 @@
     Flag("max_open", ENTRY, "limit of concurrent requests", _positive),
     Flag("spare_threads", ENTRY, "HTTP threads beyond max-open", _positive),
     Flag("max_body", ENTRY, "largest body of a request, bytes", _positive),
+    Flag("max_bodies", ENTRY, "memory for larger bodies, bytes", _positive),
     Flag("retry_share", ENTRY, "retries as a share of first attempts", _share),
     Flag("window", ENTRY, "unacknowledged parts of one stream", _positive),
     Flag("stream_silent_s", DAEMONS, "silence that ends a stream, s", _positive),
