Let few messages of a peer's connection wait unread

60 strangers that push frames of 60 KB to the port of peers took a gateway to 198 MB of 96, frames of 1 MB to 568 MB. ZeroMQ reads up to 1,000 messages of each connection ahead. Eight are enough: the thread reads all that is there at each turn, and a sender that gets ahead waits.

--- a/gaprock/mesh.py
+++ b/gaprock/mesh.py
@@ -50,6 +50,10 @@
 HIGH_WATER: typing.Final = 20
 # The largest message that is received; a longer one ends its connection.
 MAX_MESSAGE_BYTES: typing.Final = 16 * 1024 * 1024
+# Messages of one connection that wait to be read, and the buffer for it, bytes;
+# after that, its sender waits.
+MAX_UNREAD: typing.Final = 8
+RECEIVE_BUFFER: typing.Final = 64 * 1024
 # Delays before a lost connection is reopened: the first one, and the maximum.
 RECONNECT_MS: typing.Final = 200
 RECONNECT_MAX_MS: typing.Final = 2000
@@ -121,6 +125,8 @@
         inbox = context.socket(zmq.PULL)
         inbox.setsockopt(zmq.LINGER, 0)
         inbox.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        inbox.setsockopt(zmq.RCVHWM, MAX_UNREAD)
+        inbox.setsockopt(zmq.RCVBUF, RECEIVE_BUFFER)
         inbox.bind(self.address)
         next_run_at = self._clock.now()
         while not self._stopped:
--- a/gaprock/test/testcrowds.py
+++ b/gaprock/test/testcrowds.py
@@ -7,6 +7,38 @@
 from gaprock.test import crowdcase, processes
 
 
+def check_bounds(site: crowdcase.CrowdSite) -> None:
+    assert site.gateway.is_alive
+    assert site.gateway.peak.memory_mb <= crowdcase.MEMORY_MB, site.gateway.peak
+    assert site.gateway.peak.descriptors <= crowdcase.MAX_FDS, site.gateway.peak
+
+
+@pytest.mark.parametrize("size", [1000, 60_000, 1_000_000])
+def test_a_gateway_outlives_strangers_that_push_frames_to_the_port_of_its_peers(
+    tmp_path: pathlib.Path, size: int
+) -> None:
+    with crowdcase.CrowdSite(tmp_path, "") as site:
+        address = site.ip, site.mesh_port
+        with crowdcase.crowd(address, f"peer-frames-{size}", crowdcase.STRANGERS):
+            site.gateway.watch_for(crowdcase.CROWD_S)
+            assert site.wait_served(), "not served beside the crowd"
+        assert site.wait_ready(), "not ready afterwards"
+        check_bounds(site)
+
+
+@pytest.mark.parametrize("pattern", ["silence", "garbage"])
+def test_a_gateway_outlives_more_strangers_at_the_port_of_its_peers_than_descriptors(
+    tmp_path: pathlib.Path, pattern: str
+) -> None:
+    with crowdcase.CrowdSite(tmp_path, "") as site:
+        address = site.ip, site.mesh_port
+        with crowdcase.crowd(address, pattern, 2 * crowdcase.MAX_FDS):
+            site.gateway.watch_for(crowdcase.CROWD_S)
+            assert site.wait_served(), "not served beside the crowd"
+        assert site.wait_ready(), "not ready afterwards"
+        check_bounds(site)
+
+
 @pytest.mark.parametrize("pattern", ["entry-no-key", "entry-key", "entry-operators"])
 def test_an_entry_outlives_a_crowd(tmp_path: pathlib.Path, pattern: str) -> None:
     with processes.Fleet(tmp_path) as fleet:
