Read callers' requests in the selector, within bounds for all of them together

What callers saw: a gateway that ended for want of memory, or that answered nobody while a small crowd sent large or tiny chunks, lengths one byte short, slow bytes, or heads and then silence; readiness lost to four half heads.

Cause: each limit was that of one request. Without the contract for slow readers a head held a thread, with and without it a body held one for up to 60 s; a length was checked against the memory without being counted; chunks were read by several calls each; the C library kept freed bodies in the arenas of some 130 threads; connections, receive buffers and the port for texts had no bound at all.

Now all requests arrive in the selector (caller_input), chunks are decoded a buffer at a time (caller_chunks), arriving requests share a bounded memory (arrivals), one thread reads them in turn and bounds connections (caller_connections), receive buffers are small, freed blocks are returned (native_memory), and the port for texts uses the same reader.

testchunks: the test of a slow chunk named a class that is gone; it plays a real connection now, with 408.

--- a/gaprock/body_memory.py
+++ b/gaprock/body_memory.py
@@ -3,20 +3,19 @@
 Load condition: answers without end, and many large bodies at once, on machines with
 little memory.  A process above its limit is killed, with all calls that it serves.
 
-All bodies together stay within a share of the memory.  A request's body that does not
-fit is refused before it is read.  An answer that does not fit has run already, so the
-largest one that is still being read is given up: an answer without end is the largest
-before long, and others go on.  A single answer may take a part of that share.
+All bodies together stay within a share of the memory, with those that are still
+arriving (``arrivals``).  An answer that does not fit has run already, so requests that
+are arriving make room for it.  After these, the largest answer that is still being read
+is given up: an answer without end is the largest before long, and others go on.  A
+single answer may take a part of that share.
 
-The C library keeps memory that was freed, in an arena for each thread.  After a large
-body it is told to return it to the system.
+After large bodies, freed memory is returned to the system (``native_memory``).
 """
 
-import ctypes
 import threading
 import typing
 
-from gaprock import clock, eventlog, held_bytes
+from gaprock import arrivals, clock, eventlog, held_bytes, native_memory
 
 # The largest answer, on a machine with any memory.
 MAX_ANSWER_BYTES: typing.Final = 64 * 1024 * 1024
@@ -57,6 +56,9 @@
         # Bodies refused and answers given up since the start.
         self.refused_count = 0
         self.given_up_count = 0
+        self.arrivals = arrivals.Arrivals(
+            clock_, lambda: self.budget, lambda: self._used
+        )
         self.set_memory(memory_mb)
 
     def set_memory(self, memory_mb: float) -> None:
@@ -91,20 +93,10 @@
             if is_due:
                 self._freed, self._return_at = 0, now + RETURN_S
         if is_due:
-            _return_memory()
-
-    def has_room(self, count: int) -> bool:
-        """Whether a request's body of this size fits now; it is not counted yet.
-
-        A body that arrives slowly counts only as it arrives.
-        """
-        if self._used + count <= self.budget:
-            return True
-        self._record_refused(count)
-        return False
+            native_memory.give_back()
 
     def admit_request(self, share: Share, count: int) -> bool:
-        """Count bytes of a request's body that were read, or refuse it."""
+        """Count a request's body that is whole, or refuse it."""
         with self._lock:
             is_admitted = self._used + count <= self.budget
             if is_admitted:
@@ -145,8 +137,9 @@
             share.is_given_up = False
 
     def _make_room(self) -> None:
-        """Give up the largest answers that are being read until the rest fits."""
-        if self._used <= self.budget:
+        """Give up arriving requests, then the largest answers, until the rest fits."""
+        excess = self._used + self.arrivals.used - self.budget
+        if excess <= 0 or self.arrivals.make_room(excess) >= excess:
             return
         reading = [one for one in self._shares if one.read_bytes]
         leaving = sum(one.read_bytes for one in reading if one.is_given_up)
@@ -168,11 +161,3 @@
     def _release(self, count: int) -> None:
         self._used -= count
         self._freed += count
-
-
-def _return_memory() -> None:
-    """Have the C library return freed memory to the system, if it can."""
-    try:
-        ctypes.CDLL(None).malloc_trim(0)
-    except (AttributeError, OSError) as exc:
-        eventlog.warning("memory-not-returned", error=repr(exc))
--- a/gaprock/caller_body.py
+++ b/gaprock/caller_body.py
@@ -1,14 +1,15 @@
-"""Reads the bodies of callers' requests, within the memory for them.
+"""The bodies of callers' requests: taken once they have arrived, or refused.
 
 Where slow readers are accounted (``held_bytes``), the account decides; elsewhere a body
 counts against the memory of all whole bodies (``body_memory``).
 """
 
+import sys
 import typing
 
 from gaprock import (
+    arrivals,
     body_memory,
-    caller_chunks,
     caller_input,
     clock,
     eventlog,
@@ -16,10 +17,11 @@
     held_bytes,
 )
 
-# What a body that is not read is answered; 400 if it is malformed.
-STATUSES: typing.Final[dict[type, int]] = {
-    caller_chunks.TooLarge: 413,
-    caller_chunks.TooSlow: 408,
+# What a body that is not read is answered.
+STATUSES: typing.Final[dict[caller_input.Refusal, int]] = {
+    caller_input.Refusal.MALFORMED: 400,
+    caller_input.Refusal.TOO_LARGE: 413,
+    caller_input.Refusal.TOO_SLOW: 408,
 }
 
 
@@ -35,7 +37,7 @@
 
 
 class BodyReader:
-    """Reads request bodies; thread-safe.
+    """Takes request bodies; thread-safe.
 
     :param refuse: refuses a request; ``None`` to close its connection only.
     """
@@ -48,14 +50,64 @@
         # The largest body that is read; 0 for any.
         self.max_body = 0
 
+    @property
+    def limit(self) -> int:
+        """The largest body that is read, bytes."""
+        return self.max_body or sys.maxsize
+
+    def read(
+        self,
+        req: typing.Any,
+        reply: BodyReply,
+        holding: held_bytes.Holding | None,
+        share: body_memory.Share | None,
+    ) -> bytes | None:
+        """Take a body; ``None`` if the request was refused or its body broke off."""
+        reader = req.conn.rfile
+        refusal = reader.refusal
+        if reader.is_unframed:
+            refusal = caller_input.Refusal.MALFORMED
+        if refusal is None:
+            body: bytes = reader.take_body()
+            if self._count(body, holding, share):
+                # The server would read what is left of a body.
+                req.rfile.remaining = 0
+                return body
+            refusal = caller_input.Refusal.NO_MEMORY
+        self._refuse_body(req, reply, refusal, holding, reader.size)
+        return None
+
+    def _count(
+        self,
+        body: bytes,
+        holding: held_bytes.Holding | None,
+        share: body_memory.Share | None,
+    ) -> bool:
+        """Count a body that is whole; return whether it fits."""
+        if holding is not None:
+            kind, now = held_bytes.Kind.BODY, self._clock.now()
+            holding.account.set(holding, kind, len(body), now)
+            return True
+        if share is None or len(body) <= arrivals.SMALL_BYTES:
+            return True
+        return share.memory.admit_request(share, len(body))
+
     def _refuse_body(
         self,
         req: typing.Any,
         reply: BodyReply,
+        refusal: caller_input.Refusal,
         holding: held_bytes.Holding | None,
         size: int,
     ) -> None:
         req.close_connection = True
+        if refusal is caller_input.Refusal.BROKEN_OFF:
+            reply.abandon()
+            return
+        if refusal is not caller_input.Refusal.NO_MEMORY:
+            reply.whole(STATUSES[refusal], [], b"")
+            eventlog.info("body-refused", reason=refusal.name.lower())
+            return
         retry_s = held_bytes.RETRY_S[1]
         if holding is not None:
             retry_s = holding.account.record_refused(size)
@@ -63,83 +115,3 @@
             req.conn.wfile.holding = None
         if self.refuse is not None:
             self.refuse(reply, "no memory for the body", retry_s)
-
-    def read(
-        self,
-        req: typing.Any,
-        reply: BodyReply,
-        holding: held_bytes.Holding | None,
-        share: body_memory.Share | None,
-    ) -> bytes | None:
-        """Read a body; ``None`` if the request was refused or its body broke off."""
-        limit = self.max_body or None
-        length = int(req.inheaders.get(b"Content-Length", 0))
-        if limit is not None and length > limit:
-            req.close_connection = True
-            reply.whole(413, [], b"")
-            return None
-        if holding is not None and (length or req.chunked_read):
-            # What has arrived is counted already.
-            arrived = holding.held.get(held_bytes.Kind.BODY, 0)
-            verdict = req.conn.admit_body(max(0, length - arrived))
-            if holding.is_cut or verdict is held_bytes.Verdict.REFUSE:
-                self._refuse_body(req, reply, holding, length)
-                return None
-        if req.chunked_read:
-            req.rfile = caller_chunks.ChunkedBody(
-                req.conn.rfile, self.max_body, self._clock
-            )
-        try:
-            if holding is not None:
-                body = self._read_accounted(req, holding, length)
-            else:
-                body = self._read_admitted(req, share, length)
-        except (ValueError, caller_chunks.TooLarge, caller_chunks.TooSlow) as exc:
-            req.close_connection = True
-            reply.whole(STATUSES.get(type(exc), 400), [], b"")
-            eventlog.info("body-refused", error=repr(exc))
-            return None
-        if body is None:
-            self._refuse_body(req, reply, holding, length)
-            return None
-        if len(body) < length:
-            reply.abandon()
-            return None
-        return body
-
-    @staticmethod
-    def _read_admitted(
-        req: typing.Any, share: body_memory.Share | None, length: int
-    ) -> bytes | None:
-        """Read a body where no account is kept; ``None`` if it does not fit."""
-        if length <= held_bytes.SMALL_BODY and not req.chunked_read:
-            return bytes(req.rfile.read())
-        if share is not None and not share.memory.has_room(length):
-            return None
-        body = bytearray()
-        while piece := req.rfile.read(caller_input.READ_BYTES):
-            if share is not None and not share.memory.admit_request(share, len(piece)):
-                return None
-            body += piece
-        return bytes(body)
-
-    def _read_accounted(
-        self, req: typing.Any, holding: held_bytes.Holding, length: int
-    ) -> bytes | None:
-        """Read a body; ``None`` if it does not fit into the budget."""
-        account, kind = holding.account, held_bytes.Kind.BODY
-        if length <= held_bytes.SMALL_BODY and not req.chunked_read:
-            small = bytes(req.rfile.read())
-            account.set(holding, kind, len(small), self._clock.now())
-            return small
-        body = bytearray()
-        step = max(caller_input.READ_BYTES, req.conn.rfile.size)
-        while piece := req.rfile.read(step):
-            body += piece
-            req.conn.rfile.trim()
-            now = self._clock.now()
-            account.set(holding, kind, len(body) + req.conn.rfile.size, now)
-            if account.judge_body(0, now) is held_bytes.Verdict.REFUSE:
-                return None
-        account.set(holding, kind, len(body), self._clock.now())
-        return bytes(body)
--- a/gaprock/gateway_gauges.py
+++ b/gaprock/gateway_gauges.py
@@ -24,7 +24,10 @@
         metrics.set_held(gateway.account, gateway.clock.now())
     memory = gateway.body_memory
     metrics.body_bytes.set(memory.used)
-    metrics.body_memory_refused.set(memory.refused_count)
+    refused = memory.refused_count + memory.arrivals.refused_count
+    metrics.body_memory_refused.set(refused)
+    metrics.arrivals_given_up.set(memory.arrivals.given_up_count)
+    metrics.connections_closed.set(gateway.port.closed_count)
     metrics.answers_given_up.set(memory.given_up_count)
     metrics.requests_held.set(gateway.quarantine.held_count)
     metrics.segments_held.set(gateway.quarantine.held_segments)
--- a/gaprock/gateway_http.py
+++ b/gaprock/gateway_http.py
@@ -19,8 +19,10 @@
 import cheroot.server
 
 from gaprock import (
+    arrivals,
     body_memory,
     caller_body,
+    caller_connections,
     caller_input,
     caller_output,
     clock,
@@ -48,7 +50,13 @@
 # Requests that are read within this time after the port began to be served may have
 # waited in its backlog since it was opened.
 BACKLOG_READ_S: typing.Final = 0.25
+# Where a port is used by itself.
+MAX_CONNECTIONS: typing.Final = 1024
+DEFAULT_MEMORY_MB: typing.Final = 256.0
+# Threads and connections of a port for texts, and the memory for their requests, bytes.
 TEXT_THREADS: typing.Final = 2
+TEXT_CONNECTIONS: typing.Final = 64
+TEXT_REQUEST_BYTES: typing.Final = 256 * 1024
 TEXT_TYPE: typing.Final = (b"Content-Type", b"text/plain; version=0.0.4")
 BODILESS: typing.Final = (204, 304)
 REASONS: typing.Final = {int(s): s.phrase for s in http.HTTPStatus}
@@ -153,7 +161,8 @@
     :param max_idle: maximum number of idle connections.
     :param account: the account of bytes held for callers; ``None`` if not bounded.
     :param refuse: refuses a request that was not run, with a detail and a retry time.
-    :param memory: the memory for whole bodies; ``None`` if not bounded.
+    :param memory: the memory for whole bodies.
+    :param max_connections: maximum number of open connections.
     """
 
     def __init__(
@@ -167,21 +176,24 @@
         account: held_bytes.Account | None = None,
         refuse: caller_body.Refuse | None = None,
         memory: body_memory.BodyMemory | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
+        memory = memory or body_memory.BodyMemory(clock_, DEFAULT_MEMORY_MB)
         self._memory = memory
         self._account = account
         self.bodies = caller_body.BodyReader(clock_, refuse)
         self._serve = serve
         self._clock = clock_
         self._is_closing = is_closing
-        self._server = _server(address, START_THREADS, self._handle)
+        self._server = _server(address, START_THREADS, self._handle, clock_)
         self._server.requests.max = threads
+        self._server.max_connections = max_connections
+        self._server.arrivals = memory.arrivals
+        self._server.max_body = lambda: self.bodies.limit
         self._is_idle_low = threading.Event()
-        self._server.ConnectionClass = gateway_connection.Connection
         if account is not None:
             self._server.ConnectionClass = gateway_connection.AccountedConnection
-            self._server.account, self._server.clock = account, clock_
-            self._server.max_body = lambda: self.bodies.max_body or sys.maxsize
+            self._server.account = account
         self._dispatch = self._server.process_conn
         self._server.process_conn = self._process
         self._server.keep_alive_conn_limit = max_idle
@@ -202,6 +214,12 @@
         """
         return self._accepting is not None and self._accepting.is_alive()
 
+    @property
+    def closed_count(self) -> int:
+        """Connections closed since the start, to make room for others."""
+        connections = self._server._connections
+        return connections.closed_count if connections is not None else 0
+
     def start(self) -> None:
         """Start listening."""
         self._accepting = _start(self._server)
@@ -241,54 +259,34 @@
         self._server.timeout = idle_s + KEEP_ALIVE_SLACK_S
 
     def _process(self, conn: typing.Any) -> None:
-        """Have a thread serve a connection, unless its request is incomplete.
+        """Have a thread serve a connection.
 
-        Further bytes of a request that arrives slowly are read right here, which takes
-        less time than waking a thread.  A new connection is closed if no call of it
-        could be served: its caller may try another gateway at once, as nothing of the
-        request was read.
+        A new one is closed if no call of it could be served: its caller may try another
+        gateway at once, as nothing of the request was read.
         """
-        try:
-            if not conn.has_begun and self.is_overfull():
-                self.closed_unread += 1
-                conn.close()
-                return
-            conn.has_begun = True
-            if self._account is not None and not self._has_arrived(conn):
-                self._server.put_conn(conn)
-                return
-        except Exception as exc:
-            # An exception would end the thread that accepts connections.
-            eventlog.warning("handler-failed", error=repr(exc))
+        if not conn.has_begun and self.is_overfull():
+            self.closed_unread += 1
             conn.close()
             return
+        conn.has_begun = True
         self._dispatch(conn)
 
-    @staticmethod
-    def _has_arrived(conn: typing.Any) -> bool:
-        """Read more of a request that arrives slowly; return whether it is complete."""
-        return not conn.rfile.is_waiting or conn.gather()
-
     def _handle(self, req: typing.Any) -> None:
-        if self._memory is None:
-            self._handle_within(req, None)
-            return
         share = self._memory.open()
         try:
             self._handle_within(req, share)
         finally:
             self._memory.close(share)
 
-    def _handle_within(self, req: typing.Any, share: body_memory.Share | None) -> None:
+    def _handle_within(self, req: typing.Any, share: body_memory.Share) -> None:
         """Read a request and serve it.
 
-        :param share: its share of the memory for bodies; ``None`` if not bounded.
+        :param share: its share of the memory for bodies.
         """
-        holding = getattr(req.conn, "holding", None)
+        holding = req.conn.holding
+        # A body that arrived slowly took part of the caller's time.
         arrived_at = self._clock.now() - self._backlog_wait_s()
-        if holding is not None:
-            # A body that arrived slowly took part of the caller's time.
-            arrived_at = min(arrived_at, req.conn.rfile.head_at or arrived_at)
+        arrived_at = min(arrived_at, req.conn.rfile.head_at or arrived_at)
         if self._server.requests.idle < LOW_IDLE:
             self._is_idle_low.set()
         reply = HttpReply(req, self._is_closing())
@@ -332,6 +330,8 @@
 class TextPort:
     """A small port that answers each path with a status and a text.
 
+    Bodies are not read.
+
     :param paths: function that answers each path.
     """
 
@@ -339,9 +339,15 @@
         self,
         address: tuple[str, int],
         paths: dict[str, typing.Callable[[], tuple[int, bytes]]],
+        clock_: clock.Clock,
     ) -> None:
         self._paths = {path.encode(): answer for path, answer in paths.items()}
-        self._server = _server(address, TEXT_THREADS, self._handle)
+        self._server = _server(address, TEXT_THREADS, self._handle, clock_)
+        self._server.max_connections = TEXT_CONNECTIONS
+        self._server.arrivals = arrivals.Arrivals(
+            clock_, lambda: TEXT_REQUEST_BYTES, lambda: 0
+        )
+        self._server.max_body = lambda: 0
 
     def start(self) -> None:
         """Start listening."""
@@ -354,7 +360,8 @@
     def _handle(self, req: typing.Any) -> None:
         answer = self._paths.get(req.uri.partition(b"?")[0])
         status, text = answer() if answer else (404, b"")
-        HttpReply(req, closing=False).whole(status, [TEXT_TYPE], text)
+        has_body = req.conn.rfile.refusal is not None or req.conn.rfile.is_unframed
+        HttpReply(req, closing=has_body).whole(status, [TEXT_TYPE], text)
 
 
 class _HttpServer(cheroot.server.HTTPServer):
@@ -362,12 +369,21 @@
 
     # For how long its port was open and not served, seconds.
     unserved_s = 0.0
+    _connections: typing.Any = None
+
+    def prepare(self) -> None:
+        """Open the port; its connections are bounded."""
+        super().prepare()
+        self._connections._selector.close()
+        self._connections = caller_connections.Connections(self)
 
     def bind(self, family: int, type: int, proto: int = 0) -> typing.Any:
         """Use the port that was opened early, or open one."""
         port = early_listen.take_port(self.bind_addr)
         if port is None:
-            return super().bind(family, type, proto)
+            sock = super().bind(family, type, proto)
+            early_listen.limit_receive_buffers(self.socket)
+            return sock
         self.socket = port.sock
         self.unserved_s = clock.SteadyClock().now() - port.opened_at
         eventlog.info("port-taken-over", unserved_s=self.unserved_s)
@@ -378,6 +394,7 @@
     address: tuple[str, int],
     threads: int,
     handle: typing.Callable[[typing.Any], None],
+    clock_: clock.Clock,
 ) -> typing.Any:
     """Build one of CherryPy's HTTP servers with a handler of our own."""
 
@@ -389,6 +406,8 @@
     server: typing.Any = _HttpServer(
         address, Gateway, minthreads=threads, maxthreads=threads
     )
+    server.clock = clock_
+    server.ConnectionClass = gateway_connection.Connection
     server.request_queue_size = LISTEN_BACKLOG
     server.max_request_header_size = caller_input.MAX_HEAD_BYTES
     server.timeout = CALLER_TIMEOUT_S
--- a/gaprock/gateway_metrics.py
+++ b/gaprock/gateway_metrics.py
@@ -40,6 +40,8 @@
         "body_bytes",
         "body_memory_refused",
         "answers_given_up",
+        "arrivals_given_up",
+        "connections_closed",
         "requests_held",
         "segments_held",
         "families_held",
@@ -227,6 +229,16 @@
             "Request bodies refused since the start, for lack of memory for bodies",
             registry=registry,
         )
+        self.arrivals_given_up = prometheus_client.Gauge(
+            "gaprock_arrivals_given_up",
+            "Arriving requests given up since the start, for lack of memory for bodies",
+            registry=registry,
+        )
+        self.connections_closed = prometheus_client.Gauge(
+            "gaprock_connections_closed",
+            "Callers' connections closed since the start, to make room for others",
+            registry=registry,
+        )
         self.answers_given_up = prometheus_client.Gauge(
             "gaprock_answers_given_up",
             "Answers given up since the start, for lack of memory for bodies",
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -78,6 +78,8 @@
 DESCRIPTORS_PER_CALL: typing.Final = 2
 OTHER_DESCRIPTORS: typing.Final = 400
 MIN_IDLE_CONNECTIONS: typing.Final = 100
+# Callers' connections per megabyte of memory.
+CONNECTIONS_PER_MB: typing.Final = 8.0
 # Periods of the background tasks, seconds.
 ROLLOUT_STEP_S: typing.Final = 0.2
 # Interval between log lines on the exposure of a rollout, seconds.
@@ -245,16 +247,20 @@
             self.account,
             self.server.refuse,
             self.body_memory,
+            self._max_connections(),
         )
         self.port.is_overfull = self._is_overfull
         self.ready_port = gateway_http.TextPort(
             gateway_http.parse_address(cfg.ready_listen),
             {dialect.ready_path: self._answer_ready},
+            clock_,
         )
         self.metrics_port = None
         if cfg.metrics_port:
             self.metrics_port = gateway_http.TextPort(
-                (cfg.host, cfg.metrics_port), {METRICS_PATH: self._answer_metrics}
+                (cfg.host, cfg.metrics_port),
+                {METRICS_PATH: self._answer_metrics},
+                clock_,
             )
         self._tasks = [
             periodic.Periodic("rollouts", ROLLOUT_STEP_S, self._step_rollouts),
@@ -504,9 +510,17 @@
         return min(MAX_CALLS, int(CALLS_PER_MB * self.cfg.memory_mb))
 
     def _max_idle_connections(self) -> int:
-        """Return how many idle caller connections the remaining descriptors allow."""
+        """Return how many idle caller connections descriptors and memory allow."""
         calls = DESCRIPTORS_PER_CALL * self._max_calls()
-        return max(MIN_IDLE_CONNECTIONS, self.cfg.max_fds - calls - OTHER_DESCRIPTORS)
+        rest = min(
+            self.cfg.max_fds - calls - OTHER_DESCRIPTORS,
+            int(CONNECTIONS_PER_MB * self.cfg.memory_mb) - self._max_calls(),
+        )
+        return max(MIN_IDLE_CONNECTIONS, rest)
+
+    def _max_connections(self) -> int:
+        """Return how many caller connections may be open."""
+        return self._max_idle_connections() + self._max_calls()
 
     def _count_on_old_version(self, service: str) -> int:
         """Return the number of our requests that run on a service's old version."""
--- a/gaprock/gateway_program.py
+++ b/gaprock/gateway_program.py
@@ -21,6 +21,7 @@
     gateway_api,
     gateway_node,
     mechanisms,
+    native_memory,
     options,
     plugin,
     signals,
@@ -66,6 +67,7 @@
 def run(cfg: options.Options, received: signals.Signals) -> None:
     """Run a gateway until SIGTERM or SIGINT; SIGHUP reloads the settings."""
     eventlog.start(cfg.vm, cfg.verbose, bounded=True)
+    native_memory.limit_kept()
     threading.stack_size(STACK_BYTES)
     plugin.load_all(plugin.GATEWAY_MODULES)
     store = plugin.find(gateway_api.SharedStore, cfg.shared_store)
--- a/gaprock/test/testbodymemory.py
+++ b/gaprock/test/testbodymemory.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 import typing
 
 import pytest
@@ -114,6 +115,20 @@
         gatewaysite.wait_until(lambda: memory.used == 0, "all bytes are released")
 
 
+def test_the_refusal_of_a_body_is_not_lost_to_a_reset() -> None:
+    with gatewaysite.GatewaySite(small) as site:
+        site.add("one", "app")
+        head, body = site.request("/safe/x", b"x" * 1_000_000).split(b"\r\n\r\n", 1)
+        with site.connect() as sock:
+            # The caller goes on sending after it was refused.
+            sock.sendall(head + b"\r\n\r\n")
+            for start in range(0, 500_000, 50_000):
+                sock.sendall(body[start : start + 50_000])
+                time.sleep(0.01)
+            answer = gatewaysite.Answer(gatewaysite.read_all(sock))
+        assert answer.status == 413 and answer.whole
+
+
 def test_the_largest_answer_is_given_up_and_the_others_go_on() -> None:
     memory = body_memory.BodyMemory(clock.ManualClock(1.0), 100.0)
     shares = [memory.open() for _ in range(4)]
--- a/gaprock/test/testchunks.py
+++ b/gaprock/test/testchunks.py
@@ -1,15 +1,20 @@
 """Requests whose bodies come in chunks."""
 
-import io
+import contextlib
 import socket
 import typing
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
-from gaprock import caller_chunks, clock
+from gaprock import caller_chunks, caller_input
 from gaprock.test import gatewaysite
 from gaprock.test.fakes import backend
 
+BODY_BYTES: typing.Final = 4 * 1024 * 1024
+EXTENSIONS: typing.Final = [b"", b";a=b", b" ;c"]
+
 
 def start(site: gatewaysite.GatewaySite, data: bytes) -> socket.socket:
     """Send the head of a request in chunks, and some bytes of its body."""
@@ -72,23 +77,115 @@
     assert not fake.seen
 
 
-class SlowSource(io.BytesIO):
-    """A caller that sends a byte a second."""
+def test_a_chunk_that_comes_too_slowly_is_given_up(
+    site: gatewaysite.GatewaySite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fake = site.add("one", "app")
+    monkeypatch.setattr(caller_input, "REQUEST_TIMEOUT_S", 0.5)
+    with start(site, b"ff\r\nx") as sock:
+        sock.settimeout(0.05)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                try:
+                    data = sock.recv(65536)
+                    break
+                except TimeoutError:
+                    sock.sendall(b"x")
+    assert b" 408 " in data
+    assert not fake.seen
+
+
+DECODED: typing.Final = 10_000
 
-    def __init__(self, data: bytes, time: clock.ManualClock) -> None:
-        super().__init__(data)
-        self._time = time
 
-    def read1(self, size: int | None = -1, /) -> bytes:
-        self._time.advance(1.0)
-        return super().read1(1)
+class Reference:
+    """A plain decoder of whole bodies, to compare with."""
 
+    def __init__(self, data: bytes) -> None:
+        self.body = b""
+        self.rest = data
+        while True:
+            line, _, self.rest = self.rest.partition(b"\r\n")
+            size = int(line.partition(b";")[0], 16)
+            self.body, self.rest = self.body + self.rest[:size], self.rest[size:]
+            if not size:
+                break
+            assert self.rest[:2] == b"\r\n"
+            self.rest = self.rest[2:]
+        while line != b"":
+            line, _, self.rest = self.rest.partition(b"\r\n")
 
-def test_a_chunk_that_comes_too_slowly_is_given_up() -> None:
-    time = clock.ManualClock(100.0)
-    source = typing.cast(caller_chunks.Source, SlowSource(b"ff\r\n" + b"x" * 255, time))
-    body = caller_chunks.ChunkedBody(source, 0, time)
-    with pytest.raises(caller_chunks.TooSlow):
-        while body.read(100):
-            pass
-    assert time.now() <= 101.0 + caller_chunks.BODY_TIMEOUT_S
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.binary(min_size=1, max_size=40), st.sampled_from(EXTENSIONS))
+    ),
+    st.lists(st.sampled_from([b"a: b", b"c:" + b"d" * 100]), max_size=5),
+    st.binary(max_size=20),
+    st.lists(st.integers(1, 30)),
+)
+def test_bodies_in_any_chunks_and_pieces_are_decoded_like_by_a_reference(
+    chunks: list[tuple[bytes, bytes]],
+    trailers: list[bytes],
+    rest: bytes,
+    cuts: list[int],
+) -> None:
+    data = b"".join(b"%x%b\r\n%b\r\n" % (len(one), ext, one) for one, ext in chunks)
+    data += b"0\r\n" + b"".join(line + b"\r\n" for line in trailers) + b"\r\n" + rest
+    decoder = caller_chunks.ChunkDecoder(DECODED)
+    body, left = b"", b""
+    while data_left := data[:]:
+        size = cuts.pop() if cuts else len(data_left)
+        if decoder.is_complete:
+            left += data_left
+            break
+        pieces, after = decoder.decode(data_left[:size])
+        body, left, data = body + b"".join(pieces), left + after, data[size:]
+    expected = Reference(
+        b"".join(b"%x%b\r\n%b\r\n" % (len(one), ext, one) for one, ext in chunks)
+        + b"0\r\n"
+        + b"".join(line + b"\r\n" for line in trailers)
+        + b"\r\n"
+        + rest
+    )
+    assert (body, left) == (expected.body, expected.rest)
+    assert decoder.is_complete
+
+
+@hypothesis.given(st.binary(max_size=200), st.lists(st.integers(1, 30)))
+def test_any_bytes_are_decoded_alike_in_any_pieces(
+    data: bytes, cuts: list[int]
+) -> None:
+    def decode(sizes: list[int]) -> bytes | None:
+        decoder, body, left = caller_chunks.ChunkDecoder(DECODED), b"", data
+        while left and not decoder.is_complete:
+            size = sizes.pop() if sizes else len(left)
+            try:
+                pieces, _ = decoder.decode(left[:size])
+            except (ValueError, caller_chunks.TooLarge):
+                return None
+            body, left = body + b"".join(pieces), left[size:]
+        return body
+
+    assert decode(cuts) == decode([])
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 1000, 4096, 65536, BODY_BYTES])
+def test_a_body_as_large_as_allowed_is_served_in_chunks_of_any_size(
+    site: gatewaysite.GatewaySite, size: int
+) -> None:
+    limits = {"BodyBytes": BODY_BYTES, "IdleMs": 15_000}
+    routes = [gatewaysite.route("/safe/", "safe", "app", TimeoutMs=60_000)]
+    site.store.put("op", "config", gatewaysite.config(2, Limits=limits, Routes=routes))
+    bodies = site.gateway.port.bodies
+    gatewaysite.wait_until(lambda: bodies.max_body == BODY_BYTES, "configuration")
+    fake = site.add("one", "app")
+    chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
+    data = chunk * (BODY_BYTES // size)
+    last = BODY_BYTES % size
+    data += b"%x\r\n%b\r\n" % (last, b"x" * last) if last else b""
+    sock = start(site, b"")
+    sock.settimeout(60)
+    sock.sendall(data + b"0\r\n\r\n")
+    assert answer(sock).status == 200
+    assert fake.seen[0].body == b"x" * BODY_BYTES
--- a/gaprock/test/testcrowds.py
+++ b/gaprock/test/testcrowds.py
@@ -1,11 +1,34 @@
 """Crowds of clients that do not behave, before each port of a real process."""
 
 import pathlib
+import typing
 
 import pytest
 
 from gaprock.test import crowdcase, processes
 
+CONTRACTS: typing.Final = ["", '"pressure"']
+CALLERS: typing.Final = [
+    "half-a-head",
+    "head-at-the-limit",
+    "long-head",
+    "endless-head",
+    "length-one-short",
+    "length-slowly",
+    "expect-one-short",
+    "large-chunk-one-short",
+    "large-chunk-no-route",
+    "chunks-of-64-kb-one-short",
+    "chunks-of-a-byte",
+    "chunks-of-a-byte-then-silence",
+    "chunks-with-extensions",
+    "chunks-slowly",
+    "trailers-without-end",
+    "trailer-line-without-end",
+    "trailers-slowly",
+    "pipelined-unread",
+]
+
 
 def check_bounds(site: crowdcase.CrowdSite) -> None:
     assert site.gateway.is_alive
@@ -13,6 +36,46 @@
     assert site.gateway.peak.descriptors <= crowdcase.MAX_FDS, site.gateway.peak
 
 
+@pytest.mark.parametrize("contracts", CONTRACTS)
+@pytest.mark.parametrize("pattern", CALLERS)
+def test_a_gateway_outlives_a_crowd_before_the_callers_port(
+    tmp_path: pathlib.Path, pattern: str, contracts: str
+) -> None:
+    with crowdcase.CrowdSite(tmp_path, contracts) as site:
+        with crowdcase.crowd((site.ip, site.port), pattern):
+            site.gateway.watch_for(crowdcase.CROWD_S)
+            assert site.wait_served(), "not served beside the crowd"
+        assert site.wait_served(), "not served afterwards"
+        check_bounds(site)
+
+
+@pytest.mark.parametrize("contracts", CONTRACTS)
+def test_a_gateway_outlives_more_silent_connections_than_descriptors(
+    tmp_path: pathlib.Path, contracts: str
+) -> None:
+    with crowdcase.CrowdSite(tmp_path, contracts) as site:
+        address = site.ip, site.port
+        with crowdcase.crowd(address, "silence", 2 * crowdcase.MAX_FDS):
+            site.gateway.watch_for(crowdcase.CROWD_S)
+            assert site.wait_served(), "not served beside the crowd"
+        assert site.wait_served(), "not served afterwards"
+        check_bounds(site)
+
+
+@pytest.mark.parametrize("count", [4, crowdcase.CROWD, 2 * crowdcase.MAX_FDS])
+@pytest.mark.parametrize("pattern", ["silence", "half-a-head", "body-of-400-mb"])
+def test_a_gateway_stays_ready_beside_a_crowd_before_its_readiness_port(
+    tmp_path: pathlib.Path, pattern: str, count: int
+) -> None:
+    with crowdcase.CrowdSite(tmp_path, "") as site:
+        with crowdcase.crowd((site.ip, site.ready_port), pattern, count):
+            site.gateway.watch_for(crowdcase.CROWD_S)
+            assert site.wait_ready(), "not ready beside the crowd"
+            assert site.wait_served(), "not served beside the crowd"
+        assert site.wait_ready(), "not ready afterwards"
+        check_bounds(site)
+
+
 @pytest.mark.parametrize("size", [1000, 60_000, 1_000_000])
 def test_a_gateway_outlives_strangers_that_push_frames_to_the_port_of_its_peers(
     tmp_path: pathlib.Path, size: int
--- a/misc/proofs_gateway_held.py
+++ b/misc/proofs_gateway_held.py
@@ -68,8 +68,8 @@
         "requests that arrive slowly keep no thread",
         "testslowreaders.py::test_requests_that_arrive_slowly_keep_no_thread",
         "gateway_connection.py",
-        "if not self.gather():",
-        "if not self.gather() and False:",
+        "if not self.gather() and not self._await_admission():",
+        "while not self.gather():\n            pass\n        if False:",
     ),
     proofs.gateway(
         "slow readers make room when calls are scarce",
@@ -130,4 +130,60 @@
         "mesh_halls.py",
         "            self._directory.apply_peer_held(source_name(hall), {})\n",
     ),
+    proofs.gateway(
+        "a body that is arriving counts as a whole",
+        "testarrivals.py::test_bodies_of_known_length_are_counted_before_they_arrive",
+        "arrivals.py",
+        "            arrival.reserved = length\n",
+    ),
+    proofs.gateway(
+        "a body that stopped makes room for another one",
+        "testarrivals.py::test_a_body_that_stopped_is_given_up_for_another_one",
+        "arrivals.py",
+        "if one.is_slow(now)]",
+        "if False]",
+    ),
+    proofs.gateway(
+        "a body that makes headway is not given up for another one",
+        "testarrivals.py::test_a_body_that_makes_headway_is_not_given_up_for_another"
+        "_one",
+        "arrivals.py",
+        "if one.is_slow(now)]",
+        "]",
+    ),
+    proofs.gateway(
+        "the earliest small requests make room for later ones",
+        "testarrivals.py::test_the_earliest_small_requests_make_room_for_later_ones",
+        "arrivals.py",
+        "            self._fit_small()\n",
+    ),
+    proofs.gateway(
+        "arriving requests make room for answers",
+        "testarrivals.py::test_answers_are_made_room_for_by_bodies_that_stopped_first",
+        "arrivals.py",
+        '                self._give_up(one, "answers")\n',
+    ),
+    proofs.gateway(
+        "a caller whose body was refused is read until it has the answer",
+        "testbodymemory.py::test_the_refusal_of_a_body_is_not_lost_to_a_reset",
+        "gateway_connection.py",
+        "if self._has_unread and not self.linger_until:",
+        "if False:",
+    ),
+    proofs.gateway(
+        "the number of callers' connections is bounded",
+        "testcrowds.py::test_a_gateway_outlives_more_silent_connections_than"
+        "_descriptors",
+        "caller_connections.py",
+        "if len(self._open) >= self.server.max_connections and not self._make_room():",
+        "if False:",
+    ),
+    proofs.gateway(
+        "the number of connections to the readiness port is bounded",
+        "testcrowds.py::test_a_gateway_stays_ready_beside_a_crowd_before_its_readiness"
+        "_port[silence-1400]",
+        "caller_connections.py",
+        "if len(self._open) >= self.server.max_connections and not self._make_room():",
+        "if False:",
+    ),
 )
