Skip connections that were closed while the ready ones are served

A connection that was closed to make room may be in the list of ready ones of the same turn. Passing it on raised in the thread that accepts connections, which then began its loop anew, with a log line.

--- a/gaprock/caller_connections.py
+++ b/gaprock/caller_connections.py
@@ -85,6 +85,9 @@
         for fd, conn in ready:
             if conn is self.server:
                 self._accept_some()
+            elif conn not in self._open:
+                # Closed a moment ago, to make room for another one.
+                continue
             elif conn.linger_until or conn.rfile.is_waiting:
                 arriving.append((fd, conn))
             else:
@@ -103,9 +106,6 @@
                 self._close(fd, conn)
 
     def _read(self, fd: int, conn: typing.Any) -> None:
-        if conn not in self._open:
-            # Closed to make room for one of the others.
-            return
         if conn.linger_until:
             if not conn.drop_unread():
                 self._close(fd, conn)
