--- a/gaprock/test/crowds.py
+++ b/gaprock/test/crowds.py
@@ -189,6 +189,13 @@
             for key, events in self._selector.select(0.05):
                 self._serve(key.data, events)
 
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients:
+            if client.sock is not None:
+                client.sock.close()
+        self._selector.close()
+
     def _wake(self, client: Client) -> None:
         client.wake_at = float("inf")
         if client.sock is None:
--- a/gaprock/test/soak.py
+++ b/gaprock/test/soak.py
@@ -20,7 +20,7 @@
 import tempfile
 
 # Importing the steps registers them.
-from gaprock.test import soak_run, soak_slow, soak_steps  # noqa: F401
+from gaprock.test import soak_crowd, soak_run, soak_slow, soak_steps  # noqa: F401
 
 
 def run_seed(
@@ -29,16 +29,20 @@
     gateways: int,
     logs: pathlib.Path,
     varies_ends: bool = False,
+    has_crowd: bool = False,
 ) -> list[str]:
     """Run one seed, print a summary, and return the violations of guarantees.
 
     :param varies_ends: whether crashes on poison requests look different.
+    :param has_crowd: whether there are clients that do not behave.
     """
     soak = soak_run.Soak(seed, seconds, gateways, logs)
     soak.fleet.varies_ends = varies_ends
     soak.fleet.crash_rng = random.Random(f"ends {seed}")
     if soak_slow.is_slow(seed):
         soak_slow.add_slow_readers(soak)
+    if has_crowd:
+        soak_crowd.add_crowd(soak, seed)
     violations = soak.run()
     print(f"seed {seed}: {soak.ledger.summary()}", flush=True)
     return violations
@@ -63,7 +67,7 @@
     failed = 0
     for seed in range(first, first + args.seeds):
         logs = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        violations = run_seed(seed, args.seconds, args.gateways, logs, True)
+        violations = run_seed(seed, args.seconds, args.gateways, logs, True, True)
         failed += bool(violations)
         print(
             f"seed {seed}: {len(violations)} broken"
--- a/gaprock/test/testsoak.py
+++ b/gaprock/test/testsoak.py
@@ -27,6 +27,8 @@
 SEEDS: typing.Final = (1, *FAILED, *SLOW)
 # Seeds with a poison request whose crashes look different.
 ENDS: typing.Final = (22037, 22012)
+# Seeds with clients that do not behave; the second one has planned work alone.
+CROWDS: typing.Final = (89_005, 89_010)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -43,6 +45,13 @@
     assert not soak.run_seed(seed, SHORT_S, GATEWAYS, tmp_path, varies_ends=True)
 
 
+@pytest.mark.parametrize("seed", CROWDS)
+def test_the_promises_are_kept_beside_clients_that_do_not_behave(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    assert not soak.run_seed(seed, SHORT_S, GATEWAYS, tmp_path, has_crowd=True)
+
+
 def call_result(
     request: str, kind: str, status: int, **more: object
 ) -> soak_ledger.CallResult:
