Let the few threads of the port for texts wait for nobody

A thread that gets a new connection waits up to 5 ms for its first bytes. The readiness port has two threads, so callers that connect again and again could keep its queue full, and a question of the platform was closed or late.

--- a/gaprock/caller_body.py
+++ b/gaprock/caller_body.py
@@ -37,7 +37,7 @@
 
 
 class BodyReader:
-    """Takes request bodies; thread-safe.
+    """Takes request bodies from connections, or refuses them; thread-safe.
 
     :param refuse: refuses a request; ``None`` to close its connection only.
     """
--- a/gaprock/caller_input.py
+++ b/gaprock/caller_input.py
@@ -78,6 +78,7 @@
 
     :param sock: a connection with a time-out, so its descriptor does not block.
     :param max_body: returns the largest body that is read.
+    :param first_wait_ms: longest wait for the first bytes.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         clock_: clock.Clock,
         admit: Admit,
         max_body: typing.Callable[[], int],
+        first_wait_ms: int = FIRST_WAIT_MS,
     ) -> None:
         self._sock = sock
         self._clock = clock_
@@ -113,7 +115,7 @@
         # Whether the request has a body that is not read, so that nothing after its
         # head is a request.
         self.is_unframed = False
-        self._first_wait_ms = FIRST_WAIT_MS
+        self._first_wait_ms = first_wait_ms
         self.began_at = 0.0
         # When the head was whole; 0 before.
         self.head_at = 0.0
--- a/gaprock/gateway_connection.py
+++ b/gaprock/gateway_connection.py
@@ -114,8 +114,8 @@
         self._clock: clock.Clock = server.clock
         self._arrivals: arrivals.Arrivals = server.arrivals
         super().__init__(server, sock, self._make_file)
-        # The request that is arriving, if more than a visit is needed for it; replaced
-        # by the thread that serves the connection alone.
+        # The request that is arriving, if more than one visit is needed for it.  Only
+        # the thread that has the connection replaces it.
         self._arrival: arrivals.Arrival | None = None
         self.holding: held_bytes.Holding | None = None
         self.opened_at = self.visited_at = self._clock.now()
@@ -130,7 +130,11 @@
     def _make_file(self, sock: socket.socket, mode: str, size: int) -> typing.Any:
         if mode == "rb":
             return caller_input.RequestReader(
-                sock, self._clock, self._admit_body, self.server.max_body
+                sock,
+                self._clock,
+                self._admit_body,
+                self.server.max_body,
+                self.server.first_wait_ms,
             )
         return self._make_writer(sock, mode, size)
 
--- a/gaprock/gateway_http.py
+++ b/gaprock/gateway_http.py
@@ -348,6 +348,8 @@
             clock_, lambda: TEXT_REQUEST_BYTES, lambda: 0
         )
         self._server.max_body = lambda: 0
+        # Its few threads wait for nobody.
+        self._server.first_wait_ms = 0
 
     def start(self) -> None:
         """Start listening."""
@@ -407,6 +409,7 @@
         address, Gateway, minthreads=threads, maxthreads=threads
     )
     server.clock = clock_
+    server.first_wait_ms = caller_input.FIRST_WAIT_MS
     server.ConnectionClass = gateway_connection.Connection
     server.request_queue_size = LISTEN_BACKLOG
     server.max_request_header_size = caller_input.MAX_HEAD_BYTES
