--- a/gaprock/entry_http.py
+++ b/gaprock/entry_http.py
@@ -85,7 +85,7 @@
             environ.get("HTTP_TRANSFER_ENCODING")
         )
         self._input = environ["wsgi.input"]
-        self._close = environ[CLOSE_KEY]
+        self._close = environ.get(CLOSE_KEY)
 
     def body_length(self, limit: int) -> int:
         """Return the length of the body.
@@ -116,7 +116,8 @@
 
     def skip_body(self) -> None:
         """Leave the body unread: the connection closes after the answer."""
-        self._close()
+        if self._close is not None:
+            self._close()
 
 
 class Root:
