Count a body in chunks after each read of its first visit

A body whose length is not known is counted after each visit of its connection, and the first visit read up to 1 MB, since it began before the head was parsed: on each of 155 threads at once. A visit now ends with the first read that holds chunks, 64 KB.

--- a/gaprock/caller_input.py
+++ b/gaprock/caller_input.py
@@ -18,10 +18,8 @@
 # Longest head of a request; the server refuses a longer one, so it is not waited for.
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 READ_BYTES: typing.Final = 64 * 1024
-# Reads of one visit, so that a fast sender does not keep a thread from others.  Chunks
-# take much more time than other bytes.
+# Reads of one visit, so that a fast sender does not keep a thread from others.
 MAX_READS: typing.Final = 16
-MAX_CHUNK_READS: typing.Final = 1
 # Longest wait for the first bytes of a new connection, ms.  They usually arrive within
 # it, which saves a second visit of the connection.
 FIRST_WAIT_MS: typing.Final = 5
@@ -192,8 +190,7 @@
         """
         if self._is_ready or (self._arrived and not self.head_at and self._find_head()):
             return True
-        reads = MAX_CHUNK_READS if self._chunks is not None else MAX_READS
-        for _ in range(reads):
+        for _ in range(MAX_READS):
             data = self._read_arrived()
             if data is None:
                 return self._is_ready
@@ -204,7 +201,9 @@
                 self._end_input()
                 return True
             self._take(data)
-            if self._is_ready or self.awaits_admission:
+            # Chunks take much more time than other bytes, and are counted only after
+            # each visit.
+            if self._is_ready or self.awaits_admission or self._chunks is not None:
                 return self._is_ready
         return self._is_ready
 
