Use the small body of held_bytes, and one question of readiness in tests

Read in the whole change: arrivals had the limit of small bodies again under another name, a property of the open connections was never used, and the tests asked the readiness port at two places with the same lines. Behaviour is the same.

--- a/gaprock/arrivals.py
+++ b/gaprock/arrivals.py
@@ -15,10 +15,9 @@
 
 from gaprock import clock, eventlog
 
-# Shares of the budget for bodies above ``SMALL_BYTES``, and for all other requests.
+# Shares of the budget for large bodies, and for all other requests.
 LARGE_SHARE: typing.Final = 0.5
 SMALL_SHARE: typing.Final = 0.25
-SMALL_BYTES: typing.Final = 16 * 1024
 # A large body that gets less than ``SLOW_BYTES`` in ``SLOW_S`` makes no headway.
 SLOW_S: typing.Final = 2.0
 SLOW_BYTES: typing.Final = 64 * 1024
@@ -114,7 +113,7 @@
                 arrival.held = 0
 
     def admit_body(self, arrival: Arrival, length: int) -> bool:
-        """Reserve memory for a body that is above ``SMALL_BYTES``, or refuse it.
+        """Reserve memory for a large body, or refuse it.
 
         :param length: its length; 0 if that is not known.
         """
--- a/gaprock/caller_body.py
+++ b/gaprock/caller_body.py
@@ -7,15 +7,7 @@
 import sys
 import typing
 
-from gaprock import (
-    arrivals,
-    body_memory,
-    caller_input,
-    clock,
-    eventlog,
-    gateway_call,
-    held_bytes,
-)
+from gaprock import body_memory, caller_input, clock, eventlog, gateway_call, held_bytes
 
 # What a body that is not read is answered.
 STATUSES: typing.Final[dict[caller_input.Refusal, int]] = {
@@ -88,7 +80,7 @@
             kind, now = held_bytes.Kind.BODY, self._clock.now()
             holding.account.set(holding, kind, len(body), now)
             return True
-        if share is None or len(body) <= arrivals.SMALL_BYTES:
+        if share is None or len(body) <= held_bytes.SMALL_BODY:
             return True
         return share.memory.admit_request(share, len(body))
 
--- a/gaprock/caller_connections.py
+++ b/gaprock/caller_connections.py
@@ -49,11 +49,6 @@
         self._unlogged = 0
         self._log_at = -clock.NEVER
 
-    @property
-    def open_count(self) -> int:
-        """Number of open connections."""
-        return len(self._open)
-
     def put(self, conn: typing.Any) -> None:
         """Wait for bytes of a connection."""
         if conn.linger_until:
--- a/gaprock/gateway_connection.py
+++ b/gaprock/gateway_connection.py
@@ -198,7 +198,7 @@
         return False
 
     def _admit_body(self, length: int | None) -> caller_input.Admission:
-        if length is not None and length <= arrivals.SMALL_BYTES:
+        if length is not None and length <= held_bytes.SMALL_BODY:
             return caller_input.Admission.YES
         if not self._arrivals.admit_body(self._open_arrival(), length or 0):
             return caller_input.Admission.NO
--- a/gaprock/test/crowdcase.py
+++ b/gaprock/test/crowdcase.py
@@ -160,12 +160,7 @@
 
     def is_ready(self) -> bool:
         """Whether the gateway tells the load balancer that it is ready."""
-        try:
-            with socket.create_connection((self.ip, self.ready_port), 1.0) as sock:
-                sock.sendall(b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
-                return b" 200 " in sock.recv(64)
-        except OSError:
-            return False
+        return ports.is_ready(self.ip, self.ready_port)
 
     def is_served(self) -> bool:
         """Whether an ordinary request with a small body is served at this try."""
--- a/gaprock/test/ports.py
+++ b/gaprock/test/ports.py
@@ -67,3 +67,13 @@
         if _block is None:
             _block = PortBlock()
         return _block.take()
+
+
+def is_ready(ip: str, port: int) -> bool:
+    """Whether a gateway's readiness port tells the load balancer that it is ready."""
+    try:
+        with socket.create_connection((ip, port), 1.0) as sock:
+            sock.sendall(b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+            return b" 200 " in sock.recv(64)
+    except OSError:
+        return False
--- a/gaprock/test/soak_gateway.py
+++ b/gaprock/test/soak_gateway.py
@@ -2,7 +2,6 @@
 
 import os
 import pathlib
-import socket
 import subprocess
 import sys
 import threading
@@ -106,9 +105,4 @@
 
     def is_ready(self) -> bool:
         """Whether the gateway tells the load balancer that it is ready."""
-        try:
-            with socket.create_connection((self.ip, self.ready_port), 1.0) as sock:
-                sock.sendall(b"GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
-                return b" 200 " in sock.recv(64)
-        except OSError:
-            return False
+        return ports.is_ready(self.ip, self.ready_port)
