--- a/review/bed.py
+++ b/review/bed.py
@@ -8,7 +8,9 @@
 import json
 import os
 import pathlib
+import random
 import shlex
+import signal
 import socket
 import subprocess
 import sys
@@ -50,6 +52,23 @@
 EXIT_FAILED: typing.Final = 2
 
 
+_given_ports: set[int] = set()
+
+
+def free_port() -> int:
+    """Return a port below the system's own range that is free on loopback."""
+    while True:
+        port = random.randrange(10_240, 32_768)
+        if port in _given_ports:
+            continue
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        _given_ports.add(port)
+        return port
+
+
 def has_trouble() -> bool:
     """Whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -134,7 +153,7 @@
         self.arrived: list[tuple[float, str]] = []
         self._open: set[socket.socket] = set()
         self._lock = threading.Lock()
-        self.port = port or ports.free_port()
+        self.port = port or free_port()
         self._listener = self._listen()
 
     def _listen(self) -> socket.socket:
@@ -279,9 +298,9 @@
         self.ip = ip
         self.zone = "zone-a"
         self.relay = cutproxy.CutProxy(store)
-        self.port = ports.free_port()
-        self.ready_port = ports.free_port()
-        self.mesh_port = ports.free_port()
+        self.port = free_port()
+        self.ready_port = free_port()
+        self.mesh_port = free_port()
         self.metrics_port = 0
         self.memory_mb = 300
         self.max_fds = 4200
@@ -528,7 +547,8 @@
 
 
 def guarded(main: typing.Callable[[], int]) -> int:
-    """Run a case; one that cannot run ends with ``EXIT_FAILED``."""
+    """Run a case; one that cannot run, or is stopped, ends with ``EXIT_FAILED``."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_FAILED))
     try:
         return main()
     except Exception as exc:
