Take an answer without a length for broken after a reset beside its upload

What callers saw: an endpoint answered a long upload from its head alone, with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the system reports the error of a socket once. `Exchange._send_some` got the reset from `send` and dropped it, since "reading shows it"; but the next `recv` then returns an end like any other, and for an answer without a length an end means complete. Of an answer with a length or chunks the parser sees that bytes are missing, so these were never affected.

Change: the error of a send is kept. An answer that only the end of its connection ends is complete only if the request was not reset; bytes of the request that are still unacknowledged at the end are watched for 50 ms more, since the reset may follow the end of the endpoint's side (the same answers wait as long for `peer_watch` already). An endpoint that ends its side in order and reads the upload on, or leaves it unread, gave a whole answer, as before. Statuses that have no body need no end.

--- a/gaprock/http_exchange.py
+++ b/gaprock/http_exchange.py
@@ -32,10 +32,14 @@
 # the next ones, and how many may go unanswered.
 KEEPALIVE_INTERVAL_S: typing.Final = 1
 KEEPALIVE_PROBES: typing.Final = 3
-# Headers that tell where an answer ends.
+# How long after the end of a connection a reset may follow, seconds.
+RESET_WAIT_S: typing.Final = 0.05
 # More interim answers than this are no answer.
 MAX_INTERIM: typing.Final = 32
+# Headers that tell where an answer ends.
 FRAMING: typing.Final = frozenset((b"content-length", b"transfer-encoding"))
+# Statuses of answers that have no body.
+BODILESS: typing.Final = frozenset((204, 304))
 HUNG_UP: typing.Final = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 Headers = list[tuple[bytes, bytes]]
@@ -157,6 +161,7 @@
         "_sock",
         "_conn",
         "_out",
+        "_send_error",
         "_on_read",
         "_unread",
         "sent",
@@ -175,6 +180,8 @@
         self._conn = h11.Connection(h11.CLIENT)
         # Unsent pieces of the request.
         self._out: collections.deque[memoryview] = collections.deque()
+        # Why the rest of the request was not sent.
+        self._send_error: OSError | None = None
         # Called once the endpoint has read a large request.
         self._on_read: typing.Callable[[], None] | None = None
         # Bytes that it had not acknowledged at the last check.
@@ -243,17 +250,22 @@
         """Update ``progress_at`` by what the endpoint has acknowledged so far."""
         if self._on_read is None or self._sock is None:
             return
+        unread = self._count_unread()
+        if unread < self._unread:
+            self._unread, self.progress_at = unread, self._clock.now()
+        if not unread:
+            self._end_slow_read()
+
+    def _count_unread(self) -> int:
+        """Return how many bytes of the request the endpoint has not acknowledged."""
+        assert self._sock is not None
         try:
             queued = fcntl.ioctl(self._sock, termios.TIOCOUTQ, b"\0\0\0\0")
         except OSError:
             # The system does not tell; what it has accepted counts as read.
             queued = b""
         unread = int.from_bytes(queued, sys.byteorder)
-        unread += sum(len(piece) for piece in self._out)
-        if unread < self._unread:
-            self._unread, self.progress_at = unread, self._clock.now()
-        if not unread:
-            self._end_slow_read()
+        return unread + sum(len(piece) for piece in self._out)
 
     def _record_progress(self) -> None:
         if self._on_read is not None:
@@ -281,7 +293,8 @@
             event = self._next_event(deadline)
             if isinstance(event, h11.Response):
                 self._end_slow_read()
-                self.ends_with_connection = not FRAMING.intersection(
+                has_body = event.status_code not in BODILESS
+                self.ends_with_connection = has_body and not FRAMING.intersection(
                     name for name, _ in event.headers
                 )
                 return Head(event.status_code, list(event.headers.raw_items()))
@@ -299,9 +312,29 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self.ends_with_connection:
+                self._check_reset()
             return None
         raise Broken("the answer broke off")
 
+    def _check_reset(self) -> None:
+        """Check that a connection whose end is the end of the answer was not reset.
+
+        The system reports the error of a socket once.  If a send got it, reading finds
+        an end as if the endpoint had closed its side in order.
+
+        :raises Broken: when it was reset while the request was being sent.
+        """
+        wait_until = self._clock.now() + RESET_WAIT_S
+        with contextlib.suppress(TimedOut):
+            while self._send_error is None and self._count_unread():
+                got = self._wait(select.POLLOUT if self._out else 0, wait_until)
+                if got & HUNG_UP:
+                    raise Broken("reset after the answer")
+                self._send_some()
+        if self._send_error is not None:
+            raise Broken(f"reset beside the answer: {self._send_error}")
+
     def close(self) -> None:
         """Close the connection; an endpoint that still runs the request stops it."""
         if self._sock is not None:
@@ -344,8 +377,9 @@
                 count = self._sock.send(self._out[0])
             except BlockingIOError:
                 return
-            except OSError:
-                # The endpoint may have answered before it closed; reading shows it.
+            except OSError as exc:
+                # The endpoint may have answered before; reading shows it.
+                self._send_error = exc
                 self._out.clear()
                 self._end_slow_read()
                 return
--- a/gaprock/test/fakes/backend.py
+++ b/gaprock/test/fakes/backend.py
@@ -45,6 +45,8 @@
         self.reads_bodies = threading.Event()
         self.reads_bodies.set()
         self.read_pause_s = 0.0
+        # Whether its scripts run when a head was read, and have to read the body.
+        self.answers_from_head = False
         self._listener = socket.create_server(("127.0.0.1", port), backlog=64)
         self.port = self._listener.getsockname()[1]
         self._open: set[socket.socket] = set()
@@ -98,13 +100,17 @@
 
     def _read(self, conn: socket.socket) -> ReceivedRequest | None:
         data = b""
+        # Byte by byte, the body is left to the system.
+        size = 1 if self.answers_from_head else 65536
         while b"\r\n\r\n" not in data:
-            more = conn.recv(65536)
+            more = conn.recv(size)
             if not more:
                 return None
             data += more
         head, _, body = data.partition(b"\r\n\r\n")
         seen = ReceivedRequest(head, body)
+        if self.answers_from_head:
+            return seen
         self.reads_bodies.wait(10)
         while len(seen.body) < int(seen.headers.get("content-length", "0")):
             time.sleep(self.read_pause_s)
