--- a/gaprock/http_exchange.py
+++ b/gaprock/http_exchange.py
@@ -9,16 +9,14 @@
 import collections
 import contextlib
 import errno
-import fcntl
 import select
 import socket
 import sys
-import termios
 import typing
 
 import h11
 
-from gaprock import caller_output, clock
+from gaprock import caller_output, clock, tcp_reset
 
 READ_BYTES: typing.Final = 64 * 1024
 # Bodies up to this size are copied, which is cheaper than a second system call.
@@ -32,8 +30,6 @@
 # the next ones, and how many may go unanswered.
 KEEPALIVE_INTERVAL_S: typing.Final = 1
 KEEPALIVE_PROBES: typing.Final = 3
-# How long after the end of a connection a reset may follow, seconds.
-RESET_WAIT_S: typing.Final = 0.05
 # More interim answers than this are no answer.
 MAX_INTERIM: typing.Final = 32
 # Headers that tell where an answer ends.
@@ -259,13 +255,8 @@
     def _count_unread(self) -> int:
         """Return how many bytes of the request the endpoint has not acknowledged."""
         assert self._sock is not None
-        try:
-            queued = fcntl.ioctl(self._sock, termios.TIOCOUTQ, b"\0\0\0\0")
-        except OSError:
-            # The system does not tell; what it has accepted counts as read.
-            queued = b""
-        unread = int.from_bytes(queued, sys.byteorder)
-        return unread + sum(len(piece) for piece in self._out)
+        unsent = sum(len(piece) for piece in self._out)
+        return unsent + tcp_reset.count_unacknowledged(self._sock)
 
     def _record_progress(self) -> None:
         if self._on_read is not None:
@@ -320,12 +311,9 @@
     def _check_reset(self) -> None:
         """Check that a connection whose end is the end of the answer was not reset.
 
-        The system reports the error of a socket once.  If a send got it, reading finds
-        an end as if the endpoint had closed its side in order.
-
         :raises Broken: when it was reset while the request was being sent.
         """
-        wait_until = self._clock.now() + RESET_WAIT_S
+        wait_until = self._clock.now() + tcp_reset.WAIT_S
         with contextlib.suppress(TimedOut):
             while self._send_error is None and self._count_unread():
                 got = self._wait(select.POLLOUT if self._out else 0, wait_until)
--- a/gaprock/test/testresetuploads.py
+++ b/gaprock/test/testresetuploads.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from gaprock import http_exchange
+from gaprock import tcp_reset
 from gaprock.test import gatewaysite
 from gaprock.test.fakes import backend
 
@@ -157,7 +157,7 @@
     ) -> None:
         conn.sendall(backend.head(seen) + PART)
         conn.shutdown(socket.SHUT_WR)
-        time.sleep(http_exchange.RESET_WAIT_S / 5)
+        time.sleep(tcp_reset.WAIT_S / 5)
         reset(conn)
 
     with upload_site("app", ends_then_resets) as site:
