Refuse answers of an unknown status or version of HTTP

What callers saw: an endpoint in trouble that answered with status 600 or 999, or as HTTP/9.9, gave an answer; the caller got its status and body. Status 000 to 100, 101, a status of two or four digits or with a sign, and odd field lines were refused already.

Cause: `h11` checks that a status has three digits and a version one digit on each side, not that the protocol defines them.

It also counts interim answers over the whole answer, where each wait had a count of its own. `http_exchange` waits for bytes as before.

--- a/gaprock/http_exchange.py
+++ b/gaprock/http_exchange.py
@@ -1,9 +1,9 @@
 """One request to one endpoint, on a connection of its own.
 
-The bytes are parsed by ``h11``.  The waiting is done here, because a thread that waits
-for an endpoint must notice two more things at the same time: that the caller left, and
-that a deadline passed.  A new connection for each request costs a round trip, but no
-answer to another request can ever arrive on it.
+The bytes are parsed by ``http_answer``.  The waiting is done here, because a thread
+that waits for an endpoint must notice two more things at the same time: that the caller
+left, and that a deadline passed.  A new connection for each request costs a round trip,
+but no answer to another request can ever arrive on it.
 """
 
 import collections
@@ -16,7 +16,7 @@
 
 import h11
 
-from gaprock import caller_output, clock, tcp_reset
+from gaprock import caller_output, clock, http_answer, tcp_reset
 
 READ_BYTES: typing.Final = 64 * 1024
 # Bodies up to this size are copied, which is cheaper than a second system call.
@@ -30,12 +30,6 @@
 # the next ones, and how many may go unanswered.
 KEEPALIVE_INTERVAL_S: typing.Final = 1
 KEEPALIVE_PROBES: typing.Final = 3
-# More interim answers than this are no answer.
-MAX_INTERIM: typing.Final = 32
-# Headers that tell where an answer ends.
-FRAMING: typing.Final = frozenset((b"content-length", b"transfer-encoding"))
-# Statuses of answers that have no body.
-BODILESS: typing.Final = frozenset((204, 304))
 HUNG_UP: typing.Final = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 Headers = list[tuple[bytes, bytes]]
@@ -155,14 +149,13 @@
         "_caller",
         "_clock",
         "_sock",
-        "_conn",
+        "_answer",
         "_out",
         "_send_error",
         "_on_read",
         "_unread",
         "sent",
         "progress_at",
-        "ends_with_connection",
         "_overdue",
     )
 
@@ -173,7 +166,8 @@
         self._caller = caller
         self._clock = clock_
         self._sock: socket.socket | None = None
-        self._conn = h11.Connection(h11.CLIENT)
+        # ``None`` before the request is sent.
+        self._answer: http_answer.Parser | None = None
         # Unsent pieces of the request.
         self._out: collections.deque[memoryview] = collections.deque()
         # Why the rest of the request was not sent.
@@ -186,8 +180,6 @@
         self.progress_at = 0.0
         # Whether any byte of the request may have reached the endpoint.
         self.sent = False
-        # Whether only the end of the connection marks the end of the answer.
-        self.ends_with_connection = False
         # The deadline after which bytes were accepted once.
         self._overdue: float | None = None
 
@@ -213,7 +205,8 @@
 
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send the request; ``read_head`` sends what the socket did not accept yet."""
-        conn = self._conn
+        conn = h11.Connection(h11.CLIENT)
+        self._answer = http_answer.Parser(conn, method)
         req = h11.Request(method=method, target=target, headers=headers)
         pieces = [conn.send(req)]
         if body:
@@ -280,18 +273,16 @@
         :raises Broken: when no answer came.
         :raises TimedOut: when the deadline passed.
         """
-        for _ in range(MAX_INTERIM):
-            event = self._next_event(deadline)
-            if isinstance(event, h11.Response):
-                self._end_slow_read()
-                has_body = event.status_code not in BODILESS
-                self.ends_with_connection = has_body and not FRAMING.intersection(
-                    name for name, _ in event.headers
-                )
-                return Head(event.status_code, list(event.headers.raw_items()))
-            if not isinstance(event, h11.InformationalResponse):
-                raise Broken("no answer")
-        raise Broken("too many interim answers")
+        event = self._next_event(deadline)
+        if not isinstance(event, h11.Response):
+            raise Broken("no answer")
+        self._end_slow_read()
+        return Head(event.status_code, list(event.headers.raw_items()))
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the end of the answer."""
+        return self._answer is not None and self._answer.ends_with_connection
 
     def read_data(self, deadline: float) -> bytes | None:
         """Wait for bytes of the answer's body; ``None`` at its complete end.
@@ -330,17 +321,18 @@
             self._sock = None
 
     def _next_event(self, deadline: float) -> typing.Any:
+        assert self._answer is not None
         while True:
             try:
-                event = self._conn.next_event()
-            except h11.RemoteProtocolError as exc:
+                event = self._answer.next_event()
+            except http_answer.Malformed as exc:
                 raise Broken(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
-            self._receive(deadline)
+            self._answer.receive(self._receive(deadline))
 
-    def _receive(self, deadline: float) -> None:
-        """Wait for bytes and pass them to the parser; send unsent ones meanwhile."""
+    def _receive(self, deadline: float) -> bytes:
+        """Wait for bytes and return them; send unsent ones meanwhile."""
         assert self._sock is not None
         while True:
             wanted = select.POLLIN | (select.POLLOUT if self._out else 0)
@@ -350,13 +342,11 @@
             if not got & (select.POLLIN | HUNG_UP):
                 continue
             try:
-                data = self._sock.recv(READ_BYTES)
+                return self._sock.recv(READ_BYTES)
             except BlockingIOError:
                 continue
             except OSError as exc:
                 raise Broken(f"connection failed: {exc}") from exc
-            self._conn.receive_data(data)
-            return
 
     def _send_some(self) -> None:
         assert self._sock is not None
