Read the answers of all clients by the gateway's strict rules

What callers saw: in the own mode, an endpoint in trouble that answered with status 0200, 600, 999 or 101 gave an answer; a first 103 was an answer without a body. A head with a blank or a control byte in a field's name was an answer, with that line passed on or with a body that was not the server's: with `Content Length: 2`, `Content-Length : 2` or `Transfer-Encoding\v: chunked` beside the real field; likewise `Content-Length: +4` and `0_4`, chunk sizes `+4` and `0x4`, a chunk without its end, and unknown codings. The platform's services, the store and the operators' client read answers in the same way.

Cause: all clients but the gateway's read with the standard library, which splits lines at the first colon, converts numbers with int(), and takes odd headers as they are.

Change: `http_client.StrictResponse` parses with `http_answer`, as a gateway does, in the place of the standard library's reader: one set of rules, no list of odd names. The check for a head cut short falls away, since the parser refuses it. Bytes after the end of an answer end its connection, so that they are not taken for the next answer.

--- a/gaprock/http_answer.py
+++ b/gaprock/http_answer.py
@@ -38,6 +38,11 @@
         # Whether only the end of the connection marks the end of the answer.
         self.ends_with_connection = False
 
+    @property
+    def has_excess(self) -> bool:
+        """Whether more bytes came than belong to the answer."""
+        return bool(self._conn.trailing_data[0])
+
     def receive(self, data: bytes) -> None:
         """Add bytes; none are the end of the connection."""
         self._conn.receive_data(data)
--- a/gaprock/http_client.py
+++ b/gaprock/http_client.py
@@ -1,47 +1,23 @@
-"""Connections for urllib3 on which an answer must be complete.
+"""Connections for urllib3 on which an answer is read strictly, and must be complete.
 
-The standard library takes the end of a connection for the end of the head.  An answer
-whose server stopped in the middle of its head would then count as one with fewer
-headers and an empty body.
+The standard library accepts heads that are none, and takes the end of a connection for
+the end of a head.  Its reader is replaced by ``http_answer``.
 
 urllib3 ignores a reset while a request is being sent, and reads on.  A part of an
 answer that has no length would then count as the whole.
 """
 
 import http.client
-import io
 import socket
 import typing
 
+import h11
 import urllib3
 import urllib3.connection
 
-from gaprock import tcp_reset
+from gaprock import http_answer, tcp_reset
 
-# The line that ends the head.
-EMPTY_LINES: typing.Final = (b"\r\n", b"\n")
-
-
-class _HeadReader:
-    """Reads the lines of a head, and remembers the last one."""
-
-    __slots__ = ("_reader", "last_line")
-
-    def __init__(self, reader: io.BufferedIOBase) -> None:
-        self._reader = reader
-        self.last_line = b""
-
-    def readline(self, size: int = -1) -> bytes:
-        """Return the next line; empty at the end of the connection."""
-        self.last_line = self._reader.readline(size)
-        return self.last_line
-
-    def flush(self) -> None:
-        """Do nothing, as for any reader."""
-
-    def close(self) -> None:
-        """Close the connection's reader."""
-        self._reader.close()
+READ_BYTES: typing.Final = 64 * 1024
 
 
 class _Sending:
@@ -54,71 +30,100 @@
         self.error: OSError | None = None
 
 
-class WholeResponse(http.client.HTTPResponse):
-    """An answer whose head ends with an empty line, and whose body was not reset.
+class StrictResponse(http.client.HTTPResponse):
+    """An answer that is read strictly.
 
     :param sending: how its request was sent.
     """
 
     def __init__(
-        self,
-        sock: socket.socket,
-        method: str | None,
-        sending: "_Sending",
+        self, sock: socket.socket, method: str | None, sending: "_Sending"
     ) -> None:
         super().__init__(sock, method=method)
         self._sock = sock
         self._sending = sending
-        self._is_reading = False
-        # Why an answer that seemed to be at its end is not whole.
-        self._reset: http.client.HTTPException | None = None
+        self._answer = _new_parser(method or "GET")
+        # Bytes of the body that were parsed and not read.
+        self._parsed = b""
 
     def begin(self) -> None:
         """Read the head.
 
-        :raises http.client.IncompleteRead: if the connection ended in it.
+        :raises http.client.HTTPException: if there is no whole head.
         """
-        reader = self.fp
-        head = _HeadReader(reader)
-        self.fp = typing.cast(io.BufferedReader, head)
-        super().begin()
-        if head.last_line not in EMPTY_LINES:
-            reader.close()
-            raise http.client.IncompleteRead(head.last_line)
-        if self.fp is not None:
-            self.fp = reader
+        event = self._next_event()
+        if not isinstance(event, h11.Response):
+            raise http.client.BadStatusLine("no answer")
+        self.code = self.status = event.status_code
+        self.reason = event.reason.decode("latin-1")
+        self.version = 10 if event.http_version == b"1.0" else 11
+        self.headers = self.msg = http.client.HTTPMessage()
+        for name, value in event.headers.raw_items():
+            self.headers[name.decode()] = value.decode("latin-1")
+        self.chunked = False
+        self.length = None
+        self.will_close = (
+            self._check_close()  # type: ignore[attr-defined]
+            or self._answer.ends_with_connection
+        )
 
     def read(self, amt: int | None = None) -> bytes:
-        """Read bytes of the body, or all of it.
+        """Read bytes of the body that have arrived, or all of it.
 
         :raises http.client.HTTPException: if the connection broke off.
         """
-        self._is_reading = True
-        data = super().read(amt)
-        return self._check_end(data)
+        if amt is not None:
+            return self.read1(amt)
+        pieces = []
+        while piece := self.read1(READ_BYTES):
+            pieces.append(piece)
+        return b"".join(pieces)
 
     def read1(self, n: int = -1) -> bytes:
-        """Read bytes of the body that have arrived.
+        """Read bytes of the body that have arrived; none at its end.
 
         :raises http.client.HTTPException: if the connection broke off.
         """
-        self._is_reading = True
-        data = super().read1(n)
-        return self._check_end(data)
-
-    def _check_end(self, data: bytes) -> bytes:
-        self._is_reading = False
-        if self._reset is not None:
-            raise self._reset
+        if not self._parsed and self.fp is not None:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                self._parsed = bytes(event.data)
+            else:
+                self._end()
+        size = len(self._parsed) if n < 0 else n
+        data, self._parsed = self._parsed[:size], self._parsed[size:]
         return data
 
-    def _close_conn(self) -> None:
-        # A body without a length is closed by a read that finds the connection's end.
-        if self._is_reading and not self.chunked and self.length is None:
+    def _next_event(self) -> typing.Any:
+        assert self.fp is not None
+        try:
+            while (event := self._answer.next_event()) is h11.NEED_DATA:
+                self._answer.receive(self.fp.read1(READ_BYTES))
+        except http_answer.Malformed as exc:
+            raise http.client.HTTPException(str(exc)) from exc
+        return event
+
+    def _end(self) -> None:
+        """Close the answer, whose end was read.
+
+        :raises http.client.HTTPException: if its connection was reset.
+        """
+        if self._answer.ends_with_connection:
             error = self._sending.error
             if error is not None or tcp_reset.follows(self._sock):
-                self._reset = http.client.HTTPException(f"reset: {error}")
-        super()._close_conn()  # type: ignore[misc]
+                raise http.client.HTTPException(f"reset: {error}")
+        if self._answer.has_excess:
+            # They would be taken for the answer to the next request.
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._close_conn()  # type: ignore[attr-defined]
+
+
+def _new_parser(method: str) -> http_answer.Parser:
+    """Build a parser for the answer to a request."""
+    conn = h11.Connection(h11.CLIENT)
+    conn.send(h11.Request(method=method, target="/", headers=[("Host", "x")]))
+    conn.send(h11.EndOfMessage())
+    return http_answer.Parser(conn, method.encode())
 
 
 class _Tracked(urllib3.connection.HTTPConnection):
@@ -146,9 +151,9 @@
 
     def response_class(  # type: ignore[override]
         self, sock: socket.socket, method: str | None = None
-    ) -> WholeResponse:
+    ) -> StrictResponse:
         """Build the answer to the request that was sent last."""
-        return WholeResponse(sock, method, self._sending)
+        return StrictResponse(sock, method, self._sending)
 
 
 class Connection(_Tracked):
