Bound the answers and events that an agent holds, and end each by its deadline

What callers saw: an endpoint of the own mode that answered without end, in a body, an event or a stream, was read on for as long as it sent. Its agent grew until the machine had no memory left; MemoryError escaped the typed errors, and the requests of other callers at that agent ended with it. Nothing ended such a call at its deadline, since the time-out is that of each read and bytes always came.

Cause: `Endpoint.call` read a body whole whatever its size, `EndpointStream` kept an incomplete event likewise, and the deadline was looked at for the first byte only.

Change: three checked settings of an agent: `max_answer` (8 MiB, a whole answer), `max_event` (1 MiB), `max_answers` (16 MiB, all that is being read from all endpoints together, `answer_memory`). What does not fit is given up: outcome unknown for a whole answer, stream cut for an event. Each read waits at most until the deadline of its call, the time-out of a head is that of the whole head, and load reports, orders and refused streams are bounded too. A cancel that failed is logged.

--- a/gaprock/agent_endpoint.py
+++ b/gaprock/agent_endpoint.py
@@ -16,6 +16,7 @@
 import urllib3
 
 from gaprock import (
+    answer_memory,
     backoffs,
     clock,
     errorcodes,
@@ -28,10 +29,11 @@
 
 EVENT_END: typing.Final = b"\n\n"
 DONE_EVENT: typing.Final = b"data: [DONE]"
-READ_BYTES: typing.Final = 64 * 1024
 POOL_SIZE: typing.Final = 256
 ORDER_TIMEOUT_S: typing.Final = 30.0
 LOAD_TIMEOUT_S: typing.Final = 1.0
+# The largest load report, or answer to an order, bytes.
+MAX_REPORT_BYTES: typing.Final = 1024 * 1024
 DEFAULT_PORT: typing.Final = 80
 MAX_ERROR_CHARS: typing.Final = 200
 # Retry delay after a refusal whose ``Retry-After`` is missing, invalid or zero.
@@ -57,14 +59,39 @@
 
 
 class EndpointStream:
-    """A streamed answer; each server-sent event is one part, kept as raw bytes."""
+    """A streamed answer; each server-sent event is one part, kept as raw bytes.
+
+    :param deadline: the time after which nothing is read.
+    :param max_event: the largest event, bytes.
+    :param memory: counts the event that is incomplete.
+    """
+
+    __slots__ = (
+        "stream_id",
+        "_resp",
+        "_buffer",
+        "_deadline",
+        "_max_event",
+        "_memory",
+        "_clock",
+        "is_complete",
+    )
 
-    __slots__ = ("stream_id", "_resp", "_buffer", "is_complete")
-
-    def __init__(self, resp: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self,
+        resp: urllib3.BaseHTTPResponse,
+        deadline: float,
+        max_event: int,
+        memory: answer_memory.AnswerMemory,
+        clock_: clock.Clock,
+    ) -> None:
         self.stream_id = resp.headers.get("X-Stream-Id", "")
         self._resp = resp
         self._buffer = b""
+        self._deadline = deadline
+        self._max_event = max_event
+        self._memory = memory
+        self._clock = clock_
         # Whether the ``[DONE]`` event has been read.
         self.is_complete = False
 
@@ -73,12 +100,18 @@
 
         :returns: the events except ``[DONE]``; empty once the stream has ended.
         :raises urllib3.exceptions.HTTPError: when the connection broke.
+        :raises errors.GaprockError: ``DEADLINE_RUNNING`` after the deadline, and
+            ``STREAM_CUT`` when an event is too large.
         """
         while not self.is_complete:
-            data = self._resp.read1(READ_BYTES)
+            try:
+                data = http_client.read_some(self._resp, self._deadline, self._clock)
+            except http_client.TooLong as exc:
+                raise errors.GaprockError(errorcodes.DEADLINE_RUNNING) from exc
             if not data:
                 return []
-            *events, self._buffer = (self._buffer + data).split(EVENT_END)
+            *events, rest = (self._buffer + data).split(EVENT_END)
+            self._keep(rest)
             if events and events[-1] == DONE_EVENT:
                 self.is_complete = True
                 events.pop()
@@ -86,20 +119,39 @@
                 return [event + EVENT_END for event in events]
         return []
 
+    def _keep(self, rest: bytes) -> None:
+        """Keep the beginning of an event that is incomplete."""
+        size = len(rest)
+        fits = self._memory.change(len(self._buffer), size)
+        if not fits or size > self._max_event:
+            if fits:
+                self._buffer = rest
+            reason = "too large" if fits else "without memory"
+            detail = f"an event is {reason} after {size} bytes"
+            raise errors.GaprockError(errorcodes.STREAM_CUT, detail)
+        self._buffer = rest
+
     def close(self) -> None:
         """Close the connection."""
         self._resp.close()
+        self._memory.change(len(self._buffer), 0)
+        self._buffer = b""
 
 
 class Endpoint:
     """Client of one endpoint; thread-safe."""
 
-    __slots__ = ("option", "_pool", "_cfg", "_clock", "_backoff_until")
+    __slots__ = ("option", "_pool", "_cfg", "_clock", "_memory", "_backoff_until")
 
     def __init__(
-        self, option: options.EndpointOption, cfg: options.Options, clock_: clock.Clock
+        self,
+        option: options.EndpointOption,
+        cfg: options.Options,
+        clock_: clock.Clock,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self.option = option
+        self._memory = memory or answer_memory.AnswerMemory(cfg.max_answers)
         self._cfg = cfg
         self._clock = clock_
         self._pool = http_client.PoolManager(maxsize=POOL_SIZE, retries=False)
@@ -121,13 +173,39 @@
         self.check_backoff()
         resp = self._open("POST", path, body, request, deadline, keep=repeatable)
         try:
-            data = resp.read()
+            data = self._read_whole(resp, deadline)
         except urllib3.exceptions.HTTPError as exc:
             raise self._unknown_outcome(exc) from exc
-        resp.release_conn()
         content_type = resp.headers.get("Content-Type", "application/json")
         return Answer(resp.status, content_type, data)
 
+    def _read_whole(self, resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+        """Read a body to its end, within the memory for answers.
+
+        :raises urllib3.exceptions.HTTPError: when it broke off, is too large or takes
+            too long.
+        """
+        body = bytearray()
+        counted = 0
+        try:
+            while piece := http_client.read_some(resp, deadline, self._clock):
+                size = counted + len(piece)
+                if size > self._cfg.max_answer:
+                    raise http_client.TooLong(f"over {self._cfg.max_answer} bytes")
+                if not self._memory.change(counted, size):
+                    raise http_client.TooLong(f"no memory after {counted} bytes")
+                body += piece
+                counted = size
+            resp.release_conn()
+            return bytes(body)
+        except BaseException:
+            resp.close()
+            raise
+        finally:
+            # The exception of a failure would keep it for as long as it is handled.
+            body.clear()
+            self._memory.change(counted, 0)
+
     def stream(
         self, path: str, body: bytes, request: str, deadline: float
     ) -> EndpointStream:
@@ -138,8 +216,7 @@
         """
         self.check_backoff()
         resp = self._open("POST", path, body, request, deadline, keep=True)
-        self._check_stream(resp)
-        return EndpointStream(resp)
+        return self._new_stream(resp, deadline)
 
     def resume(self, stream_id: str, start: int, deadline: float) -> EndpointStream:
         """Resume a stream.
@@ -150,8 +227,14 @@
         """
         path = f"/v1/streams/{stream_id}?from={start}"
         resp = self._open("GET", path, None, "", deadline, keep=True)
-        self._check_stream(resp)
-        return EndpointStream(resp)
+        return self._new_stream(resp, deadline)
+
+    def _new_stream(
+        self, resp: urllib3.BaseHTTPResponse, deadline: float
+    ) -> EndpointStream:
+        self._check_stream(resp, deadline)
+        max_event = self._cfg.max_event
+        return EndpointStream(resp, deadline, max_event, self._memory, self._clock)
 
     def cancel(self, stream_id: str) -> None:
         """Cancel a stream, as far as possible: errors are ignored.
@@ -159,13 +242,9 @@
         The stream may have ended already.
         """
         try:
-            self._pool.request(
-                "DELETE",
-                f"{self.option.url}/v1/streams/{stream_id}",
-                timeout=LOAD_TIMEOUT_S,
-            )
-        except urllib3.exceptions.HTTPError:
-            return
+            self._ask("DELETE", f"/v1/streams/{stream_id}", LOAD_TIMEOUT_S)
+        except urllib3.exceptions.HTTPError as exc:
+            eventlog.info("cancel-failed", stream=stream_id, error=exc)
 
     def load(self) -> EngineLoad:
         """Read the endpoint's load report.
@@ -173,10 +252,27 @@
         :raises urllib3.exceptions.HTTPError: when the endpoint did not answer.
         :raises msgspec.DecodeError: when the report cannot be decoded.
         """
+        _, data = self._ask("GET", "/load", LOAD_TIMEOUT_S)
+        return msgspec.json.decode(data, type=EngineLoad)
+
+    def _ask(
+        self, method: str, path: str, wait_s: float, **more: typing.Any
+    ) -> tuple[int, bytes]:
+        """Return status and body of a small answer.
+
+        :raises urllib3.exceptions.HTTPError: when there was none in time.
+        """
+        deadline = self._clock.now() + wait_s
         resp = self._pool.request(
-            "GET", self.option.url + "/load", timeout=LOAD_TIMEOUT_S
+            method,
+            self.option.url + path,
+            timeout=wait_s,
+            preload_content=False,
+            **more,
+        )
+        return resp.status, http_client.read_body(
+            resp, MAX_REPORT_BYTES, deadline, self._clock
         )
-        return msgspec.json.decode(resp.data, type=EngineLoad)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -203,17 +299,15 @@
         """
         body = {"action": action, "version": version, "epoch": epoch}
         try:
-            resp = self._pool.request(
-                "POST", self.option.url + "/orders", json=body, timeout=ORDER_TIMEOUT_S
-            )
+            status, data = self._ask("POST", "/orders", ORDER_TIMEOUT_S, json=body)
         except urllib3.exceptions.HTTPError as exc:
             raise errors.GaprockError(
                 errorcodes.ENDPOINT_UNREACHABLE, self.option.name
             ) from exc
-        if resp.status == 409:
-            raise errors.GaprockError(errorcodes.FENCED, _excerpt(resp.data))
-        if resp.status != 200:
-            raise errors.GaprockError(errorcodes.ENDPOINT_ERROR, _excerpt(resp.data))
+        if status == 409:
+            raise errors.GaprockError(errorcodes.FENCED, _excerpt(data))
+        if status != 200:
+            raise errors.GaprockError(errorcodes.ENDPOINT_ERROR, _excerpt(data))
 
     def _open(
         self,
@@ -297,10 +391,14 @@
         """
         return status == 429 or (status == 503 and self.option.kind == "engine")
 
-    def _check_stream(self, resp: urllib3.BaseHTTPResponse) -> None:
+    def _check_stream(self, resp: urllib3.BaseHTTPResponse, deadline: float) -> None:
         if resp.status == 200:
             return
-        data = resp.read()
+        try:
+            data = http_client.read_some(resp, deadline, self._clock)
+        except urllib3.exceptions.HTTPError as exc:
+            data = repr(exc).encode()
+        resp.close()
         raise errors.GaprockError(
             errorcodes.ENDPOINT_ERROR, f"status {resp.status}: {_excerpt(data)}"
         )
--- a/gaprock/agent_gate.py
+++ b/gaprock/agent_gate.py
@@ -18,6 +18,7 @@
     agent_endpoint,
     agent_ends,
     agent_run,
+    answer_memory,
     bills,
     clock,
     config,
@@ -125,9 +126,10 @@
         self._post = post
         self._quarantine = quarantine_
         self.leaving = False
+        memory = answer_memory.AnswerMemory(cfg.max_answers)
         self.slots = {
             option.name: Slot(
-                agent_endpoint.Endpoint(option, cfg, clock_),
+                agent_endpoint.Endpoint(option, cfg, clock_, memory),
                 plugin.find(policy_api.Admission, cfg.admission)(
                     cfg.max_running, cfg.max_queued
                 ),
--- a/gaprock/http_client.py
+++ b/gaprock/http_client.py
@@ -7,6 +7,7 @@
 answer that has no length would then count as the whole.
 """
 
+import contextlib
 import http.client
 import socket
 import typing
@@ -15,9 +16,56 @@
 import urllib3
 import urllib3.connection
 
-from gaprock import http_answer, tcp_reset
+from gaprock import clock, http_answer, tcp_reset
 
 READ_BYTES: typing.Final = 64 * 1024
+# Shortest time-out of a read; 0 would mean not to wait at all.
+MIN_TIMEOUT_S: typing.Final = 0.001
+
+
+class TooLong(urllib3.exceptions.HTTPError):
+    """An answer is larger than allowed, or takes longer."""
+
+
+def read_some(
+    resp: urllib3.BaseHTTPResponse, deadline: float, clock_: clock.Clock
+) -> bytes:
+    """Read bytes of a body that have arrived, or wait for some; none at its end.
+
+    :raises TooLong: when the deadline has passed.
+    :raises urllib3.exceptions.HTTPError: when the connection broke or was silent.
+    """
+    left = deadline - clock_.now()
+    if left <= 0:
+        raise TooLong("the answer goes on after the deadline")
+    answer = getattr(resp, "_original_response", None)
+    if isinstance(answer, StrictResponse):
+        answer.limit_timeout(left)
+    return resp.read1(READ_BYTES)
+
+
+def read_body(
+    resp: urllib3.BaseHTTPResponse,
+    max_bytes: int,
+    deadline: float,
+    clock_: clock.Clock,
+) -> bytes:
+    """Read a body to its end, and release its connection.
+
+    :raises TooLong: when it is larger than allowed, or the deadline has passed.
+    :raises urllib3.exceptions.HTTPError: when it broke off.
+    """
+    body = bytearray()
+    try:
+        while piece := read_some(resp, deadline, clock_):
+            body += piece
+            if len(body) > max_bytes:
+                raise TooLong(f"the answer is larger than {max_bytes} bytes")
+    except BaseException:
+        resp.close()
+        raise
+    resp.release_conn()
+    return bytes(body)
 
 
 class _Sending:
@@ -45,13 +93,21 @@
         self._answer = _new_parser(method or "GET")
         # Bytes of the body that were parsed and not read.
         self._parsed = b""
+        # When the wait for the head ends.
+        self._head_until = clock.NEVER
 
     def begin(self) -> None:
         """Read the head.
 
         :raises http.client.HTTPException: if there is no whole head.
         """
+        # The time-out of a read is that of the whole head.
+        time, timeout_s = clock.SteadyClock(), self._sock.gettimeout()
+        if timeout_s is not None:
+            self._head_until = time.now() + timeout_s
         event = self._next_event()
+        self._head_until = clock.NEVER
+        self._sock.settimeout(timeout_s)
         if not isinstance(event, h11.Response):
             raise http.client.BadStatusLine("no answer")
         self.code = self.status = event.status_code
@@ -67,6 +123,14 @@
             or self._answer.ends_with_connection
         )
 
+    def limit_timeout(self, seconds: float) -> None:
+        """Let no read that follows wait for longer."""
+        if self.fp is None:
+            return
+        timeout_s = self._sock.gettimeout()
+        if timeout_s is None or seconds < timeout_s:
+            self._sock.settimeout(max(MIN_TIMEOUT_S, seconds))
+
     def read(self, amt: int | None = None) -> bytes:
         """Read bytes of the body that have arrived, or all of it.
 
@@ -98,6 +162,8 @@
         assert self.fp is not None
         try:
             while (event := self._answer.next_event()) is h11.NEED_DATA:
+                if self._head_until != clock.NEVER:
+                    self.limit_timeout(self._head_until - clock.SteadyClock().now())
                 self._answer.receive(self.fp.read1(READ_BYTES))
         except http_answer.Malformed as exc:
             raise http.client.HTTPException(str(exc)) from exc
@@ -112,10 +178,14 @@
             error = self._sending.error
             if error is not None or tcp_reset.follows(self._sock):
                 raise http.client.HTTPException(f"reset: {error}")
+        self._close_conn()
+
+    def _close_conn(self) -> None:
         if self._answer.has_excess:
-            # They would be taken for the answer to the next request.
-            self._sock.shutdown(socket.SHUT_RDWR)
-        self._close_conn()  # type: ignore[attr-defined]
+            # What is left would be taken for the answer to the next request.
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+        super()._close_conn()  # type: ignore[misc]
 
 
 def _new_parser(method: str) -> http_answer.Parser:
--- a/gaprock/options.py
+++ b/gaprock/options.py
@@ -178,6 +178,11 @@
         self.endpoint_silent_s = 30.0
         # Seconds after which an agent writes a bill that its entry has not written.
         self.bill_patience_s = 3.0
+        # Largest whole answer and largest event of an endpoint, bytes.
+        self.max_answer = 8 * 1024 * 1024
+        self.max_event = 1024 * 1024
+        # Memory for the answers that are being read from all endpoints, bytes.
+        self.max_answers = 16 * 1024 * 1024
         # How often a stream that an endpoint cut may be resumed.
         self.max_resumes = 3
 
