Bound the answers that services, the store and operators' clients read

An answer without end of a platform service took the memory of the entry or agent that read it, one of an entry that of the operator's command; one that came a byte at a time was read for as long as bytes came, whatever the time limit. The store's client had a bound, but read 64 KB at a time, so that slow bytes passed its time limit.

Change: all read by `http_client.read_body`, with a largest size (services 16 MiB, an entry's answer 64 MiB, the store's 8 MiB as before) and a deadline for the whole body.

--- a/gaprock/ctl_client.py
+++ b/gaprock/ctl_client.py
@@ -6,9 +6,11 @@
 import msgspec
 import urllib3
 
-from gaprock import answers, errorcodes, errors, http_client, options
+from gaprock import answers, clock, errorcodes, errors, http_client, options
 
 TIMEOUT_S: typing.Final = 10.0
+# The largest answer of an entry, bytes.
+MAX_ANSWER_BYTES: typing.Final = 64 * 1024 * 1024
 
 
 class Client:
@@ -41,8 +43,13 @@
         if revision is not None:
             headers["If-Match"] = str(revision)
         url = self._base + urllib.parse.quote(path, safe="/@")
+        clock_ = clock.SteadyClock()
+        deadline = clock_.now() + TIMEOUT_S
         try:
-            resp = self._pool.request(method, url, body=body, headers=headers)
+            resp = self._pool.request(
+                method, url, body=body, headers=headers, preload_content=False
+            )
+            data = http_client.read_body(resp, MAX_ANSWER_BYTES, deadline, clock_)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -54,18 +61,16 @@
                 code = errorcodes.ENTRY_UNREACHABLE
             raise errors.GaprockError(code, str(exc)) from exc
         if resp.status >= 400:
-            raise _error(resp)
-        return msgspec.json.decode(resp.data)
+            raise _error(resp.status, data)
+        return msgspec.json.decode(data)
 
 
-def _error(resp: urllib3.BaseHTTPResponse) -> errors.GaprockError:
+def _error(status: int, data: bytes) -> errors.GaprockError:
     """Build the exception for an error response."""
     try:
-        info = msgspec.json.decode(resp.data, type=answers.ErrorBody).error
+        info = msgspec.json.decode(data, type=answers.ErrorBody).error
     except msgspec.DecodeError:
-        return errors.GaprockError(
-            errorcodes.ENTRY_UNREACHABLE, f"status {resp.status}"
-        )
+        return errors.GaprockError(errorcodes.ENTRY_UNREACHABLE, f"status {status}")
     code = errorcodes.get(info.number)
     # The message is the code's description, the detail and the code's number.
     detail = info.message.removeprefix(code.description).removeprefix(": ")
--- a/gaprock/platform/store.py
+++ b/gaprock/platform/store.py
@@ -46,7 +46,6 @@
 # The largest body of an answer, bytes, and the longest time to read it, seconds.  A
 # page has at most 1 MB of rows, which are encoded.
 MAX_ANSWER_BYTES: typing.Final = 8 * 1024 * 1024
-READ_BYTES: typing.Final = 64 * 1024
 BODY_WAIT_S: typing.Final = 10.0
 RETRY_STATUSES: typing.Final = (429, 503)
 # A longer Retry-After is cut to this many seconds, as rows would otherwise become older
@@ -320,24 +319,12 @@
 
     :raises gateway_api.StoreError: when it broke off, is too large or takes too long.
     """
-    pieces: list[bytes] = []
-    size = 0
     clock_ = clock.SteadyClock()
-    until = clock_.now() + BODY_WAIT_S
+    deadline = clock_.now() + BODY_WAIT_S
     try:
-        while piece := answer.read(READ_BYTES):
-            pieces.append(piece)
-            size += len(piece)
-            if size > MAX_ANSWER_BYTES or clock_.now() > until:
-                raise gateway_api.StoreError(f"answer goes on after {size} bytes")
+        return http_client.read_body(answer, MAX_ANSWER_BYTES, deadline, clock_)
     except CALL_ERRORS as exc:
-        answer.close()
-        raise gateway_api.StoreError(type(exc).__name__) from exc
-    except gateway_api.StoreError:
-        answer.close()
-        raise
-    answer.release_conn()
-    return b"".join(pieces)
+        raise gateway_api.StoreError(f"{type(exc).__name__}: {exc}") from exc
 
 
 def _page(body: dict[str, typing.Any], epoch: int) -> gateway_api.Page:
--- a/gaprock/services_http.py
+++ b/gaprock/services_http.py
@@ -23,6 +23,8 @@
 
 DEFAULT_RETRY_S: typing.Final = 1.0
 POOL_SIZE: typing.Final = 16
+# The largest answer of a service, bytes.
+MAX_ANSWER_BYTES: typing.Final = 16 * 1024 * 1024
 # After this many consecutive failures the circuit breaker opens: table calls fail at
 # once ...
 BREAKER_FAILURES: typing.Final = 2
@@ -54,7 +56,7 @@
         :raises services_api.PlatformError: when it was not carried out.
         """
         try:
-            resp = self._request(method, path, body)
+            resp, data = self._request(method, path, body)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -76,20 +78,16 @@
             return b""
         if resp.status not in (200, 409):
             raise services_api.PlatformError(f"status {resp.status}")
-        return resp.data
+        return data
 
     def _request(
         self, method: str, path: str, body: bytes | None
-    ) -> urllib3.BaseHTTPResponse:
-        """Send a request; a read is sent again if its kept connection was closed."""
-        send = functools.partial(
-            self._pool.request,
-            method,
-            self._base + path,
-            body=body,
-            headers=self._headers,
-            timeout=urllib3.Timeout(total=self._wait_s),
-        )
+    ) -> tuple[urllib3.BaseHTTPResponse, bytes]:
+        """Send a request; a read is sent again if its kept connection was closed.
+
+        :returns: the answer and its body.
+        """
+        send = functools.partial(self._send, method, path, body)
         try:
             return send()
         except urllib3.exceptions.ProtocolError as exc:
@@ -98,6 +96,22 @@
             eventlog.info("service-read-again", path=path, error=exc)
         return send()
 
+    def _send(
+        self, method: str, path: str, body: bytes | None
+    ) -> tuple[urllib3.BaseHTTPResponse, bytes]:
+        clock_ = clock.SteadyClock()
+        deadline = clock_.now() + self._wait_s
+        resp = self._pool.request(
+            method,
+            self._base + path,
+            body=body,
+            headers=self._headers,
+            timeout=urllib3.Timeout(total=self._wait_s),
+            preload_content=False,
+        )
+        data = http_client.read_body(resp, MAX_ANSWER_BYTES, deadline, clock_)
+        return resp, data
+
 
 T = typing.TypeVar("T")
 
