Answer the calls that are still in progress at the end of a planned stop

What callers saw: a request that came late in the grace of a planned stop, with a time limit beyond its end, was sent to an endpoint; if that was still at work when the process ended, the connection was closed without any answer, also of requests that may not be repeated.

Cause: at its deadline the stop refused new requests and waited 0.15 s for the open ones, but told these nothing.

Change: after that wait, open calls get their final answer, which is true: outcome unknown; a stream that has begun is cut. Nothing is sent again, and the endpoints are not blamed for it.

Evidence: test_requests_late_in_a_stop_have_an_answer_before_the_process_ends, with endpoints that never answer: the call of an unsafe route and a stream were still open when the stop was over before, and have a whole answer now; a call that may be repeated had its answer before (its silence was noticed).

--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -20,9 +20,12 @@
 UNREACHABLE: typing.Final = "endpoint unreachable"
 ENDED: typing.Final = "ended with its endpoint"
 HELD: typing.Final = "request is held back"
+STOPPED: typing.Final = "gateway stops"
 # Reasons after which no more data comes: they end the wait for an answer even if the
 # call may not be sent again.
-FINAL_REASONS: typing.Final = (DEADLINE, RESTARTED, HELD)
+FINAL_REASONS: typing.Final = (DEADLINE, RESTARTED, HELD, STOPPED)
+# Reasons that lie with this gateway and say nothing about the endpoint.
+OWN_REASONS: typing.Final = (HELD, STOPPED)
 # The lowest status that is no success, and the lowest that is the endpoint's failure.
 SUCCESS_END: typing.Final = 300
 SERVER_ERROR: typing.Final = 500
--- a/gaprock/gateway_node.py
+++ b/gaprock/gateway_node.py
@@ -110,6 +110,9 @@
 BALANCER_DELAY_S: typing.Final = 3.5
 # Time between the last accepted request and the end of the stop, seconds.
 CLOSE_WAIT_S: typing.Final = 0.15
+# Longest time in which the calls that are still in progress then get a final answer;
+# each looks for the end of the stop at an interval of half of it.
+END_WAIT_S: typing.Final = 2 * gateway_sender.CHECK_INTERVAL_S
 
 
 class Gateway:
@@ -318,8 +321,10 @@
         # connections that their connection closes.
         self.server.stop_deadline = self.server.accept_all_until = self.clock.now()
         threading.Event().wait(CLOSE_WAIT_S)
-        self.server.wait_idle(self.clock.now() + CLOSE_WAIT_S)
-        eventlog.info("drained", whole=drained, open=self.server.open_calls)
+        left = self.server.open_calls
+        self.server.end_calls()
+        self.server.wait_idle(self.clock.now() + END_WAIT_S)
+        eventlog.info("drained", whole=drained, ended=left, open=self.server.open_calls)
         self.mesh.stop()
 
     def close(self) -> None:
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -358,10 +358,11 @@
     def _record_broken(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, detail: str
     ) -> None:
-        if detail not in (gateway_attempt.DEADLINE, gateway_attempt.HELD):
+        is_own = detail in gateway_attempt.OWN_REASONS
+        if not is_own and detail != gateway_attempt.DEADLINE:
             call.excluded.add(attempt.endpoint.incarnation)
-        if detail == gateway_attempt.HELD:
-            # The gateway withdrew the request; its endpoint is not at fault.
+        if is_own:
+            # The gateway gave up the request; its endpoint is not at fault.
             pass
         elif detail == gateway_attempt.DEADLINE:
             self._judge.judge_pending(call, attempt)
--- a/gaprock/gateway_sender.py
+++ b/gaprock/gateway_sender.py
@@ -68,6 +68,8 @@
         self._metrics = metrics
         self._judge = judge
         self._gate = gate
+        # When the gateway ends: calls get their final answer from then on.
+        self.stop_at = clock.NEVER
 
     def send(
         self,
@@ -300,7 +302,7 @@
                 self._check_size(call, attempt, len(body))
                 reason = self._give_up_reason(call, attempt, last_data_at, may_give_up)
                 if reason:
-                    if reason != gateway_attempt.HELD:
+                    if reason not in gateway_attempt.OWN_REASONS:
                         self.record_lost(attempt)
                         self._gate.record_broken(attempt)
                     raise gateway_attempt.Failed(f"body: {reason}") from exc
@@ -361,7 +363,7 @@
         if not reason:
             return
         call.has_run = True
-        if reason != gateway_attempt.HELD:
+        if reason not in gateway_attempt.OWN_REASONS:
             call.excluded.add(attempt.endpoint.incarnation)
             self.record_lost(attempt)
             self._gate.record_broken(attempt)
@@ -413,6 +415,8 @@
             is_slow = allowed_s > silence_limit_s
             attempt.is_excused = is_slow and now - attempt.sent_at < allowed_s
             return gateway_attempt.DEADLINE
+        if now >= self.stop_at:
+            return gateway_attempt.STOPPED
         if endpoint.has_ended:
             return gateway_attempt.RESTARTED
         if self._gate.should_withdraw(call, attempt):
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -115,6 +115,10 @@
         """Number of requests in progress."""
         return self._open
 
+    def end_calls(self) -> None:
+        """Give the calls in progress their final answer, though endpoints work."""
+        self._sender.stop_at = self._clock.now()
+
     def wait_idle(self, deadline: float) -> bool:
         """Wait until no request is in progress.
 
@@ -405,7 +409,8 @@
 
     def _has_sends_left(self, call: gateway_call.Call) -> bool:
         """Whether a call may be sent again if the retry budget allows it."""
-        is_over = self._clock.now() >= call.deadline
+        now = self._clock.now()
+        is_over = now >= call.deadline or now >= self._sender.stop_at
         return call.sends_left > 0 and not is_over and not self._gate.held_s(call)
 
     def _record_refused(self, call: gateway_call.Call, reason: str) -> None:
--- a/gaprock/test/testgatewaystops.py
+++ b/gaprock/test/testgatewaystops.py
@@ -240,3 +240,31 @@
     other.metrics_port = 0
     other.max_calls = 8
     return other
+
+
+@pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/gen/x"])
+def test_requests_late_in_a_stop_have_an_answer_before_the_process_ends(
+    target: str,
+) -> None:
+    with gatewaysite.GatewaySite(short_grace) as site:
+        routes = [
+            gatewaysite.route("/gen/", "streaming", "llm", TimeoutMs=20_000),
+            gatewaysite.route("/safe/", "safe", "app", TimeoutMs=20_000),
+            gatewaysite.route("/unsafe/", "unsafe", "app", TimeoutMs=20_000),
+        ]
+        site.store.put("op", "config", gatewaysite.config(2, Routes=routes))
+        gatewaysite.wait_until(lambda: site.in_force == 2)
+        fakes = [site.add(name, "app") for name in ("a", "b")]
+        fakes += [site.add(name, "llm") for name in ("c", "d")]
+        for fake in fakes:
+            fake.default_script = backend.hang
+        stopping = threading.Thread(target=site.gateway.stop, daemon=True)
+        stopping.start()
+        gatewaysite.wait_until(lambda: site.gateway.leaving, "leaving")
+        pending = site.start_call(target, X_Deadline_Ms="20000")
+        gatewaysite.wait_until(lambda: any(fake.seen for fake in fakes), "it is sent")
+        stopping.join(10)
+        assert site.gateway.server.open_calls == 0
+        answer = pending.get()
+        assert answer.status == 502 and answer.whole
+        assert "x-not-run" not in answer.headers
