Turn off the whole check in the proof of resets, and end each stand-in of a test

The proof that an answer reset beside its upload is broken passed with its mechanism off: it dropped the error of the send alone, and the check at the answer's end found the reset by itself. It turns the check off now.

testownendless started two engines of one name, of which the first outlived its test.

--- a/gaprock/test/testownendless.py
+++ b/gaprock/test/testownendless.py
@@ -93,7 +93,7 @@
 def start(fleet: processes.Fleet, address: str) -> str:
     """Start a site whose agent serves a sound engine and an endless endpoint."""
     fleet.start_platform()
-    sound = fleet.start_fake("engine-a", "engine", "--parts=5")
+    sound = fleet.start_fake("engine-sound", "engine", "--parts=5")
     endless = f"endless=http://{address},calls=http://{address}"
     endless += ";kind=service;versions=calls@1"
     fleet.start_agent("a", "--endpoints", f"sound={sound},{endless}")
--- a/misc/proofs_gateway_requests.py
+++ b/misc/proofs_gateway_requests.py
@@ -10,8 +10,9 @@
         "testresetuploads.py::test_a_part_of_an_answer_is_not_whole_after_a_reset"
         "_beside_the_upload",
         "http_exchange.py",
-        "self._send_error = exc",
-        "self._send_error = None",
+        "            if self.ends_with_connection:\n"
+        "                self._check_reset()\n",
+        "",
     ),
     proofs.gateway(
         "an answer with an unknown status is none",
