Share the server of tests that answers by a script

Three new test files built the same client of an endpoint, and two the same reset. They are in `rawserver` now; no assertion changed.

--- a/gaprock/test/rawserver.py
+++ b/gaprock/test/rawserver.py
@@ -6,6 +6,8 @@
 import threading
 import typing
 
+from gaprock import agent_endpoint, clock, options
+
 Script = typing.Callable[[socket.socket, bytes], None]
 
 RESET: typing.Final = struct.pack("ii", 1, 0)
@@ -65,3 +67,9 @@
             pass
 
     return script
+
+
+def endpoint(address: str) -> agent_endpoint.Endpoint:
+    """Build the own mode's client of a server."""
+    option = options.EndpointOption("one", f"http://{address}", "engine", False, [])
+    return agent_endpoint.Endpoint(option, options.Options(), clock.SteadyClock())
--- a/gaprock/test/testownanswers.py
+++ b/gaprock/test/testownanswers.py
@@ -30,16 +30,11 @@
 ]
 
 
-def endpoint(address: str) -> agent_endpoint.Endpoint:
-    option = options.EndpointOption("one", f"http://{address}", "engine", False, [])
-    return agent_endpoint.Endpoint(option, options.Options(), clock.SteadyClock())
-
-
 def call(data: bytes) -> agent_endpoint.Answer:
     """Call an endpoint that sends an answer as it is."""
     deadline = clock.SteadyClock().now() + 5.0
     with rawserver.serve(rawserver.sends(data)) as address:
-        return endpoint(address).call("/x", b"{}", "r1", deadline, True)
+        return rawserver.endpoint(address).call("/x", b"{}", "r1", deadline, True)
 
 
 def check_is_no_answer(data: bytes) -> None:
@@ -76,7 +71,7 @@
 @pytest.mark.parametrize("data", SOME)
 def test_no_client_takes_an_odd_answer_for_one(data: bytes) -> None:
     with rawserver.serve(rawserver.sends(data)) as address:
-        one, time = endpoint(address), clock.SteadyClock()
+        one, time = rawserver.endpoint(address), clock.SteadyClock()
         for read in (
             lambda: one.stream("/x", b"{}", "r1", time.now() + 5.0).read_parts(),
             lambda: one.resume("s1", 3, time.now() + 5.0).read_parts(),
@@ -110,7 +105,7 @@
         rawserver.read_head(conn)
 
     with rawserver.serve(script) as address:
-        one, time = endpoint(address), clock.SteadyClock()
+        one, time = rawserver.endpoint(address), clock.SteadyClock()
         for _ in range(2):
             answer = one.call("/x", b"{}", "r1", time.now() + 5.0, True)
             assert answer.status == 200
--- a/gaprock/test/testownendless.py
+++ b/gaprock/test/testownendless.py
@@ -10,7 +10,7 @@
 import pytest
 import urllib3
 
-from gaprock import agent_endpoint, clock, errorcodes, errors, options
+from gaprock import agent_endpoint, clock, errorcodes, errors
 from gaprock.test import crowdcase, processes, rawserver
 
 # The memory that a daemon may take.
@@ -62,11 +62,6 @@
     return script
 
 
-def endpoint(address: str) -> agent_endpoint.Endpoint:
-    option = options.EndpointOption("one", f"http://{address}", "engine", False, [])
-    return agent_endpoint.Endpoint(option, options.Options(), clock.SteadyClock())
-
-
 def read_stream(source: agent_endpoint.EndpointStream) -> None:
     """Read a stream to its end, which is no success."""
     with contextlib.closing(source):
@@ -81,7 +76,7 @@
 def test_no_call_of_an_endpoint_outlives_its_deadline(name: str, stream: bool) -> None:
     time_ = clock.SteadyClock()
     with rawserver.serve(sends_without_end(*ENDLESS[name])) as address:
-        one, deadline = endpoint(address), time_.now() + 1.0
+        one, deadline = rawserver.endpoint(address), time_.now() + 1.0
         with pytest.raises(FAILURES):
             if stream:
                 read_stream(one.stream("/x", b"{}", "r1", deadline))
--- a/gaprock/test/testownresets.py
+++ b/gaprock/test/testownresets.py
@@ -8,7 +8,6 @@
 import urllib3
 
 from gaprock import (
-    agent_endpoint,
     clock,
     ctl_client,
     errorcodes,
@@ -48,11 +47,6 @@
     return script
 
 
-def endpoint(address: str) -> agent_endpoint.Endpoint:
-    option = options.EndpointOption("one", f"http://{address}", "engine", False, [])
-    return agent_endpoint.Endpoint(option, options.Options(), clock.SteadyClock())
-
-
 def deadline() -> float:
     return clock.SteadyClock().now() + 5.0
 
@@ -70,7 +64,7 @@
 ) -> None:
     with rawserver.serve(resets(HEAD + PART, after_s)) as address:
         with pytest.raises(errors.GaprockError) as caught:
-            endpoint(address).call("/x", UPLOAD, "r1", deadline(), repeatable)
+            rawserver.endpoint(address).call("/x", UPLOAD, "r1", deadline(), repeatable)
     assert caught.value.code is errorcodes.OUTCOME_UNKNOWN
 
 
@@ -80,7 +74,7 @@
 ) -> None:
     with rawserver.serve(resets(answer, 0.05)) as address:
         with pytest.raises(errors.GaprockError) as caught:
-            endpoint(address).call("/x", UPLOAD, "r1", deadline(), False)
+            rawserver.endpoint(address).call("/x", UPLOAD, "r1", deadline(), False)
     assert caught.value.code is errorcodes.OUTCOME_UNKNOWN
 
 
@@ -92,7 +86,7 @@
     with rawserver.serve(resets(answer, after_s)) as address:
         stream = None
         try:
-            stream = endpoint(address).stream("/x", UPLOAD, "r1", deadline())
+            stream = rawserver.endpoint(address).stream("/x", UPLOAD, "r1", deadline())
             while stream.read_parts():
                 pass
         except (errors.GaprockError, urllib3.exceptions.HTTPError):
@@ -106,7 +100,7 @@
 ) -> None:
     answer = b"HTTP/1.1 200 OK\r\n" + length + b"\r\n" + PART
     with rawserver.serve(rawserver.sends(answer)) as address:
-        got = endpoint(address).call("/x", UPLOAD, "r1", deadline(), False)
+        got = rawserver.endpoint(address).call("/x", UPLOAD, "r1", deadline(), False)
     assert (got.status, got.body) == (200, PART)
 
 
@@ -115,7 +109,7 @@
 ):
     answer = b"HTTP/1.1 204 No Content\r\n\r\n"
     with rawserver.serve(resets(answer, 0.05)) as address:
-        got = endpoint(address).call("/x", UPLOAD, "r1", deadline(), False)
+        got = rawserver.endpoint(address).call("/x", UPLOAD, "r1", deadline(), False)
     assert (got.status, got.body) == (204, b"")
 
 
--- a/gaprock/test/testresetuploads.py
+++ b/gaprock/test/testresetuploads.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import socket
-import struct
 import threading
 import time
 import typing
@@ -10,12 +9,11 @@
 import pytest
 
 from gaprock import tcp_reset
-from gaprock.test import gatewaysite
+from gaprock.test import gatewaysite, rawserver
 from gaprock.test.fakes import backend
 
 UPLOAD: typing.Final = b"u" * (4 * 1024 * 1024)
 LIMITS: typing.Final = {"BodyBytes": len(UPLOAD), "IdleMs": 15_000}
-RESET: typing.Final = struct.pack("ii", 1, 0)
 PART: typing.Final = b"b" * 2800
 EVENTS: typing.Final = backend.event(1) + backend.event(2)
 # Seconds from the answer to the reset; ``None`` closes the connection at once, with the
@@ -23,12 +21,6 @@
 ENDS: typing.Final = [None, 0.0, 0.01, 0.05, 0.2, 1.0]
 
 
-def reset(conn: socket.socket) -> None:
-    """Reset a connection."""
-    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-    conn.close()
-
-
 def answers_and_resets(
     after_s: float | None,
     body: bytes = PART,
@@ -45,7 +37,7 @@
         conn.sendall(start.replace(b"1.1", version, 1) + body)
         if after_s is not None:
             time.sleep(after_s)
-            reset(conn)
+            rawserver.reset(conn)
 
     return script
 
@@ -158,7 +150,7 @@
         conn.sendall(backend.head(seen) + PART)
         conn.shutdown(socket.SHUT_WR)
         time.sleep(tcp_reset.WAIT_S / 5)
-        reset(conn)
+        rawserver.reset(conn)
 
     with upload_site("app", ends_then_resets) as site:
         assert upload(site, "/unsafe/x").status == 502
