Tell the scripted sender of a test when its gateway ends

test_what_never_ran_ends_as_not_run_and_nothing_else_does failed in a whole run of (AttributeError: 'Sends' object has no attribute 'stop_at'), since the number of sends left depends on the end of a planned stop now. The stand-in gets the attribute, with the value that a sender has while its gateway is not being stopped; no assertion changed.

--- a/gaprock/test/testgone.py
+++ b/gaprock/test/testgone.py
@@ -60,6 +60,7 @@
     def __init__(self, ends: list[str]) -> None:
         self.ends = ends
         self.may_have_run = False
+        self.stop_at = clock.NEVER
 
     def send(self, call: gateway_call.Call, *more: object) -> typing.NoReturn:
         end = self.ends.pop(0) if self.ends else "refused"
