Answer the calls that outlast an entry's planned stop

What callers saw: a call that was still in progress when the drain time of an entry's planned stop was over had no answer, and its connection stayed open, until the call's own deadline, although the entry had closed its links and no answer could come any more.

Change: after the drain time the attempts in progress fail as they do when an agent falls silent: outcome unknown, a stream that has begun is cut. A call that may be repeated is sent again meanwhile, so this is done again each 0.1 s for at most a second.

--- a/gaprock/entry_link.py
+++ b/gaprock/entry_link.py
@@ -131,6 +131,11 @@
         self._thread.join()
         self._mailbox.close()
 
+    def end_attempts(self, why: str) -> None:
+        """Fail the attempts in progress, whose agent may go on with them."""
+        for attempt in list(self._attempts.values()):
+            self._fail_lost(attempt, why)
+
     @property
     def live(self) -> bool:
         """Whether a message from the agent arrived within ``silent_s``."""
--- a/gaprock/entry_links.py
+++ b/gaprock/entry_links.py
@@ -37,6 +37,11 @@
         for link in self.all():
             link.stop()
 
+    def end_attempts(self, why: str) -> None:
+        """Fail the attempts in progress at all agents."""
+        for link in self.all():
+            link.end_attempts(why)
+
     def all(self) -> list[entry_link.AgentLink]:
         """Return all links."""
         with self._lock:
--- a/gaprock/entry_main.py
+++ b/gaprock/entry_main.py
@@ -53,6 +53,10 @@
 CLAIMS_INTERVAL_S: typing.Final = 0.5
 GUARD_INTERVAL_S: typing.Final = 0.25
 QUARANTINE_INTERVAL_S: typing.Final = 1.0
+# How long a planned stop waits for the final answers of calls that outlast it, and how
+# often it ends those that were sent again, seconds.
+END_WAIT_S: typing.Final = 1.0
+END_POLL_S: typing.Final = 0.1
 
 
 class Entry:
@@ -185,7 +189,11 @@
         clock.sleep_until(self.clock.now() + self.cfg.linger_s, self.clock)
         self.server.leaving = True
         drained = self.server.drain(self.clock.now() + self.cfg.drain_s)
-        eventlog.info("drained", whole=drained)
+        left = self.server.open_requests
+        self._end_calls()
+        eventlog.info(
+            "drained", whole=drained, ended=left, open=self.server.open_requests
+        )
         for task in self._tasks:
             task.stop()
         self.duties.stop()
@@ -195,6 +203,16 @@
         self.batcher.stop()
         self.links.stop()
 
+    def _end_calls(self) -> None:
+        """Give the calls in progress their final answer, though endpoints work.
+
+        One that may be repeated is sent again meanwhile, and ended again.
+        """
+        until = self.clock.now() + END_WAIT_S
+        while self.server.open_requests and self.clock.now() < until:
+            self.links.end_attempts("the entry stops")
+            self.server.drain(self.clock.now() + END_POLL_S)
+
     def _make_tasks(self) -> list[periodic.Periodic]:
         cfg = self.cfg
         return [
--- a/gaprock/test/testownendless.py
+++ b/gaprock/test/testownendless.py
@@ -48,12 +48,17 @@
 }
 
 
+def report_load(conn: socket.socket) -> None:
+    """Answer a request for the load report."""
+    conn.sendall(OK + b"Content-Length: %d\r\n\r\n" % len(LOAD) + LOAD)
+
+
 def sends_without_end(first: bytes, again: bytes) -> rawserver.Script:
     """Report the load, and answer everything else without end."""
 
     def script(conn: socket.socket, head: bytes) -> None:
         if head.startswith(b"GET /load"):
-            conn.sendall(OK + b"Content-Length: %d\r\n\r\n" % len(LOAD) + LOAD)
+            report_load(conn)
             return
         conn.sendall(first)
         while True:
@@ -85,14 +90,14 @@
         assert one._memory.used == 0
 
 
-def start(fleet: processes.Fleet, address: str) -> str:
+def start(fleet: processes.Fleet, address: str, *flags: str) -> str:
     """Start a site whose agent serves a sound engine and an endless endpoint."""
     fleet.start_platform()
     sound = fleet.start_fake("engine-sound", "engine", "--parts=5")
     endless = f"endless=http://{address},calls=http://{address}"
     endless += ";kind=service;versions=calls@1"
-    fleet.start_agent("a", "--endpoints", f"sound={sound},{endless}")
-    url = fleet.start_entry("entry-0")
+    fleet.start_agent("a", "--endpoints", f"sound={sound},{endless}", *flags)
+    url = fleet.start_entry("entry-0", *flags)
     fleet.wait_ready()
     fleet.publish_demo(url)
     stream = {"workspace": "demo", "name": "endless"}
