Keep a silent stream until another endpoint has accepted it

A service with one endpoint cut every stream that paused for 0.75 s.

Cause: a stream that was silent for 2.5 times the longest event gap was left as soon as its route and the retry budget allowed another send. Whether another endpoint takes it was asked only then; if none did, or one refused, the stream was cut, although its own endpoint might go on.

Change: the source stays open and is left once another endpoint has accepted the rest. None is asked while none may get the request.

Why it works: the caller's stream now ends early only if its own endpoint ended or broke off.

The proof of record_success follows the new indentation.

--- a/gaprock/begun_sends.py
+++ b/gaprock/begun_sends.py
@@ -125,7 +125,14 @@
 class BegunSends:
     """The sends of a gateway by the incarnation of their endpoint; thread-safe."""
 
-    __slots__ = ("_clock", "_lock", "_by_attempt", "_by_endpoint", "_ended")
+    __slots__ = (
+        "_clock",
+        "_lock",
+        "_by_attempt",
+        "_by_endpoint",
+        "_ended",
+        "_silent",
+    )
 
     def __init__(self, clock_: clock.Clock) -> None:
         self._clock = clock_
@@ -136,6 +143,8 @@
         self._ended: collections.OrderedDict[BegunSend, None] = (
             collections.OrderedDict()
         )
+        # The open ones whose calls are being sent elsewhere.
+        self._silent: set[BegunSend] = set()
 
     def begin(self, call: gateway_call.Call, attempt: gateway_attempt.Attempt) -> None:
         """Record a send that leaves now."""
@@ -158,6 +167,18 @@
             if send is not None:
                 send.is_broken = True
 
+    def set_silent(self, attempt: gateway_attempt.Attempt, is_silent: bool) -> None:
+        """Record whether an open send counts as broken, as its endpoint is silent."""
+        with self._lock:
+            send = self._by_attempt.get(attempt)
+            if send is None or not send.is_open:
+                return
+            send.is_broken = is_silent
+            if is_silent:
+                self._silent.add(send)
+            else:
+                self._silent.discard(send)
+
     def end(self, attempt: gateway_attempt.Attempt) -> None:
         """Record the end of a send, whatever ended it."""
         with self._lock:
@@ -165,6 +186,7 @@
             if send is None or not send.is_open:
                 return
             send.end(self._clock.now())
+            self._silent.discard(send)
             self._ended[send] = None
             while len(self._ended) > MAX_ENDED:
                 self._drop(next(iter(self._ended)))
@@ -208,12 +230,12 @@
 
     def count_broken(self, fingerprint: int) -> int:
         """Return how many endpoints broke a request off, and may have ended."""
-        if not self._ended:
+        if not self._ended and not self._silent:
             return 0
         with self._lock:
             broken = [
                 one
-                for one in self._ended
+                for one in (*self._ended, *self._silent)
                 if one.is_broken and one.alive_at == clock.NEVER
             ]
             same = [one for one in broken if one.marks.fingerprint == fingerprint]
@@ -239,6 +261,7 @@
 
     def _drop(self, send: BegunSend) -> None:
         self._ended.pop(send, None)
+        self._silent.discard(send)
         self._by_attempt.pop(send.attempt, None)
         sends = self._by_endpoint.get(send.endpoint)
         if sends is not None:
--- a/gaprock/event_source.py
+++ b/gaprock/event_source.py
@@ -20,9 +20,12 @@
 
 
 class EventSource:
-    """Reads the events of one send."""
+    """Reads the events of one send.
 
-    __slots__ = ("attempt", "_splitter", "_clock", "_directory", "_share")
+    :param is_resumed: whether the send continues a stream that broke off elsewhere.
+    """
+
+    __slots__ = ("attempt", "is_resumed", "_splitter", "_clock", "_directory", "_share")
 
     def __init__(
         self,
@@ -30,7 +33,9 @@
         clock_: clock.Clock,
         directory_: directory.Directory,
         share: body_memory.Share | None = None,
+        is_resumed: bool = False,
     ) -> None:
+        self.is_resumed = is_resumed
         self._share = share
         self.attempt = attempt
         self._clock = clock_
--- a/gaprock/gateway_attempt.py
+++ b/gaprock/gateway_attempt.py
@@ -55,6 +55,7 @@
         "is_pace_judged",
         "is_given_time",
         "is_excused",
+        "is_kept",
         "held",
         "on_finish",
         "watch",
@@ -89,6 +90,8 @@
         # whether the caller's time was over before that time was.
         self.is_given_time = False
         self.is_excused = False
+        # Whether its stream was kept although its endpoint was silent for too long.
+        self.is_kept = False
         # Whether the prompt still counts among the endpoint's unread tokens.
         self._is_unread = True
         self.head: gateway_api.AnswerHead
--- a/gaprock/gateway_choose.py
+++ b/gaprock/gateway_choose.py
@@ -130,6 +130,13 @@
         )
         return chosen, prompt
 
+    def has_other(
+        self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint
+    ) -> bool:
+        """Whether another endpoint may get a call now."""
+        fitting = self._endpoint_sets(call).fitting
+        return any(e.incarnation != endpoint.incarnation for e in fitting)
+
     def _record_paced(
         self,
         call: gateway_call.Call,
--- a/gaprock/gateway_find.py
+++ b/gaprock/gateway_find.py
@@ -10,6 +10,7 @@
 
 from gaprock import (
     clock,
+    endpoint_state,
     errorcodes,
     gateway_call,
     gateway_choose,
@@ -99,6 +100,17 @@
                 call.excluded.clear()
             threading.Event().wait(POLL_INTERVAL_S)
 
+    def has_other(
+        self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint
+    ) -> bool:
+        """Whether another endpoint than the one that runs a call takes it now."""
+        if self._must_wait(call):
+            return False
+        is_queue_empty = self._queue.is_empty(call.service)
+        if not is_queue_empty and self._chooser.turn(call) is not None:
+            return False
+        return self._chooser.has_other(call, endpoint)
+
     def _must_wait(self, call: gateway_call.Call) -> bool:
         """Whether a suspected request must wait for an earlier try or for endpoints."""
         gate = self._gate
--- a/gaprock/gateway_quarantine.py
+++ b/gaprock/gateway_quarantine.py
@@ -205,6 +205,10 @@
         """Record that an endpoint broke an answer off, or fell silent."""
         self._sends.set_broken(attempt)
 
+    def record_silent(self, attempt: gateway_attempt.Attempt, is_silent: bool) -> None:
+        """Record whether a stream that is still open counts as broken off."""
+        self._sends.set_silent(attempt, is_silent)
+
     def record_alive(self, endpoint: endpoint_state.Endpoint) -> None:
         """Record that bytes of an answer came from an endpoint."""
         self._sends.record_alive(endpoint)
--- a/gaprock/gateway_relay.py
+++ b/gaprock/gateway_relay.py
@@ -11,6 +11,7 @@
 from gaprock import (
     clock,
     directory,
+    endpoint_state,
     errorcodes,
     event_source,
     event_stream,
@@ -44,6 +45,11 @@
     def may_repeat(self, call: gateway_call.Call) -> bool:
         """Return whether a call that may have run may be sent again."""
 
+    def may_move(
+        self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint
+    ) -> bool:
+        """Return whether another endpoint may be sent a call that has run."""
+
     def charge_repeat(self, call: gateway_call.Call, reason: str) -> bool:
         """Charge the next send of a call that may have run.
 
@@ -133,9 +139,8 @@
                 self._judge.record_answer(call, attempt, failed=False)
                 return source, events
             except event_source.Broken as exc:
-                attempt.finish(self.directory)
                 detail = str(exc)
-                self._record_broken(call, attempt, detail)
+                self._end_broken(call, attempt, detail)
                 if not sends.charge_repeat(call, detail):
                     raise sends.unknown(call, detail) from exc
             except BaseException:
@@ -229,19 +234,19 @@
         """
         last = call.info.resume_after
         source: event_source.EventSource | None = first
-        while source is not None:
-            try:
-                self._relay_one(call, reply, sends, source, events, last)
-                self._gate.record_success(call, source.attempt)
-                return True
-            except _Interrupted as exc:
-                last, detail = exc.last, exc.detail
-            finally:
+        try:
+            while source is not None:
+                try:
+                    self._relay_one(call, reply, sends, source, events, last)
+                    self._gate.record_success(call, source.attempt)
+                    return True
+                except _Interrupted as exc:
+                    last, detail = exc.last, exc.detail
+                    source = self._next_source(call, reply, sends, source, exc)
+                events = []
+        finally:
+            if source is not None:
                 source.attempt.finish(self.directory)
-            self._record_broken(call, source.attempt, detail)
-            events = []
-            model = source.attempt.model
-            source = self._resume(call, reply, sends, model, last, detail)
         eventlog.warning(
             "stream-cut",
             request=call.info.request,
@@ -252,6 +257,35 @@
         reply.cut()
         return False
 
+    def _next_source(
+        self,
+        call: gateway_call.Call,
+        reply: gateway_call.Reply,
+        sends: SendService,
+        source: event_source.EventSource,
+        exc: "_Interrupted",
+    ) -> event_source.EventSource | None:
+        """Return the source of the rest of a stream; ``None`` if there is none.
+
+        A silent endpoint may go on later, so its source is kept until another endpoint
+        has accepted the stream.
+        """
+        attempt = source.attempt
+        if not exc.may_go_on:
+            self._end_broken(call, attempt, exc.detail)
+            return self._resume(call, reply, sends, attempt.model, exc)
+        call.excluded.add(attempt.endpoint.incarnation)
+        # It may have crashed its endpoint, which counts when another one is chosen.
+        self._gate.record_silent(attempt, True)
+        other = self._resume(call, reply, sends, attempt.model, exc)
+        if other is None:
+            call.excluded.discard(attempt.endpoint.incarnation)
+            self._gate.record_silent(attempt, False)
+            self._record_kept(call, attempt, exc.last, exc.detail)
+            return source
+        self._end_broken(call, attempt, exc.detail)
+        return other
+
     def _relay_one(
         self,
         call: gateway_call.Call,
@@ -266,7 +300,6 @@
         :raises _Interrupted: when it broke off or was given up before its end.
         """
         last_data_at = self._clock.now()
-        is_first = not call.events
         call.model, call.endpoint = source.attempt.model, source.attempt.endpoint.name
         while True:
             undelivered = [e for e in events if not _is_delivered(e, last)]
@@ -276,7 +309,7 @@
                 reply.write(b"".join(e.raw for e in undelivered))
                 numbers = [e.number for e in undelivered if e.number is not None]
                 last = numbers[-1] if numbers else last
-                if is_first:
+                if not source.is_resumed:
                     self._judge.judge_event_gaps(call, source.attempt)
             waited_since = self._clock.now()
             check_at = waited_since + gateway_sender.CHECK_INTERVAL_S
@@ -314,8 +347,28 @@
             return
         if reason in gateway_attempt.FINAL_REASONS:
             raise _Interrupted(reason, last) from exc
-        if last is not None and sends.may_repeat(call):
-            raise _Interrupted(reason, last) from exc
+        if last is not None and sends.may_move(call, source.attempt.endpoint):
+            raise _Interrupted(reason, last, may_go_on=True) from exc
+        self._record_kept(call, source.attempt, last, reason)
+
+    def _record_kept(
+        self,
+        call: gateway_call.Call,
+        attempt: gateway_attempt.Attempt,
+        last: int | None,
+        reason: str,
+    ) -> None:
+        """Log, once for each send, that a silent stream is kept."""
+        if attempt.is_kept:
+            return
+        attempt.is_kept = True
+        eventlog.info(
+            "stream-kept",
+            request=call.info.request,
+            endpoint=attempt.endpoint.name,
+            after="none" if last is None else last,
+            detail=reason,
+        )
 
     def _resume(
         self,
@@ -323,13 +376,13 @@
         reply: gateway_call.Reply,
         sends: SendService,
         model: str,
-        last: int | None,
-        detail: str,
+        interrupted: "_Interrupted",
     ) -> event_source.EventSource | None:
         """Open the rest of a stream at another endpoint, with the same model.
 
         :returns: the new source; ``None`` if no endpoint resumed the stream.
         """
+        last, detail = interrupted.last, interrupted.detail
         while last is not None and sends.may_repeat(call):
             reason = f"resume after {last}: {detail}"
             try:
@@ -348,16 +401,22 @@
                     after=last,
                 )
                 return event_source.EventSource(
-                    attempt, self._clock, self.directory, call.inbound.memory
+                    attempt,
+                    self._clock,
+                    self.directory,
+                    call.inbound.memory,
+                    is_resumed=True,
                 )
             attempt.finish(self.directory)
             call.excluded.add(attempt.endpoint.incarnation)
             detail = f"status {attempt.head.status}"
         return None
 
-    def _record_broken(
+    def _end_broken(
         self, call: gateway_call.Call, attempt: gateway_attempt.Attempt, detail: str
     ) -> None:
+        """End a send whose stream broke off or was given up, and record why."""
+        attempt.finish(self.directory)
         is_own = detail in gateway_attempt.OWN_REASONS
         if not is_own and detail != gateway_attempt.DEADLINE:
             call.excluded.add(attempt.endpoint.incarnation)
@@ -376,12 +435,14 @@
     """A source broke off or was given up before its end.
 
     :param last: number of the last event that the caller has.
+    :param may_go_on: whether it was only silent.
     """
 
-    def __init__(self, detail: str, last: int | None) -> None:
+    def __init__(self, detail: str, last: int | None, may_go_on: bool = False) -> None:
         super().__init__(detail)
         self.detail = detail
         self.last = last
+        self.may_go_on = may_go_on
 
 
 def _is_delivered(event: event_stream.Event, last: int | None) -> bool:
--- a/gaprock/gateway_serve.py
+++ b/gaprock/gateway_serve.py
@@ -17,6 +17,7 @@
 
 from gaprock import (
     clock,
+    endpoint_state,
     errorcodes,
     errors,
     eventlog,
@@ -356,6 +357,12 @@
         """Return whether a call that may have run may be sent again."""
         return call.route.repeatable and self._may_send_again(call)
 
+    def may_move(
+        self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint
+    ) -> bool:
+        """Return whether another endpoint may be sent a call that has run."""
+        return self.may_repeat(call) and self._finder.has_other(call, endpoint)
+
     def charge_repeat(self, call: gateway_call.Call, reason: str) -> bool:
         """Charge the next send of a call that may have run.
 
--- a/gaprock/test/testresume.py
+++ b/gaprock/test/testresume.py
@@ -1,8 +1,17 @@
 """Tests of a stream that breaks off and is to go on at another endpoint."""
 
+import time
 import typing
 
-from gaprock import endpoint_state, errorcodes, gateway_attempt, gateway_call
+import pytest
+
+from gaprock import (
+    endpoint_state,
+    errorcodes,
+    gateway_attempt,
+    gateway_call,
+    gateway_relay,
+)
 from gaprock.test import callcase, gatewaysite
 from gaprock.test.fakes import backend
 
@@ -19,6 +28,11 @@
     def may_repeat(self, call: gateway_call.Call) -> bool:
         return self.left > 0
 
+    def may_move(
+        self, call: gateway_call.Call, endpoint: endpoint_state.Endpoint
+    ) -> bool:
+        return False
+
     def charge_repeat(self, call: gateway_call.Call, reason: str) -> bool:
         self.left -= 1
         return self.left >= 0
@@ -38,7 +52,8 @@
     relay = site.gateway.server._relay
     reply = typing.cast(gateway_call.Reply, None)
     call = callcase.call(1)
-    assert relay._resume(call, reply, sends, "small", 1, "silent") is None
+    interrupted = gateway_relay._Interrupted("silent", 1)
+    assert relay._resume(call, reply, sends, "small", interrupted) is None
     assert sends.left == 20
 
 
@@ -98,3 +113,90 @@
     break_off_once(site, lambda name: site.backends[name].stop())
     assert not site.generate().whole
     assert repeats_charged(site) == 0
+
+
+def pausing_stream(pause_s: float) -> backend.Script:
+    """Stream five events, with a pause after the second one."""
+
+    def script(fake: backend.Backend, *args: typing.Any) -> None:
+        seen, conn = args
+        backend.stream_to(2, whole=False)(fake, seen, conn)
+        time.sleep(pause_s)
+        rest = (backend.chunk(backend.event(n)) for n in range(3, 6))
+        conn.sendall(b"".join(rest) + b"0\r\n\r\n")
+
+    return script
+
+
+@pytest.mark.parametrize("backs_off", [False, True])
+def test_a_silent_stream_is_not_cut_while_no_other_endpoint_takes_it(
+    backs_off: bool, site: gatewaysite.GatewaySite
+) -> None:
+    # Guards against a cut of what would go on: the pause is above the limit, 0.75 s.
+    site.add("a", "llm").default_script = pausing_stream(1.2)
+    if backs_off:
+        site.add("b", "llm")
+        directory_ = site.gateway.directory
+        (b,) = [e for e in directory_.usable("llm", set()) if e.name == "b"]
+        now = site.gateway.clock.now()
+        directory_.notices.backoffs.note_refusal(b, 5.0, now)
+    answer = site.generate()
+    assert answer.whole
+    assert answer.body == b"".join(backend.event(n) for n in range(1, 6))
+    assert repeats_charged(site) == 0
+
+
+def test_a_silent_stream_is_not_cut_when_another_endpoint_refuses_it(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    # Guards against leaving an endpoint before another one has accepted the rest.
+    a = site.add("a", "llm")
+    a.default_script = pausing_stream(2.0)
+    pending = gatewaysite.PendingCall(site.generate)
+    gatewaysite.wait_until(lambda: bool(a.seen), "sent to a")
+    b = site.add("b", "llm")
+    b.default_script = backend.refuse()
+    answer = pending.get()
+    assert b.seen and answer.whole
+    assert answer.body == b"".join(backend.event(n) for n in range(1, 6))
+
+
+def test_a_silent_stream_counts_as_broken_while_another_endpoint_is_asked(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    # Guards the last healthy endpoint against a request that silences endpoints.
+    begun = site.gateway.server._gate._sends
+    counts: list[int] = []
+
+    def refuse(fake: backend.Backend, *args: typing.Any) -> None:
+        counts.append(begun.count_broken(sent[0].fingerprint))
+        backend.refuse()(fake, *args)
+
+    a = site.add("a", "llm")
+    a.default_script = pausing_stream(2.0)
+    pending = gatewaysite.PendingCall(site.generate)
+    gatewaysite.wait_until(lambda: bool(a.seen), "sent to a")
+    sent = [send.marks for send in begun._by_attempt.values()]
+    site.add("b", "llm").default_script = refuse
+    pending.get()
+    assert counts and set(counts) == {1}
+    assert begun.count_broken(sent[0].fingerprint) == 0
+
+
+def test_a_silent_stream_goes_on_at_an_endpoint_that_takes_it(
+    site: gatewaysite.GatewaySite,
+) -> None:
+    fakes = [site.add(name, "llm") for name in ("a", "b")]
+    has_paused: list[str] = []
+
+    def script(fake: backend.Backend, *args: typing.Any) -> None:
+        if not has_paused:
+            has_paused.append(fake.name)
+            pausing_stream(10.0)(fake, *args)
+        else:
+            backend.stream_to(5)(fake, *args)
+
+    for fake in fakes:
+        fake.default_script = script
+    assert site.generate().whole
+    assert repeats_charged(site) == 1
--- a/misc/proofs_gateway_requests.py
+++ b/misc/proofs_gateway_requests.py
@@ -79,6 +79,14 @@
         "if is_over or not self.may_repeat(call):",
         "if True:",
     ),
+    proofs.gateway(
+        "a silent stream is kept until another endpoint has accepted it",
+        "testresume.py::test_a_silent_stream_is_not_cut_when_another_endpoint_refuses"
+        "_it",
+        "gateway_relay.py",
+        "        if not exc.may_go_on:\n",
+        "        if True:\n",
+    ),
     proofs.gateway(
         "the charge of a repeat that never left is released",
         "testresume.py::test_a_resumption_that_never_left_is_not_charged",
@@ -167,7 +175,7 @@
         "a complete answer clears a request of suspicion",
         "testpoison.py::test_a_stream_that_runs_goes_on_and_clears_its_request",
         "gateway_relay.py",
-        "                self._gate.record_success(call, source.attempt)\n",
+        "                    self._gate.record_success(call, source.attempt)\n",
     ),
     proofs.gateway(
         "an endpoint that still accepts connections does not count as crashed",
