Read whole answers of endpoints by the loop that all clients share

Cause: the agent's client had a second copy of http_client.read_body, which differed in that it counts its bytes in the agent's memory and frees them on a failure.

Change: read_body takes the memory, and the copy is gone. All clients now free a failed answer's bytes at once, and none holds more than its bound. Ruled out: a memory for the other clients; each has a bound for one answer, and few at a time. A detail now says "the answer is larger than N bytes" where an agent's said "over N bytes".

--- a/gaprock/agent_endpoint.py
+++ b/gaprock/agent_endpoint.py
@@ -173,39 +173,14 @@
         self.check_backoff()
         resp = self._open("POST", path, body, request, deadline, keep=repeatable)
         try:
-            data = self._read_whole(resp, deadline)
+            data = http_client.read_body(
+                resp, self._cfg.max_answer, deadline, self._clock, self._memory
+            )
         except urllib3.exceptions.HTTPError as exc:
             raise self._unknown_outcome(exc) from exc
         content_type = resp.headers.get("Content-Type", "application/json")
         return Answer(resp.status, content_type, data)
 
-    def _read_whole(self, resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
-        """Read a body to its end, within the memory for answers.
-
-        :raises urllib3.exceptions.HTTPError: when it broke off, is too large or takes
-            too long.
-        """
-        body = bytearray()
-        counted = 0
-        try:
-            while piece := http_client.read_some(resp, deadline, self._clock):
-                size = counted + len(piece)
-                if size > self._cfg.max_answer:
-                    raise http_client.TooLong(f"over {self._cfg.max_answer} bytes")
-                if not self._memory.change(counted, size):
-                    raise http_client.TooLong(f"no memory after {counted} bytes")
-                body += piece
-                counted = size
-            resp.release_conn()
-            return bytes(body)
-        except BaseException:
-            resp.close()
-            raise
-        finally:
-            # The exception of a failure would keep it for as long as it is handled.
-            body.clear()
-            self._memory.change(counted, 0)
-
     def stream(
         self, path: str, body: bytes, request: str, deadline: float
     ) -> EndpointStream:
--- a/gaprock/http_client.py
+++ b/gaprock/http_client.py
@@ -16,7 +16,7 @@
 import urllib3
 import urllib3.connection
 
-from gaprock import clock, http_answer, tcp_reset
+from gaprock import answer_memory, clock, http_answer, tcp_reset
 
 READ_BYTES: typing.Final = 64 * 1024
 # Shortest time-out of a read; 0 would mean not to wait at all.
@@ -49,23 +49,33 @@
     max_bytes: int,
     deadline: float,
     clock_: clock.Clock,
+    memory: answer_memory.AnswerMemory | None = None,
 ) -> bytes:
     """Read a body to its end, and release its connection.
 
+    :param memory: counts its bytes while it is being read.
     :raises TooLong: when it is larger than allowed, or the deadline has passed.
     :raises urllib3.exceptions.HTTPError: when it broke off.
     """
     body = bytearray()
     try:
         while piece := read_some(resp, deadline, clock_):
-            body += piece
-            if len(body) > max_bytes:
+            size = len(body) + len(piece)
+            if size > max_bytes:
                 raise TooLong(f"the answer is larger than {max_bytes} bytes")
+            if memory is not None and not memory.change(len(body), size):
+                raise TooLong(f"no memory after {len(body)} bytes")
+            body += piece
+        resp.release_conn()
+        return bytes(body)
     except BaseException:
         resp.close()
         raise
-    resp.release_conn()
-    return bytes(body)
+    finally:
+        if memory is not None:
+            memory.change(len(body), 0)
+        # The exception of a failure would keep it for as long as it is handled.
+        body.clear()
 
 
 class _Sending:
