Check the size of an event before its memory is counted

Cause: a beginning of an event that was too large was counted and kept before it was refused, only so that close() took off what had been counted.

Change: the size is checked first, so what is refused is neither counted nor kept. An event that is too large and has no memory either is "too large" now, where the detail said "without memory"; the result code is the same.

--- a/gaprock/agent_endpoint.py
+++ b/gaprock/agent_endpoint.py
@@ -122,11 +122,12 @@
     def _keep(self, rest: bytes) -> None:
         """Keep the beginning of an event that is incomplete."""
         size = len(rest)
-        fits = self._memory.change(len(self._buffer), size)
-        if not fits or size > self._max_event:
-            if fits:
-                self._buffer = rest
-            reason = "too large" if fits else "without memory"
+        reason = ""
+        if size > self._max_event:
+            reason = "too large"
+        elif not self._memory.change(len(self._buffer), size):
+            reason = "without memory"
+        if reason:
             detail = f"an event is {reason} after {size} bytes"
             raise errors.GaprockError(errorcodes.STREAM_CUT, detail)
         self._buffer = rest
